--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,55 @@
+//! Monotonic time in milliseconds.
+//!
+//! The decision crates never read a clock: the caller passes a [`Time`] in, so that tests and experiments choose it.
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in monotonic time, in milliseconds since an origin that is private to the process.
+///
+/// Values of different processes must not be compared with each other.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Time = Time(0);
+
+    /// Reads the monotonic clock of this process.
+    pub fn now() -> Time {
+        static ORIGIN: OnceLock<Instant> = OnceLock::new();
+        let elapsed = ORIGIN.get_or_init(Instant::now).elapsed();
+        // One is added so that no reading equals `ZERO`, which callers use as "never".
+        Time(elapsed.as_millis() as u64 + 1)
+    }
+
+    /// The time `ms` milliseconds after the origin.
+    pub const fn from_ms(ms: u64) -> Time {
+        Time(ms)
+    }
+
+    /// Milliseconds since the origin.
+    pub const fn as_ms(self) -> u64 {
+        self.0
+    }
+
+    /// The time `ms` milliseconds later.
+    pub const fn plus_ms(self, ms: u64) -> Time {
+        Time(self.0.saturating_add(ms))
+    }
+
+    /// Milliseconds since `earlier`, or 0 if `earlier` is later than `self`.
+    pub const fn since(self, earlier: Time) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The time from `now` until `self`, or zero if it has passed.
+    pub const fn until(self, now: Time) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(now.0))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The router daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
