Add the configuration crate: items, changes, difference and YAML

A change is checked in two steps: each action as it is applied, and what must hold between items (distinct keys, model names and addresses, a remaining host and voter) on the result. Checking distinctness after each action was ruled out: it would refuse a change that swaps two keys or replaces a host.

Places of semantic errors are found by reading the text a second time along the path and failing there, because the YAML library reports places only with errors. A scan of the text by lines was ruled out: flow style defeats it.

--- /dev/null
+++ b/crates/config/src/apply.rs
@@ -0,0 +1,383 @@
+//! Applies a change to a configuration.
+
+use std::sync::Arc;
+
+use primrose_base::name::Name;
+
+use crate::change::{Action, Change, Code, Refusal};
+use crate::configuration::{Configuration, Conflict, MAX_VOTERS};
+use crate::draft::{self, Invalid};
+use crate::item::{Account, Host, Pool, Server, State};
+use crate::table::{Entry, Table};
+
+/// Retired servers, and retired hosts, that are kept: about a week of replacements at the target size. Without a bound
+/// the list would grow with every replaced machine.
+pub const MAX_RETIRED: usize = 256;
+
+/// Why one action is refused.
+struct Reason {
+    code: Code,
+    message: String,
+    field: Option<&'static str>,
+}
+
+type Outcome = Result<(), Reason>;
+
+impl From<Invalid> for Reason {
+    fn from(invalid: Invalid) -> Reason {
+        Reason {
+            code: Code::InvalidValue,
+            message: invalid.message,
+            field: Some(invalid.field),
+        }
+    }
+}
+
+fn reason(code: Code, message: String) -> Reason {
+    Reason {
+        code,
+        message,
+        field: None,
+    }
+}
+
+impl Configuration {
+    /// The configuration after `change`.
+    ///
+    /// Actions are applied in order. What must hold between items (distinct keys, model names and addresses; a host and
+    /// a voter that remain) is checked on the result, so that a change can swap keys or replace a host.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the whole change and names the first action that stands in the way.
+    pub fn apply(&self, change: &Change) -> Result<Configuration, Refusal> {
+        if change.base != self.version {
+            let message = format!(
+                "the change was written against version {}, the current version is {}",
+                change.base, self.version
+            );
+            return Err(Refusal::of_change(Code::BaseVersion, message));
+        }
+        if change.actions.is_empty() {
+            return Err(Refusal::of_change(Code::Empty, "the change has no actions"));
+        }
+        let mut next = self.clone();
+        for (index, action) in change.actions.iter().enumerate() {
+            next.take(action)
+                .map_err(|reason| refusal(reason, Some(index)))?;
+        }
+        next.finish(self, &change.actions)?;
+        next.version = self.version + 1;
+        Ok(next)
+    }
+
+    fn take(&mut self, action: &Action) -> Outcome {
+        match action {
+            Action::PutSettings(settings) => {
+                settings.check()?;
+                self.settings = settings.clone();
+                Ok(())
+            }
+            Action::PutAccount(draft) => self.put_account(draft),
+            Action::RemoveAccount(name) => remove(&mut self.accounts, "account", name),
+            Action::PutPool(draft) => self.put_pool(draft),
+            Action::RemovePool(name) => self.remove_pool(name),
+            Action::AddServer(draft) => self.add_server(draft),
+            Action::PutServer(draft) => self.put_server(draft),
+            Action::DrainServer(name) => self.move_server(name, State::Leaving),
+            Action::RetireServer(name) => self.move_server(name, State::Retired),
+            Action::AddHost(draft) => self.add_host(draft),
+            Action::PutHost(draft) => self.put_host(draft),
+            Action::DrainHost(name) => self.move_host(name, State::Leaving),
+            Action::RetireHost(name) => self.move_host(name, State::Retired),
+        }
+    }
+
+    fn put_account(&mut self, draft: &draft::Account) -> Outcome {
+        let mut draft = draft.clone();
+        draft.normalise();
+        draft.check()?;
+        let id = match self.accounts.get(draft.name.as_str()) {
+            Some(account) => account.id,
+            None => assign(&mut self.next_ids.account, |id| &mut id.0)?,
+        };
+        self.accounts.put(Account::from_draft(id, draft));
+        Ok(())
+    }
+
+    fn put_pool(&mut self, draft: &draft::Pool) -> Outcome {
+        draft.check()?;
+        let id = match self.pools.get(draft.name.as_str()) {
+            Some(pool) => pool.id,
+            None => assign(&mut self.next_ids.pool, |id| &mut id.0)?,
+        };
+        self.pools.put(Pool::from_draft(id, draft.clone()));
+        Ok(())
+    }
+
+    fn remove_pool(&mut self, name: &Name) -> Outcome {
+        let uses = |server: &&Arc<Server>| server.state != State::Retired && server.pool == *name;
+        if let Some(server) = self.servers.iter().find(uses) {
+            let message = format!(
+                "pool {name} still has server {}; retire its servers first",
+                server.name
+            );
+            return Err(reason(Code::InUse, message));
+        }
+        remove(&mut self.pools, "pool", name)
+    }
+
+    fn add_server(&mut self, draft: &draft::Server) -> Outcome {
+        draft.check()?;
+        if let Some(server) = self.servers.get(draft.name.as_str()) {
+            must_be_retired("server", &server.name, server.state)?;
+        }
+        self.require_pool(&draft.pool)?;
+        let id = assign(&mut self.next_ids.server, |id| &mut id.0)?;
+        self.servers
+            .put(Server::from_draft(id, draft.clone(), State::Active));
+        Ok(())
+    }
+
+    fn put_server(&mut self, draft: &draft::Server) -> Outcome {
+        draft.check()?;
+        let old = find(&self.servers, "server", &draft.name)?;
+        must_not_be_retired("server", &draft.name, old.state)?;
+        must_stay("server", "pool", old.pool == draft.pool)?;
+        must_stay("server", "address", old.address == draft.address)?;
+        let server = Server::from_draft(old.id, draft.clone(), old.state);
+        self.servers.put(server);
+        Ok(())
+    }
+
+    fn move_server(&mut self, name: &Name, state: State) -> Outcome {
+        let old = find(&self.servers, "server", name)?;
+        must_advance("server", name, old.state, state)?;
+        let mut server = Server::clone(old);
+        server.state = state;
+        self.servers.put(server);
+        drop_oldest_retired(&mut self.servers, |server| server.state);
+        Ok(())
+    }
+
+    fn add_host(&mut self, draft: &draft::Host) -> Outcome {
+        draft.check()?;
+        if let Some(host) = self.hosts.get(draft.name.as_str()) {
+            must_be_retired("host", &host.name, host.state)?;
+        }
+        let id = assign(&mut self.next_ids.host, |id| &mut id.0)?;
+        self.hosts
+            .put(Host::from_draft(id, draft.clone(), State::Active));
+        Ok(())
+    }
+
+    fn put_host(&mut self, draft: &draft::Host) -> Outcome {
+        draft.check()?;
+        let old = find(&self.hosts, "host", &draft.name)?;
+        must_not_be_retired("host", &draft.name, old.state)?;
+        must_stay("host", "domain", old.domain == draft.domain)?;
+        let host = Host::from_draft(old.id, draft.clone(), old.state);
+        self.hosts.put(host);
+        Ok(())
+    }
+
+    fn move_host(&mut self, name: &Name, state: State) -> Outcome {
+        let old = find(&self.hosts, "host", name)?;
+        must_advance("host", name, old.state, state)?;
+        let mut host = Host::clone(old);
+        host.state = state;
+        self.hosts.put(host);
+        drop_oldest_retired(&mut self.hosts, |host| host.state);
+        Ok(())
+    }
+
+    fn require_pool(&self, pool: &Name) -> Outcome {
+        if self.pools.get(pool.as_str()).is_some() {
+            return Ok(());
+        }
+        Err(Reason {
+            code: Code::UnknownName,
+            message: format!("there is no pool {pool}"),
+            field: Some("pool"),
+        })
+    }
+
+    /// Rebuilds what is derived from the lists and checks what must hold between items.
+    fn finish(&mut self, old: &Configuration, actions: &[Action]) -> Result<(), Refusal> {
+        let touched = |list| actions.iter().any(|action| target(action).0 == list);
+        let refuse = |conflict: Option<Conflict>| match conflict {
+            None => Ok(()),
+            Some(conflict) => Err(conflict_refusal(conflict, actions)),
+        };
+        if touched("accounts") {
+            self.index_accounts();
+            refuse(self.key_conflict())?;
+        }
+        if touched("pools") {
+            self.index_pools();
+            refuse(self.model_conflict())?;
+        }
+        if touched("servers") {
+            self.index_servers();
+            refuse(self.server_conflict())?;
+        }
+        if touched("hosts") {
+            refuse(self.host_conflict())?;
+            self.check_hosts(old)
+                .map_err(|reason| refusal(reason, last_host_action(actions)))?;
+        }
+        Ok(())
+    }
+
+    fn check_hosts(&self, old: &Configuration) -> Outcome {
+        let has_active = |configuration: &Configuration| {
+            let mut hosts = configuration.hosts.iter();
+            hosts.any(|host| host.state == State::Active)
+        };
+        if has_active(old) && !has_active(self) {
+            let message = "no active host would remain in the fleet".to_owned();
+            return Err(reason(Code::LastHost, message));
+        }
+        let voters = self.voters().count();
+        if old.voters().count() > 0 && voters == 0 {
+            let message = "no voter would remain in the fleet".to_owned();
+            return Err(reason(Code::Voters, message));
+        }
+        if voters > MAX_VOTERS {
+            let message = format!("the fleet has at most {MAX_VOTERS} voters, not {voters}");
+            return Err(reason(Code::Voters, message));
+        }
+        Ok(())
+    }
+}
+
+fn refusal(reason: Reason, index: Option<usize>) -> Refusal {
+    Refusal {
+        code: reason.code,
+        message: reason.message,
+        action: index.map(|index| index as u32),
+        field: reason.field.map(str::to_owned),
+    }
+}
+
+/// Names the last action that touched one of the two items: the one that brought the conflict about.
+fn conflict_refusal(conflict: Conflict, actions: &[Action]) -> Refusal {
+    let involved = |action: &Action| {
+        let (list, name) = target(action);
+        list == conflict.list && name.is_some_and(|name| conflict.names.contains(name))
+    };
+    let index = actions.iter().rposition(involved);
+    Refusal {
+        code: conflict.code,
+        message: conflict.message,
+        action: index.map(|index| index as u32),
+        field: Some(conflict.field.to_owned()),
+    }
+}
+
+fn last_host_action(actions: &[Action]) -> Option<usize> {
+    actions
+        .iter()
+        .rposition(|action| target(action).0 == "hosts")
+}
+
+/// The list and the name of the item that an action concerns.
+fn target(action: &Action) -> (&'static str, Option<&Name>) {
+    match action {
+        Action::PutSettings(_) => ("settings", None),
+        Action::PutAccount(draft) => ("accounts", Some(&draft.name)),
+        Action::RemoveAccount(name) => ("accounts", Some(name)),
+        Action::PutPool(draft) => ("pools", Some(&draft.name)),
+        Action::RemovePool(name) => ("pools", Some(name)),
+        Action::AddServer(draft) | Action::PutServer(draft) => ("servers", Some(&draft.name)),
+        Action::DrainServer(name) | Action::RetireServer(name) => ("servers", Some(name)),
+        Action::AddHost(draft) | Action::PutHost(draft) => ("hosts", Some(&draft.name)),
+        Action::DrainHost(name) | Action::RetireHost(name) => ("hosts", Some(name)),
+    }
+}
+
+fn assign<T: Copy>(next: &mut T, number: impl Fn(&mut T) -> &mut u32) -> Result<T, Reason> {
+    let id = *next;
+    let number = number(next);
+    match number.checked_add(1) {
+        Some(after) => *number = after,
+        None => {
+            let message = "all ids have been used".to_owned();
+            return Err(reason(Code::InvalidValue, message));
+        }
+    }
+    Ok(id)
+}
+
+fn unknown(noun: &str, name: &Name) -> Reason {
+    reason(Code::UnknownName, format!("there is no {noun} {name}"))
+}
+
+fn find<'a, T: Entry>(table: &'a Table<T>, noun: &str, name: &Name) -> Result<&'a Arc<T>, Reason> {
+    table.get(name.as_str()).ok_or_else(|| unknown(noun, name))
+}
+
+fn remove<T: Entry>(table: &mut Table<T>, noun: &str, name: &Name) -> Outcome {
+    match table.remove(name.as_str()) {
+        Some(_) => Ok(()),
+        None => Err(unknown(noun, name)),
+    }
+}
+
+fn must_be_retired(noun: &str, name: &Name, state: State) -> Outcome {
+    if state == State::Retired {
+        return Ok(());
+    }
+    Err(Reason {
+        code: Code::DuplicateName,
+        message: format!("there is a {noun} {name} already"),
+        field: Some("name"),
+    })
+}
+
+fn must_not_be_retired(noun: &str, name: &Name, state: State) -> Outcome {
+    if state != State::Retired {
+        return Ok(());
+    }
+    let message = format!("{noun} {name} is retired; add it again for a new start");
+    Err(reason(Code::WrongState, message))
+}
+
+fn must_stay(noun: &str, field: &'static str, stays: bool) -> Outcome {
+    if stays {
+        return Ok(());
+    }
+    Err(Reason {
+        code: Code::InvalidValue,
+        message: format!(
+            "the {field} of a {noun} cannot change; retire the {noun} and add it again"
+        ),
+        field: Some(field),
+    })
+}
+
+fn must_advance(noun: &str, name: &Name, from: State, to: State) -> Outcome {
+    if to > from {
+        return Ok(());
+    }
+    let state = match from {
+        State::Active => "active",
+        State::Leaving => "leaving",
+        State::Retired => "retired",
+    };
+    let message = format!("{noun} {name} is {state} already");
+    Err(reason(Code::WrongState, message))
+}
+
+/// Keeps the [`MAX_RETIRED`] retired items with the greatest ids.
+fn drop_oldest_retired<T: Entry>(table: &mut Table<T>, state: impl Fn(&T) -> State) {
+    let retired = |item: &&Arc<T>| state(item) == State::Retired;
+    let count = table.iter().filter(retired).count();
+    if count <= MAX_RETIRED {
+        return;
+    }
+    let oldest = table.iter().filter(retired).min_by_key(|item| item.id());
+    if let Some(name) = oldest.map(|item| item.name().clone()) {
+        table.remove(name.as_str());
+    }
+}
--- /dev/null
+++ b/crates/config/src/change.rs
@@ -0,0 +1,168 @@
+//! Changes of the configuration and the reasons for which they are refused.
+
+use std::fmt;
+
+use primrose_base::name::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Settings;
+use crate::draft;
+
+/// A list of actions that is applied as a whole or refused as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// Chosen by the operator. A change that is submitted again with the same id is not applied a second time.
+    pub id: Name,
+    /// The version of the configuration that the change was written against.
+    pub base: u64,
+    /// Applied in this order.
+    #[serde(with = "tagged_list")]
+    pub actions: Vec<Action>,
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Replaces the settings of the fleet.
+    PutSettings(Settings),
+    /// Adds an account, or replaces its fields.
+    PutAccount(draft::Account),
+    /// Removes an account.
+    RemoveAccount(Name),
+    /// Adds a pool, or replaces its fields.
+    PutPool(draft::Pool),
+    /// Removes a pool without servers.
+    RemovePool(Name),
+    /// Adds a server. The name is new or that of a retired server.
+    AddServer(draft::Server),
+    /// Replaces the fields of a server, except its pool and its address.
+    PutServer(draft::Server),
+    /// Gives a server no new work.
+    DrainServer(Name),
+    /// Takes a server out, whether or not it was drained.
+    RetireServer(Name),
+    /// Adds a host. The name is new or that of a retired host.
+    AddHost(draft::Host),
+    /// Replaces the fields of a host, except its failure domain.
+    PutHost(draft::Host),
+    /// Lets a host finish its requests and gives it no new ones.
+    DrainHost(Name),
+    /// Takes a host out, whether or not it was drained. It no longer counts in majorities.
+    RetireHost(Name),
+}
+
+/// Why a change was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The change was written against another version.
+    BaseVersion,
+    /// The change has no actions.
+    Empty,
+    /// The change id was used before, for a change with other content.
+    IdReused,
+    /// A field has a value that is not allowed.
+    InvalidValue,
+    /// There is no item with the name.
+    UnknownName,
+    /// There is an item with the name already.
+    DuplicateName,
+    /// Two accounts have the same API key.
+    DuplicateKey,
+    /// Two pools serve the same model name.
+    DuplicateModel,
+    /// Two servers, or two hosts, have the same address.
+    DuplicateAddress,
+    /// The item is still in use.
+    InUse,
+    /// The item is leaving or retired.
+    WrongState,
+    /// The fleet would be left without an active host.
+    LastHost,
+    /// The fleet would be left without a voter, or would have more than it can have.
+    Voters,
+}
+
+impl Code {
+    /// The text used in replies and counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Code::BaseVersion => "base_version",
+            Code::Empty => "empty",
+            Code::IdReused => "id_reused",
+            Code::InvalidValue => "invalid_value",
+            Code::UnknownName => "unknown_name",
+            Code::DuplicateName => "duplicate_name",
+            Code::DuplicateKey => "duplicate_key",
+            Code::DuplicateModel => "duplicate_model",
+            Code::DuplicateAddress => "duplicate_address",
+            Code::InUse => "in_use",
+            Code::WrongState => "wrong_state",
+            Code::LastHost => "last_host",
+            Code::Voters => "voters",
+        }
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// A change was refused; nothing of it is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{message}")]
+pub struct Refusal {
+    /// The reason, for programs.
+    pub code: Code,
+    /// The reason, for people.
+    pub message: String,
+    /// Index of the refused action, from 0; none if the change itself is refused.
+    pub action: Option<u32>,
+    /// The key of the refused field in the text.
+    pub field: Option<String>,
+}
+
+impl Refusal {
+    /// A refusal of a whole change.
+    pub fn of_change(code: Code, message: impl Into<String>) -> Refusal {
+        Refusal {
+            code,
+            message: message.into(),
+            action: None,
+            field: None,
+        }
+    }
+}
+
+/// Writes each action as a map with one key in text formats, and as usual in binary ones.
+mod tagged_list {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use serde_yaml_ng::with::singleton_map_recursive;
+
+    use super::Action;
+
+    pub(super) fn serialize<S: Serializer>(
+        actions: &[Action],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            singleton_map_recursive::serialize(&actions, serializer)
+        } else {
+            actions.serialize(serializer)
+        }
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<Action>, D::Error> {
+        if deserializer.is_human_readable() {
+            singleton_map_recursive::deserialize(deserializer)
+        } else {
+            Vec::deserialize(deserializer)
+        }
+    }
+}
