engine: Add the stand-in model engine and plain service

Tests and experiments need backend servers whose executions can be compared with what callers were told. The stand-in serves chat completions with continuous batching, the published engine orders and plain calls, injects seeded faults and keeps an execution log.

A second address never refuses connections, because a refusal fault of probability 1 could not be ended otherwise. Salvo was ruled out for this server: cut answers need control over the end of the body on the connection, which hyper gives directly.

--- /dev/null
+++ b/crates/engine/tests/stand_in.rs
@@ -0,0 +1,365 @@
+//! Tests of the stand-in over HTTP.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails also fails the test")]
+
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use primrose_engine::record::Progress;
+use primrose_engine::{Faults, Handle, Kind, Settings, answer, batch, bind};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+/// Status, `x-request-id`, body, and whether the body ended properly.
+struct Reply {
+    status: StatusCode,
+    id: String,
+    text: String,
+    whole: bool,
+}
+
+fn fast() -> Settings {
+    Settings {
+        step_base_ms: 0.1,
+        step_sequence_ms: 0.0,
+        prefill_ms: 0.0,
+        cache_event_lag_ms: 0,
+        cache_event_loss: 0.0,
+        order_ms: 0,
+        service_ms: 0,
+        ..Settings::default()
+    }
+}
+
+fn faulty(faults: Faults) -> Settings {
+    Settings { faults, ..fast() }
+}
+
+async fn call(
+    handle: &Handle,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Reply {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let uri = format!("http://{}{path}", handle.address);
+    let mut request = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::from(body)).unwrap();
+    let (head, mut body) = client.request(request).await.unwrap().into_parts();
+    let mut reply = Reply {
+        status: head.status,
+        id: head
+            .headers
+            .get("x-request-id")
+            .map_or("", |id| id.to_str().unwrap())
+            .to_owned(),
+        text: String::new(),
+        whole: true,
+    };
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => reply.text += std::str::from_utf8(frame.data_ref().unwrap()).unwrap(),
+            Err(_) => reply.whole = false,
+        }
+    }
+    reply
+}
+
+async fn complete(handle: &Handle, nonce: &str, tokens: u32, stream: bool) -> Reply {
+    let body = completion(&answer::mark(nonce), tokens, stream);
+    call(
+        handle,
+        "POST",
+        "/v1/chat/completions",
+        &[("x-request-id", nonce)],
+        body,
+    )
+    .await
+}
+
+fn completion(prompt: &str, tokens: u32, stream: bool) -> String {
+    let messages = [json!({"role": "user", "content": prompt})];
+    json!({"model": "m", "messages": messages, "stand_in_tokens": tokens, "stream": stream})
+        .to_string()
+}
+
+async fn post(handle: &Handle, path: &str, body: Value) -> Reply {
+    call(handle, "POST", path, &[], body.to_string()).await
+}
+
+/// The text and the last document of an event stream.
+fn events(text: &str) -> (String, Value) {
+    let mut content = String::new();
+    let mut last = Value::Null;
+    let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    for line in data.filter(|line| *line != "[DONE]") {
+        last = serde_json::from_str(line).unwrap();
+        content += last["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or("");
+    }
+    (content, last)
+}
+
+/// Guards against an answer that a client cannot tell from the answer to another request.
+#[tokio::test]
+async fn json_answer_belongs_to_its_request() {
+    let handle = bind(fast()).await.unwrap();
+    let reply = complete(&handle, "a-1", 30, false).await;
+    let body: Value = serde_json::from_str(&reply.text).unwrap();
+    assert_eq!(
+        body["choices"][0]["message"]["content"],
+        answer::whole("a-1", 30)
+    );
+    assert_eq!(body["usage"]["completion_tokens"], 30);
+    assert_eq!(reply.id, "a-1");
+    assert_ne!(answer::whole("a-1", 30), answer::whole("a-2", 30));
+}
+
+/// Guards against a stream that lacks tokens, the usage or its end.
+#[test_case(1)]
+#[test_case(7; "tokens that do not fill the last step")]
+#[tokio::test]
+async fn stream_is_whole(tokens_per_step: u32) {
+    let settings = Settings {
+        tokens_per_step,
+        ..fast()
+    };
+    let handle = bind(settings).await.unwrap();
+    let reply = complete(&handle, "s-1", 30, true).await;
+    let (content, last) = events(&reply.text);
+    assert_eq!(content, answer::whole("s-1", 30));
+    assert_eq!(last["usage"]["completion_tokens"], 30);
+    assert!(reply.text.ends_with("data: [DONE]\n\n"));
+    assert!(reply.whole);
+}
+
+/// Guards against a cut fault that has no effect, which would make every test of broken answers pass.
+#[test_case(true)]
+#[test_case(false)]
+#[tokio::test]
+async fn cut_answer_is_not_whole(stream: bool) {
+    let handle = bind(faulty(Faults {
+        cut: 1.0,
+        ..Faults::default()
+    }))
+    .await
+    .unwrap();
+    for index in 0..20 {
+        let reply = complete(&handle, &format!("c-{index}"), 30, stream).await;
+        assert!(!reply.whole || (stream && !reply.text.contains("[DONE]")));
+    }
+}
+
+/// Guards against a swap fault that leaves id or text as they should be.
+#[tokio::test]
+async fn swapped_answer_carries_the_request_before() {
+    let handle = bind(faulty(Faults {
+        swap: 1.0,
+        ..Faults::default()
+    }))
+    .await
+    .unwrap();
+    complete(&handle, "first", 5, true).await;
+    let reply = complete(&handle, "second", 5, true).await;
+    assert_eq!(reply.id, "first");
+    assert_eq!(events(&reply.text).0, answer::whole("first", 5));
+}
+
+/// Guards against faults that cannot be ended, because the address that takes them refuses connections too.
+#[tokio::test]
+async fn control_address_is_never_refused() {
+    let mut handle = bind(faulty(Faults {
+        refuse: 1.0,
+        ..Faults::default()
+    }))
+    .await
+    .unwrap();
+    let requests = handle.address;
+    handle.address = handle.control;
+    let reply = post(&handle, "/faults", json!({"refuse": 0.0})).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    handle.address = requests;
+    assert_eq!(
+        complete(&handle, "n", 1, false).await.status,
+        StatusCode::OK
+    );
+}
+
+/// Guards against sequences that keep their slot after their caller has left.
+#[tokio::test]
+async fn disconnect_cancels_the_sequence() {
+    let handle = bind(fast()).await.unwrap();
+    let body = completion("nonce:gone", 1_000_000, true);
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let uri = format!("http://{}/v1/chat/completions", handle.address);
+    let request = Request::post(uri).body(Full::from(body)).unwrap();
+    let mut answer = client.request(request).await.unwrap();
+    answer.frame().await.unwrap().unwrap();
+    drop((answer, client));
+    while handle.log().executions[0].progress != Progress::Cancelled {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a resumed stream that repeats or skips tokens, or counts as a second execution.
+#[tokio::test]
+async fn resume_continues_at_the_offset() {
+    let handle = bind(fast()).await.unwrap();
+    complete(&handle, "r-1", 20, true).await;
+    let reply = post(
+        &handle,
+        "/resume",
+        json!({"request_id": "r-1", "offset": 12}),
+    )
+    .await;
+    let (content, _) = events(&reply.text);
+    assert_eq!(
+        answer::whole("r-1", 12) + &content,
+        answer::whole("r-1", 20)
+    );
+    let log = handle.log();
+    assert_eq!((log.requests[0].started, log.requests[0].completed), (1, 1));
+    assert_eq!(log.executions[0].resumed, 1);
+}
+
+/// Guards against a cancel order that leaves the stream open or ends it like a whole answer.
+#[tokio::test]
+async fn cancel_breaks_the_stream() {
+    let handle = bind(fast()).await.unwrap();
+    let stream = complete(&handle, "x-1", 1_000_000, true);
+    let cancel = async {
+        while handle.log().executions.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        post(&handle, "/cancel", json!({"request_id": "x-1"})).await
+    };
+    let (reply, _) = tokio::join!(stream, cancel);
+    assert!(!reply.whole);
+}
+
+/// Guards against a prefix cache that grows without limit or publishes no evictions.
+#[tokio::test]
+async fn cache_is_limited() {
+    let settings = Settings {
+        cache_prefixes: 2,
+        ..fast()
+    };
+    let handle = bind(settings).await.unwrap();
+    for letter in ["a", "b", "a"] {
+        let prompt = letter.repeat(2 * batch::PREFIX_BYTES);
+        call(
+            &handle,
+            "POST",
+            "/v1/chat/completions",
+            &[],
+            completion(&prompt, 1, false),
+        )
+        .await;
+    }
+    let reply = call(&handle, "GET", "/cache-events?since=2", &[], String::new()).await;
+    let body: Value = serde_json::from_str(&reply.text).unwrap();
+    let events: Vec<batch::Change> = serde_json::from_value(body["events"].clone()).unwrap();
+    assert_eq!(events[0].number, 2);
+    assert_eq!(events.iter().filter(|event| event.stored).count(), 4);
+    assert_eq!(events.iter().filter(|event| !event.stored).count(), 4);
+}
+
+/// Guards against an engine that takes a prefix under a hash that belongs to other data.
+#[tokio::test]
+async fn exported_prefix_is_imported_as_itself() {
+    let handle = bind(fast()).await.unwrap();
+    complete(&handle, "kv", 1, false).await;
+    let prefix = &batch::prefixes(&answer::mark("kv"))[0];
+    let reply = post(&handle, "/kv/export", json!(prefix)).await;
+    let mut exported: Value = serde_json::from_str(&reply.text).unwrap();
+    assert_eq!(
+        post(&handle, "/kv/import", exported.clone()).await.status,
+        StatusCode::OK
+    );
+    exported["prefix"]["hash"] = json!("0000000000000000");
+    assert_eq!(
+        post(&handle, "/kv/import", exported).await.status,
+        StatusCode::BAD_REQUEST
+    );
+}
+
+/// Guards against an engine that checks fencing numbers against its setting.
+#[test_case(true, StatusCode::CONFLICT)]
+#[test_case(false, StatusCode::OK)]
+#[tokio::test]
+async fn old_fencing_number(check_fencing: bool, expected: StatusCode) {
+    let settings = Settings {
+        check_fencing,
+        ..fast()
+    };
+    let handle = bind(settings).await.unwrap();
+    let order = |fencing: u64| json!({"fencing": fencing, "kind": "load-model", "value": "m"});
+    assert_eq!(
+        post(&handle, "/orders", order(7)).await.status,
+        StatusCode::OK
+    );
+    assert_eq!(post(&handle, "/orders", order(6)).await.status, expected);
+    assert_eq!(handle.log().orders[1].accepted, !check_fencing);
+}
+
+/// Guards against an execution log that hides a repeated call.
+#[tokio::test]
+async fn plain_calls_are_counted_by_key() {
+    let settings = Settings {
+        kind: Kind::Plain,
+        ..fast()
+    };
+    let handle = bind(settings).await.unwrap();
+    for id in ["one", "two"] {
+        let headers = [("idempotency-key", "k"), ("x-request-id", id)];
+        let reply = call(
+            &handle,
+            "PUT",
+            "/payouts/nonce:p-1",
+            &headers,
+            String::new(),
+        )
+        .await;
+        let body: Value = serde_json::from_str(&reply.text).unwrap();
+        assert_eq!(
+            (body["nonce"].as_str(), reply.id.as_str()),
+            (Some("p-1"), id)
+        );
+    }
+    let log = handle.log();
+    assert_eq!((log.keys[0].started, log.keys[0].completed), (2, 2));
+    assert_eq!(log.requests.len(), 2);
+}
+
+/// Guards against a program that does not tell its address or ignores SIGTERM.
+#[test_case("model")]
+#[test_case("plain")]
+fn program_ends_on_sigterm(kind: &str) {
+    let program = env!("CARGO_BIN_EXE_primrose-stand-in");
+    let mut child = Command::new(program)
+        .arg(kind)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap())
+        .read_line(&mut line)
+        .unwrap();
+    assert!(line.starts_with("address=127.0.0.1:"));
+    let kill = Command::new("kill")
+        .arg(child.id().to_string())
+        .status()
+        .unwrap();
+    assert!(kill.success());
+    assert!(child.wait().unwrap().success());
+}
