--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,95 @@
+//! What one host believes about the members of the fleet.
+
+use std::net::{IpAddr, SocketAddr};
+
+use primrose_base::id;
+use primrose_base::name::Name;
+use serde::{Deserialize, Serialize};
+
+/// State of a member, in order of precedence: of two claims with the same incarnation the greater one wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// Answers probes.
+    Alive,
+    /// Did not answer a probe and has not refuted the suspicion yet.
+    Suspect,
+    /// Was suspected for the whole suspicion time.
+    Dead,
+    /// Has announced its departure, or the platform has.
+    Left,
+}
+
+impl State {
+    /// Whether the member counts as a part of the fleet.
+    pub const fn is_present(self) -> bool {
+        matches!(self, State::Alive | State::Suspect)
+    }
+}
+
+/// Where a member can be reached and with which hosts it fails.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Address of its datagram socket.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+/// A member of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its id.
+    pub host: id::Host,
+    /// Starts as the wall-clock start time of the process in ms; one is added at each refutation. Never goes back in
+    /// the view of a host.
+    pub incarnation: u64,
+    /// Its state at this incarnation.
+    pub state: State,
+    /// Where it is.
+    pub place: Place,
+}
+
+impl Member {
+    /// Whether a claim about this member is newer than what this value says.
+    pub fn is_older_than(&self, incarnation: u64, state: State) -> bool {
+        (self.incarnation, self.state) < (incarnation, state)
+    }
+}
+
+/// Number of groups that members are divided into when two hosts compare their views.
+///
+/// At 670 members a group has 21 records of about 28 bytes, which fit into one datagram.
+pub const GROUPS: u32 = 32;
+
+/// The group that a host belongs to.
+pub const fn group(host: id::Host) -> u32 {
+    host.0 % GROUPS
+}
+
+/// Digest of the members that are present; independent of their order and of suspicions.
+///
+/// Suspicions are left out because they are short-lived; members that are gone are left out because hosts forget them
+/// at different times.
+pub fn digest<'a>(members: impl Iterator<Item = &'a Member>) -> u32 {
+    members
+        .filter(|member| member.state.is_present())
+        .fold(0, |sum, member| sum.wrapping_add(hash(member)))
+}
+
+// FNV-1a, because both sides of a comparison must compute the same value in every build.
+fn hash(member: &Member) -> u32 {
+    let port = member.place.address.port().to_le_bytes();
+    let start = fnv(0x811c_9dc5, &member.host.0.to_le_bytes());
+    let start = fnv(start, &member.incarnation.to_le_bytes());
+    let start = fnv(start, &port);
+    match member.place.address.ip() {
+        IpAddr::V4(ip) => fnv(start, &ip.octets()),
+        IpAddr::V6(ip) => fnv(start, &ip.octets()),
+    }
+}
+
+fn fnv(start: u32, bytes: &[u8]) -> u32 {
+    bytes.iter().fold(start, |hash, &byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
+}
