--- /dev/null
+++ b/crates/schedule/src/snapshot.rs
@@ -0,0 +1,56 @@
+//! What operators can read of the scheduling state.
+
+use primrose_base::id;
+use serde::{Deserialize, Serialize};
+
+/// The state of a borrower or a lender at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// One entry per pool, sorted by pool.
+    pub pools: Vec<Pool>,
+}
+
+/// The state of one pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// The pool.
+    pub pool: id::Pool,
+    /// Virtual time, in weighted tokens per share.
+    pub virtual_time: u64,
+    /// One entry per account, sorted by account.
+    pub accounts: Vec<Account>,
+    /// One entry per server, sorted by server.
+    pub servers: Vec<Server>,
+}
+
+/// The state of one account in one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// The account.
+    pub account: id::Account,
+    /// Share (weight).
+    pub share: u64,
+    /// Normalised service, in weighted tokens per share.
+    pub v: u64,
+    /// Requests that wait: at this host (borrower) or at all hosts (lender).
+    pub waiting: u64,
+    /// Weighted tokens in flight at all hosts, as far as known.
+    pub in_flight: u64,
+    /// Service at all hosts, in weighted tokens, as far as known.
+    pub service: u64,
+}
+
+/// The state of one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// The server.
+    pub server: id::Server,
+    /// Slots: held by this host (borrower) or that may be lent (lender).
+    pub slots: u32,
+    /// Slots lent to hosts; at a borrower the same as `slots`.
+    pub lent: u32,
+    /// Lent slots without a request in flight.
+    pub idle: u32,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+}
