--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`message::Report`] and [`message::Answer`]. Neither reads a clock or does input or output.
 
 pub mod borrower;
+pub mod estimate;
+pub mod health;
 pub mod ledger;
 pub mod lender;
 pub mod message;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -69,6 +69,8 @@
     pub gaps: u32,
     /// Of them, longer than the target.
     pub late_gaps: u32,
+    /// Requests that could not be started because the server did not answer.
+    pub failures: u32,
 }
 
 /// A replica that introduces itself before the fleet is formed or when its disk is new.
