consensus: Add the replicated log: node, disk and replica

Replica connects both with a closure that applies entries.

This is the interface for the daemon. Only a single voter with restart is tested so far; fault tests follow.

--- /dev/null
+++ b/crates/consensus/src/node/replication.rs
@@ -0,0 +1,166 @@
+//! The follower's side of replication.
+
+use std::sync::Arc;
+
+use super::{Incoming, Node, Role};
+use crate::entry::{Entry, Position, Snapshot};
+use crate::membership::{Id, Membership};
+use crate::message::{Body, Outcome, Stamp};
+
+impl Node {
+    /// Handles a message of the leader of the current term.
+    pub(super) fn hear(&mut self, from: Id, body: Body) {
+        assert!(
+            self.role != Role::Leader,
+            "replica {from} also claims to lead term {}",
+            self.hard.term
+        );
+        self.follow(self.hard.term, Some(from));
+        self.heard = self.now;
+        self.restart_election_timer();
+        match body {
+            Body::Append {
+                stamp,
+                previous,
+                entries,
+                commit,
+            } => {
+                let outcome = self.accept(previous, entries, commit);
+                self.send(from, Body::AppendReply { stamp, outcome });
+            }
+            Body::Chunk {
+                stamp,
+                position,
+                membership,
+                total,
+                offset,
+                data,
+            } => {
+                let part = Part {
+                    membership,
+                    total,
+                    offset,
+                    data,
+                };
+                self.receive_chunk(from, stamp, position, part);
+            }
+            _ => {}
+        }
+    }
+
+    fn accept(&mut self, previous: Position, entries: Vec<Entry>, commit: u64) -> Outcome {
+        // The committed entries are the same on all replicas and may be compacted away here.
+        let known = previous.index < self.hard.commit;
+        if !known && !self.log.holds(previous) {
+            return Outcome::Mismatch {
+                previous: previous.index,
+                hint: self.log.hint(previous.index, previous.term),
+            };
+        }
+        let last = previous.index + entries.len() as u64;
+        for entry in entries {
+            self.accept_entry(entry);
+        }
+        self.advance_commit(commit.min(last));
+        Outcome::Matched(last)
+    }
+
+    fn accept_entry(&mut self, entry: Entry) {
+        let position = entry.position;
+        if position.index <= self.hard.commit || self.log.holds(position) {
+            return;
+        }
+        if position.index <= self.log.last().index {
+            self.truncate(position.index);
+        }
+        self.push(entry);
+    }
+
+    pub(super) fn advance_commit(&mut self, commit: u64) {
+        self.hard.commit = self.hard.commit.max(commit);
+    }
+
+    fn receive_chunk(&mut self, from: Id, stamp: Stamp, position: Position, part: Part) {
+        if position.index <= self.hard.commit {
+            self.incoming = None;
+            let outcome = Outcome::Matched(position.index);
+            self.send(from, Body::AppendReply { stamp, outcome });
+            return;
+        }
+        if part.total > self.options.max_snapshot_bytes as u64 {
+            return;
+        }
+        let incoming = self.incoming_from(from, position);
+        if part.offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&part.data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < part.total {
+            let body = Body::ChunkReply {
+                stamp,
+                position,
+                received,
+            };
+            self.send(from, body);
+            return;
+        }
+        let data = self.incoming.take().map_or(Vec::new(), |i| i.data);
+        self.install(Snapshot {
+            position,
+            membership: part.membership,
+            data,
+        });
+        let outcome = Outcome::Matched(position.index);
+        self.send(from, Body::AppendReply { stamp, outcome });
+    }
+
+    /// What has arrived of the snapshot at `position`. Another leader may encode the same state differently, so parts of
+    /// different senders or terms are not joined.
+    fn incoming_from(&mut self, from: Id, position: Position) -> &mut Incoming {
+        let term = self.hard.term;
+        let same = |i: &Incoming| i.from == from && i.term == term && i.position == position;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = None;
+        }
+        self.incoming.get_or_insert_with(|| Incoming {
+            from,
+            term,
+            position,
+            data: Vec::new(),
+        })
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let position = snapshot.position;
+        if self.log.holds(position) {
+            self.compact(position.index);
+            self.handed = self.handed.max(position.index);
+        } else {
+            self.log.reset(position);
+            self.eras.clear();
+            self.eras.push(super::Era {
+                index: position.index,
+                membership: snapshot.membership.clone(),
+            });
+            self.handed = position.index;
+            self.durable = position.index;
+            self.truncate = Some(position.index + 1);
+            self.outstanding = self.outstanding.map(|_| super::Outstanding {
+                last: Position::default(),
+            });
+        }
+        self.hard.commit = position.index;
+        self.applied = position.index;
+        let snapshot = Arc::new(snapshot);
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.persist_snapshot = Some(Arc::clone(&snapshot));
+        self.restore = Some(snapshot);
+    }
+}
+
+struct Part {
+    membership: Membership,
+    total: u64,
+    offset: u64,
+    data: Vec<u8>,
+}
--- /dev/null
+++ b/crates/consensus/tests/basic.rs
@@ -0,0 +1,73 @@
+//! Basic behaviour of a replica on a real folder.
+
+use std::sync::{Arc, Mutex};
+
+use primrose_base::clock::Time;
+use primrose_base::name::Name;
+use primrose_consensus::disk::{self, Disk};
+use primrose_consensus::membership::{Id, Member, Membership};
+use primrose_consensus::node::{self, Role};
+use primrose_consensus::replica::{Action, Replica};
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("valid")
+}
+
+fn member(id: u64, voter: bool) -> Member {
+    Member {
+        id: Id(id),
+        host: name("host"),
+        voter,
+    }
+}
+
+type Applied = Arc<Mutex<Vec<u8>>>;
+
+fn open(folder: &std::path::Path, now: Time) -> (Replica, Applied) {
+    let options = disk::Options::new(name("fleet"), name("host"), Id(7));
+    let opened = Disk::open(folder, options).expect("opens");
+    let applied = Applied::default();
+    let state = Arc::clone(&applied);
+    let apply = move |action: Action<'_>| {
+        let mut state = state.lock().expect("not poisoned");
+        match action {
+            Action::Restore { data, .. } => *state = data.to_vec(),
+            Action::Apply { data, .. } => state.extend_from_slice(data),
+        }
+    };
+    let replica = Replica::new(opened, node::Options::default(), now, 1, apply);
+    (replica, applied)
+}
+
+/// Ticks until the replica leads, and returns the time.
+fn lead(replica: &mut Replica, mut now: Time) -> Time {
+    while replica.node().role() != Role::Leader {
+        now = now.plus_ms(20);
+        replica.tick(now);
+        replica.flush().expect("flushes");
+    }
+    now
+}
+
+// A proposal that a single voter acknowledged must be there after a restart, with and without a snapshot in between.
+#[test]
+fn single_voter_keeps_its_log() {
+    let folder = tempfile::tempdir().expect("folder");
+    let (mut replica, _) = open(folder.path(), Time::from_ms(1));
+    let founders = Membership::new(vec![member(7, true)]);
+    replica.found(Time::from_ms(1), founders).expect("empty");
+    let now = lead(&mut replica, Time::from_ms(1));
+    replica.propose(now, vec![1]).expect("leader");
+    replica.flush().expect("flushes");
+    replica.snapshot(vec![1]).expect("applied");
+    replica.propose(now, vec![2]).expect("leader");
+    replica.read(now, 5).expect("leader");
+    let output = replica.flush().expect("flushes");
+    assert_eq!(output.reads, [5]);
+    drop(replica);
+
+    let (mut replica, applied) = open(folder.path(), Time::from_ms(1));
+    lead(&mut replica, Time::from_ms(1));
+    replica.flush().expect("flushes");
+    assert_eq!(*applied.lock().expect("not poisoned"), [1, 2]);
+}
