--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -80,7 +80,10 @@
             None => StatsdClient::from_sink(PREFIX, NopMetricSink),
             Some(address) => sending_client(address)?,
         };
-        Ok(Counters { values: std::array::from_fn(|_| AtomicU64::new(0)), statsd })
+        Ok(Counters {
+            values: std::array::from_fn(|_| AtomicU64::new(0)),
+            statsd,
+        })
     }
 
     /// Adds one to the counter `name`, which must be declared in [`ALL`].
@@ -101,7 +104,10 @@
 
     /// The value of every counter, in the order of [`ALL`].
     pub fn values(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        let values = self.values.iter().map(|value| value.load(Ordering::Relaxed));
+        let values = self
+            .values
+            .iter()
+            .map(|value| value.load(Ordering::Relaxed));
         ALL.into_iter().zip(values)
     }
 }
@@ -115,5 +121,8 @@
     let socket = UdpSocket::bind(local)?;
     socket.set_nonblocking(true)?;
     let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
-    Ok(StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink)))
+    Ok(StatsdClient::from_sink(
+        PREFIX,
+        QueuingMetricSink::from(sink),
+    ))
 }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -33,7 +33,11 @@
 impl Links {
     /// Links that authenticate with `key` and count their bytes in `traffic`.
     pub fn new(key: Key, traffic: Traffic) -> Links {
-        Links { key, traffic, links: Arc::default() }
+        Links {
+            key,
+            traffic,
+            links: Arc::default(),
+        }
     }
 
     /// A client for the daemon at `address`.
@@ -59,11 +63,13 @@
 
     fn link(&self, address: SocketAddr) -> Arc<Link> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        let at = links.binary_search_by_key(&address, |link| link.address).unwrap_or_else(|at| {
-            let client = tokio::sync::Mutex::new(None);
-            links.insert(at, Arc::new(Link { address, client }));
-            at
-        });
+        let at = links
+            .binary_search_by_key(&address, |link| link.address)
+            .unwrap_or_else(|at| {
+                let client = tokio::sync::Mutex::new(None);
+                links.insert(at, Arc::new(Link { address, client }));
+                at
+            });
         Arc::clone(&links[at])
     }
 
--- a/crates/daemon/src/logger.rs
+++ b/crates/daemon/src/logger.rs
@@ -46,7 +46,10 @@
     let drain = match format {
         Format::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
-            let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
+            let drain = slog_term::FullFormat::new(decorator)
+                .use_utc_timestamp()
+                .build()
+                .fuse();
             slog_async::Async::new(drain).build()
         }
         Format::Json => {
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -31,14 +31,18 @@
 impl View {
     /// The member `host`.
     pub fn member(&self, host: id::Host) -> Option<&Member> {
-        let at = self.members.binary_search_by_key(&host, |member| member.host).ok()?;
+        let at = self
+            .members
+            .binary_search_by_key(&host, |member| member.host)
+            .ok()?;
         Some(&self.members[at])
     }
 
     /// Hosts of `domain` that are not dead and have not left, sorted.
     pub fn live(&self, domain: &Name) -> Vec<id::Host> {
         let members = self.members.iter();
-        let live = members.filter(|member| member.state.is_present() && member.place.domain == *domain);
+        let live =
+            members.filter(|member| member.state.is_present() && member.place.domain == *domain);
         live.map(|member| member.host).collect()
     }
 
@@ -89,8 +93,15 @@
     };
     let seeds = seeds(&inputs);
     let detector = Detector::new(me, seeds, Settings::default(), rand::random(), Time::now());
-    let task = Task { detector, inputs, sender };
-    Handle { view, task: tokio::spawn(task.run()) }
+    let task = Task {
+        detector,
+        inputs,
+        sender,
+    };
+    Handle {
+        view,
+        task: tokio::spawn(task.run()),
+    }
 }
 
 struct Task {
@@ -131,14 +142,20 @@
         let Some(configuration) = self.inputs.configuration.borrow().clone() else {
             return;
         };
-        for host in configuration.hosts.iter().filter(|host| host.state == Life::Retired) {
+        for host in configuration
+            .hosts
+            .iter()
+            .filter(|host| host.state == Life::Retired)
+        {
             self.detector.retire(host.id);
         }
     }
 
     fn carry_out(&mut self, output: Output) {
         for envelope in output.datagrams {
-            self.inputs.outbox.send(envelope.to, &Packet::Member(envelope.datagram));
+            self.inputs
+                .outbox
+                .send(envelope.to, &Packet::Member(envelope.datagram));
         }
         for event in output.events {
             self.report(event);
@@ -168,7 +185,10 @@
             Event::Refuted { claim, incarnation } => {
                 info!(log, "refuted a claim about this host"; "claim" => ?claim, "incarnation" => incarnation);
             }
-            Event::Frozen { gap_ms, incarnation } => {
+            Event::Frozen {
+                gap_ms,
+                incarnation,
+            } => {
                 self.inputs.counters.count("freeze_detected");
                 warn!(log, "this host was frozen"; "gap_ms" => gap_ms, "incarnation" => incarnation);
             }
@@ -178,6 +198,11 @@
 
 fn seeds(inputs: &Inputs) -> Vec<SocketAddr> {
     let configuration = inputs.configuration.borrow();
-    let hosts = configuration.iter().flat_map(|configuration| configuration.hosts.iter());
-    hosts.filter(|host| host.state != Life::Retired).map(|host| host.peer).collect()
+    let hosts = configuration
+        .iter()
+        .flat_map(|configuration| configuration.hosts.iter());
+    hosts
+        .filter(|host| host.state != Life::Retired)
+        .map(|host| host.peer)
+        .collect()
 }
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,422 @@
+//! Starts the tasks of a daemon in order and stops them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use primrose_config::Configuration;
+use primrose_member::view::Place;
+use primrose_proxy::gate::{Event, Gate};
+use primrose_proxy::server;
+use primrose_schedule::ledger::Origin;
+use primrose_wire::frame::Traffic;
+use slog::{Logger, info, warn};
+use tarpc::context;
+use tokio::sync::{mpsc, watch};
+
+use crate::counters::Counters;
+use crate::links::Links;
+use crate::membership::{self, View};
+use crate::packets::{self, Inbox, Outbox, Receivers};
+use crate::replica::{self, Input, Outgoing, address_of};
+use crate::scheduler::{self, Query};
+use crate::settings::{self, Settings};
+use crate::submit::Submitter;
+use crate::{claims, follow, form, operator, peers};
+
+/// Questions of operators that wait at most.
+const QUERY_QUEUE: usize = 16;
+
+/// A claim on an idempotency key that is older than this is not acted on.
+const CLAIM_DEADLINE_MS: u64 = 10_000;
+
+/// Why a daemon cannot start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The settings or the key file.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::Error),
+    /// The data folder.
+    #[error("the data folder cannot be used")]
+    Disk(#[from] primrose_consensus::disk::Error),
+    /// A socket.
+    #[error("cannot listen for {purpose} on {address}")]
+    Socket {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The error of the socket.
+        source: io::Error,
+    },
+}
+
+/// A running daemon.
+pub struct Handle {
+    callers: server::Handle,
+    operator_address: SocketAddr,
+    draining: watch::Sender<bool>,
+    replica: Option<replica::Handle>,
+    log: Logger,
+}
+
+impl Handle {
+    /// Where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Where operators connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Leaves: takes nothing new, passes on what this host owns, lets requests in flight finish.
+    pub async fn drain(self) {
+        info!(self.log, "leaving");
+        self.draining.send_replace(true);
+        if let Some(replica) = &self.replica {
+            replica.send(Input::Transfer);
+        }
+        self.callers.drain().await;
+        info!(self.log, "all requests have finished");
+    }
+}
+
+/// Channels and values that several tasks share.
+struct Parts {
+    settings: Arc<Settings>,
+    incarnation: u64,
+    counters: Arc<Counters>,
+    traffic: Traffic,
+    links: Links,
+    outbox: Outbox,
+    configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    draining: watch::Receiver<bool>,
+    log: Logger,
+}
+
+/// Starts a daemon.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if a file or an address cannot be used.
+pub async fn spawn(settings: Settings, log: Logger) -> Result<Handle, Error> {
+    let settings = Arc::new(settings);
+    let key = settings::read_key(&settings.fleet_key_file)?;
+    let counters = Counters::open(settings.statsd_address);
+    let counters = Arc::new(counters.map_err(socket_error("counters", settings.operator_address))?);
+    let traffic = Traffic::default();
+    let links = Links::new(key.clone(), traffic.clone());
+    let (inbox, receivers) = Inbox::new();
+    let peer_address = settings.peer_address;
+    let outbox = packets::bind(
+        peer_address,
+        key.clone(),
+        traffic.clone(),
+        links.clone(),
+        inbox.clone(),
+        Arc::clone(&counters),
+    );
+    let outbox = outbox
+        .await
+        .map_err(socket_error("daemons", peer_address))?;
+    let (configuration_sender, configuration) = watch::channel(None);
+    let (draining_sender, draining) = watch::channel(false);
+    let parts = Parts {
+        settings: Arc::clone(&settings),
+        incarnation: wall_clock_ms(),
+        counters: Arc::clone(&counters),
+        traffic: traffic.clone(),
+        links: links.clone(),
+        outbox,
+        configuration: configuration.clone(),
+        draining,
+        log: log.clone(),
+    };
+    let replica = parts.open_replica(configuration_sender.clone())?;
+    let submitter = Submitter::new(
+        Arc::clone(&settings),
+        links,
+        replica.clone(),
+        configuration.clone(),
+    );
+    parts.keep_configuration(replica.as_ref(), &submitter, configuration_sender);
+    let peer_inputs = peers::Inputs {
+        key,
+        traffic,
+        replica: replica.clone(),
+        configuration,
+        inbox,
+        counters,
+    };
+    peers::bind(peer_address, peer_inputs)
+        .await
+        .map_err(socket_error("daemons", peer_address))?;
+    let handle = parts
+        .serve(replica, submitter, receivers, draining_sender)
+        .await?;
+    info!(log, "started";
+        "callers" => %handle.caller_address(), "operators" => %handle.operator_address(), "peers" => %peer_address);
+    Ok(handle)
+}
+
+impl Parts {
+    fn open_replica(
+        &self,
+        configuration: watch::Sender<Option<Arc<Configuration>>>,
+    ) -> Result<Option<replica::Handle>, Error> {
+        let Some(folder) = &self.settings.data_folder else {
+            return Ok(None);
+        };
+        let (outgoing, messages) = mpsc::unbounded_channel();
+        let inputs = replica::Inputs {
+            fleet: self.settings.fleet.clone(),
+            host: self.settings.host.clone(),
+            outgoing,
+            configuration,
+            counters: Arc::clone(&self.counters),
+            log: self.log.clone(),
+        };
+        let replica = replica::open(folder, inputs)?;
+        let sender = StepSender {
+            settings: Arc::clone(&self.settings),
+            links: self.links.clone(),
+            configuration: self.configuration.clone(),
+        };
+        tokio::spawn(sender.run(messages));
+        Ok(Some(replica))
+    }
+
+    fn keep_configuration(
+        &self,
+        replica: Option<&replica::Handle>,
+        submitter: &Submitter,
+        configuration: watch::Sender<Option<Arc<Configuration>>>,
+    ) {
+        match replica {
+            Some(replica) => form::spawn(form::Inputs {
+                settings: Arc::clone(&self.settings),
+                links: self.links.clone(),
+                replica: replica.clone(),
+                submitter: submitter.clone(),
+                log: self.log.clone(),
+            }),
+            None => follow::spawn(follow::Inputs {
+                settings: Arc::clone(&self.settings),
+                links: self.links.clone(),
+                configuration,
+                submitter: submitter.clone(),
+                log: self.log.clone(),
+            }),
+        }
+    }
+
+    async fn serve(
+        self,
+        replica: Option<replica::Handle>,
+        submitter: Submitter,
+        receivers: Receivers,
+        draining: watch::Sender<bool>,
+    ) -> Result<Handle, Error> {
+        let (gate, events, claim_events) = Gate::new();
+        let (origin_sender, origin) = watch::channel(None);
+        let (ready_sender, ready) = watch::channel(false);
+        let (view_sender, view) = watch::channel(Arc::default());
+        let (query_sender, queries) = mpsc::channel(QUERY_QUEUE);
+        claims::spawn(claims::Inputs {
+            events: claim_events,
+            origin,
+            submitter: submitter.clone(),
+            counters: Arc::clone(&self.counters),
+        });
+        let callers = self.bind_callers(gate).await?;
+        let operator_inputs = operator::Inputs {
+            settings: Arc::clone(&self.settings),
+            incarnation: self.incarnation,
+            configuration: self.configuration.clone(),
+            view,
+            ready,
+            draining: self.draining.clone(),
+            queries: query_sender,
+            submitter,
+            replica: replica.clone(),
+            counters: Arc::clone(&self.counters),
+            traffic: self.traffic.clone(),
+        };
+        let operator_address = operator::bind(operator_inputs).await;
+        let operator_address =
+            operator_address.map_err(socket_error("operators", self.settings.operator_address))?;
+        let log = self.log.clone();
+        let joining = Joining {
+            origin: origin_sender,
+            ready: ready_sender,
+            view: view_sender,
+        };
+        tokio::spawn(self.join(joining, receivers, events, queries));
+        Ok(Handle {
+            callers,
+            operator_address,
+            draining,
+            replica,
+            log,
+        })
+    }
+
+    async fn bind_callers(&self, gate: Gate) -> Result<server::Handle, Error> {
+        let limits = self.settings.limits;
+        let settings = server::Settings {
+            max_body_bytes: limits.max_body_bytes,
+            queue_timeout_ms: limits.queue_timeout_ms,
+            answer_timeout_ms: limits.answer_timeout_ms,
+            claim_deadline_ms: CLAIM_DEADLINE_MS,
+        };
+        let counters = Arc::clone(&self.counters);
+        let inputs = server::Inputs {
+            gate,
+            configuration: self.configuration.clone(),
+            draining: self.draining.clone(),
+            count: Arc::new(move |name| counters.count(name)),
+        };
+        let address = self.settings.caller_address;
+        server::bind(address, settings, inputs)
+            .await
+            .map_err(socket_error("callers", address))
+    }
+
+    /// Starts membership and scheduling once this host is in the configuration.
+    async fn join(
+        self,
+        joining: Joining,
+        receivers: Receivers,
+        events: mpsc::UnboundedReceiver<Event>,
+        queries: mpsc::Receiver<Query>,
+    ) {
+        let mut configuration = self.configuration.clone();
+        let host = self.settings.host.clone();
+        let is_member = |current: &Option<Arc<Configuration>>| {
+            current
+                .as_ref()
+                .is_some_and(|current| current.hosts.get(host.as_str()).is_some())
+        };
+        let id = match configuration.wait_for(is_member).await {
+            Ok(current) => current
+                .as_ref()
+                .and_then(|current| current.hosts.get(host.as_str()).map(|host| host.id)),
+            Err(_) => None,
+        };
+        let Some(id) = id else {
+            warn!(
+                self.log,
+                "the daemon stopped before it was in the configuration"
+            );
+            return;
+        };
+        let origin = Origin {
+            host: id,
+            incarnation: self.incarnation,
+        };
+        let domain = self.settings.failure_domain.clone();
+        let members = membership::spawn(membership::Inputs {
+            host: id,
+            incarnation: self.incarnation,
+            place: Place {
+                address: self.settings.peer_address,
+                domain: domain.clone(),
+            },
+            configuration: self.configuration.clone(),
+            draining: self.draining.clone(),
+            packets: receivers.membership,
+            outbox: self.outbox.clone(),
+            counters: Arc::clone(&self.counters),
+            log: self.log.clone(),
+        });
+        let scheduler = scheduler::spawn(scheduler::Inputs {
+            origin,
+            domain,
+            limits: self.settings.limits,
+            events,
+            packets: receivers.scheduler,
+            queries,
+            configuration: self.configuration,
+            view: members.view.clone(),
+            draining: self.draining,
+            outbox: self.outbox,
+            counters: self.counters,
+            log: self.log.clone(),
+        });
+        info!(self.log, "joined the fleet"; "host id" => id.0, "incarnation" => self.incarnation);
+        joining.origin.send_replace(Some(origin));
+        joining.ready.send_replace(true);
+        pass_on(members.view, joining.view).await;
+        // Both tasks end with the daemon.
+        let _ = tokio::join!(members.task, scheduler);
+    }
+}
+
+/// What other tasks learn when this host has joined.
+struct Joining {
+    origin: watch::Sender<Option<Origin>>,
+    ready: watch::Sender<bool>,
+    view: watch::Sender<Arc<View>>,
+}
+
+async fn pass_on(mut from: watch::Receiver<Arc<View>>, to: watch::Sender<Arc<View>>) {
+    loop {
+        let view = from.borrow_and_update().clone();
+        to.send_replace(view);
+        if from.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends the messages of the replica.
+struct StepSender {
+    settings: Arc<Settings>,
+    links: Links,
+    configuration: watch::Receiver<Option<Arc<Configuration>>>,
+}
+
+impl StepSender {
+    async fn run(self, mut messages: mpsc::UnboundedReceiver<Outgoing>) {
+        while let Some(outgoing) = messages.recv().await {
+            let configuration = self.configuration.borrow().clone();
+            let Ok(address) = address_of(&outgoing.host, configuration.as_deref(), &self.settings)
+            else {
+                continue;
+            };
+            tokio::spawn(send_step(self.links.clone(), address, outgoing));
+        }
+    }
+}
+
+async fn send_step(links: Links, address: SocketAddr, outgoing: Outgoing) {
+    let Ok(client) = links.client(address).await else {
+        return;
+    };
+    if client
+        .step(context::current(), outgoing.messages)
+        .await
+        .is_err()
+    {
+        links.reset(address).await;
+    }
+}
+
+fn socket_error(purpose: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> Error {
+    move |source| Error::Socket {
+        purpose,
+        address,
+        source,
+    }
+}
+
+fn wall_clock_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,373 @@
+//! HTTP for operators: changes, status, accounts, counters, health and readiness.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use primrose_base::id;
+use primrose_config::{Configuration, KeyHash, State as Life, text};
+use primrose_schedule::snapshot::Snapshot;
+use primrose_state::api::{
+    Account, Accounts, Counter, Counters as CountersReply, ErrorBody, ErrorReply, Host,
+    INVALID_TEXT, Role, Status, Submission, UNAVAILABLE,
+};
+use primrose_state::{Command, Reply};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::writing::{Json, Text};
+use salvo::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::counters::Counters;
+use crate::membership::View;
+use crate::replica;
+use crate::scheduler::{Query, State};
+use crate::settings::Settings;
+use crate::submit::{Outcome, Submitter};
+
+/// The largest change, in bytes; the whole configuration at the target size is a few megabytes.
+const MAX_CHANGE_BYTES: usize = 32 << 20;
+
+/// Time for a change; an election takes less.
+const CHANGE_TIMEOUT_MS: u64 = 5_000;
+
+/// What the interface shows and does.
+#[derive(Clone)]
+pub struct Inputs {
+    /// Settings of this daemon.
+    pub settings: Arc<Settings>,
+    /// Start time of the process in wall-clock ms.
+    pub incarnation: u64,
+    /// The configuration in force here.
+    pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    /// The membership view, once membership runs.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Whether the scheduler runs.
+    pub ready: watch::Receiver<bool>,
+    /// True once the daemon is leaving.
+    pub draining: watch::Receiver<bool>,
+    /// Asks the scheduler.
+    pub queries: mpsc::Sender<Query>,
+    /// Submits changes.
+    pub submitter: Submitter,
+    /// `Some` on hosts that keep a replica of the log.
+    pub replica: Option<replica::Handle>,
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// Bytes on the control connections.
+    pub traffic: primrose_wire::frame::Traffic,
+}
+
+/// Starts to serve operators.
+///
+/// # Errors
+///
+/// Returns the error of the socket if the address cannot be bound.
+pub async fn bind(inputs: Inputs) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(inputs.settings.operator_address).await?;
+    let address = listener.local_addr()?;
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    tokio::spawn(Server::new(acceptor).serve(router(inputs)));
+    Ok(address)
+}
+
+fn router(inputs: Inputs) -> Router {
+    let page = |page: Page| Endpoint {
+        page,
+        inputs: inputs.clone(),
+    };
+    let operator = Router::with_path("operator")
+        .push(Router::with_path("changes").post(page(Page::Changes)))
+        .push(Router::with_path("configuration").get(page(Page::Configuration)))
+        .push(Router::with_path("status").get(page(Page::Status)))
+        .push(Router::with_path("accounts").get(page(Page::Accounts)))
+        .push(Router::with_path("counters").get(page(Page::Counters)));
+    Router::new()
+        .push(operator)
+        .push(Router::with_path("healthz").get(page(Page::Health)))
+        .push(Router::with_path("readyz").get(page(Page::Readiness)))
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Page {
+    Changes,
+    Configuration,
+    Status,
+    Accounts,
+    Counters,
+    Health,
+    Readiness,
+}
+
+struct Endpoint {
+    page: Page,
+    inputs: Inputs,
+}
+
+#[async_trait]
+impl salvo::Handler for Endpoint {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let inputs = &self.inputs;
+        match self.page {
+            Page::Health => response.render(Text::Plain("alive\n")),
+            Page::Readiness => inputs.readiness(response),
+            _ if !inputs.is_operator(request) => {
+                inputs.counters.count("operator_refused");
+                let message = "the request needs the header 'Authorization: Bearer KEY' with an operator's key";
+                render_error(response, StatusCode::UNAUTHORIZED, "unknown_key", message);
+            }
+            Page::Changes => inputs.change(request, response).await,
+            Page::Configuration => inputs.render_configuration(response),
+            Page::Status => response.render(Json(inputs.status())),
+            Page::Accounts => inputs.accounts(response).await,
+            Page::Counters => response.render(Json(inputs.counters())),
+        }
+    }
+}
+
+fn render_error(response: &mut Response, status: StatusCode, code: &str, message: &str) {
+    response.status_code(status);
+    let error = ErrorBody {
+        code: code.to_owned(),
+        message: message.to_owned(),
+    };
+    response.render(Json(ErrorReply { error }));
+}
+
+impl Inputs {
+    fn is_operator(&self, request: &Request) -> bool {
+        let header = request
+            .headers()
+            .get("authorization")
+            .and_then(|value| value.to_str().ok());
+        let Some(key) = header.and_then(|value| value.strip_prefix("Bearer ")) else {
+            return false;
+        };
+        // Hashes are compared, so the time of the comparison tells nothing about a key.
+        self.settings
+            .operator_key_sha256
+            .contains(&KeyHash::of(key))
+    }
+
+    fn readiness(&self, response: &mut Response) {
+        let (status, text) = if *self.draining.borrow() {
+            (StatusCode::SERVICE_UNAVAILABLE, "leaving\n")
+        } else if !*self.ready.borrow() {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration\n")
+        } else {
+            (StatusCode::OK, "ready\n")
+        };
+        response.status_code(status);
+        response.render(Text::Plain(text));
+    }
+
+    async fn change(&self, request: &mut Request, response: &mut Response) {
+        let submission = self.submit(request).await;
+        let counter = match &submission {
+            Submission::Accepted { .. } => "change_accepted",
+            Submission::Refused(_) => "change_refused",
+            Submission::Unknown { .. } => "change_unknown",
+        };
+        self.counters.count(counter);
+        let status = StatusCode::from_u16(submission.http_status());
+        response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+        response.render(Json(submission));
+    }
+
+    async fn submit(&self, request: &mut Request) -> Submission {
+        let version = self
+            .configuration
+            .borrow()
+            .as_ref()
+            .map(|configuration| configuration.version);
+        let refused = |message: String| Submission::refused(INVALID_TEXT, message, version);
+        let body = match request.payload_with_max_size(MAX_CHANGE_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return refused(format!("the change could not be read: {error}")),
+        };
+        let Ok(body) = std::str::from_utf8(body) else {
+            return refused("the change is not UTF-8 text".to_owned());
+        };
+        let change = match text::read_change("change", body) {
+            Ok(change) => change,
+            Err(error) => return refused(error.to_string()),
+        };
+        match self.submitter.submit(Command::Change(change), CHANGE_TIMEOUT_MS).await {
+            Outcome::Applied(Reply::Change(reply)) => reply.into(),
+            Outcome::Unavailable => {
+                let message = "no voter with a majority could be reached; the change was not proposed";
+                Submission::refused(UNAVAILABLE, message, version)
+            }
+            Outcome::Applied(_) | Outcome::Unknown => Submission::Unknown {
+                message: "the leader of the log did not answer; submit the same text again to learn the outcome"
+                    .to_owned(),
+            },
+        }
+    }
+
+    fn render_configuration(&self, response: &mut Response) {
+        match &*self.configuration.borrow() {
+            Some(configuration) => {
+                response.render(Text::Plain(text::print_configuration(configuration)))
+            }
+            None => {
+                let message = "this host has no configuration yet";
+                render_error(
+                    response,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_configuration",
+                    message,
+                );
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let configuration = self.configuration.borrow().clone().unwrap_or_default();
+        let view = self.view.borrow().clone();
+        let leader = self.submitter.leader();
+        let standing = self.replica.as_ref().map(replica::Handle::standing);
+        let in_use = configuration
+            .hosts
+            .iter()
+            .filter(|host| host.state != Life::Retired);
+        let hosts: Vec<Host> = in_use
+            .map(|host| {
+                let is_self = host.name == self.settings.host;
+                let member = view.member(host.id);
+                Host {
+                    name: host.name.clone(),
+                    domain: host.domain.clone(),
+                    reachable: is_self || member.is_some_and(|member| member.state.is_present()),
+                    version: is_self.then_some(configuration.version),
+                    incarnation: member.map(|member| member.incarnation),
+                    role: role(&host.name, host.voter, leader.as_ref()),
+                    ready: if is_self {
+                        *self.ready.borrow()
+                    } else {
+                        member.is_some()
+                    },
+                }
+            })
+            .collect();
+        let voters = hosts.iter().filter(|host| host.role != Role::Follower);
+        Status {
+            host: self.settings.host.clone(),
+            version: configuration.version,
+            leader,
+            term: standing.map_or(0, |standing| standing.term),
+            reachable_voters: voters.clone().filter(|host| host.reachable).count() as u32,
+            voters: voters.count() as u32,
+            hosts,
+        }
+    }
+
+    async fn accounts(&self, response: &mut Response) {
+        let (reply, state) = oneshot::channel();
+        let is_sent = self.queries.send(Query { reply }).await.is_ok();
+        let state = if is_sent { state.await.ok() } else { None };
+        let configuration = self.configuration.borrow().clone().unwrap_or_default();
+        match state {
+            Some(state) => {
+                let accounts = account_rows(&state, &configuration);
+                response.render(Json(Accounts {
+                    host: self.settings.host.clone(),
+                    accounts,
+                }));
+            }
+            None => {
+                let message = "the scheduler of this host does not run yet";
+                render_error(
+                    response,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_configuration",
+                    message,
+                );
+            }
+        }
+    }
+
+    fn counters(&self) -> CountersReply {
+        let counters = self.counters.values();
+        let mut counters: Vec<Counter> = counters
+            .map(|(name, value)| Counter {
+                name: name.to_owned(),
+                value,
+            })
+            .collect();
+        let gauges = [
+            ("control_bytes_received", self.traffic.received()),
+            ("control_bytes_sent", self.traffic.sent()),
+            (
+                "log_syncs",
+                self.replica
+                    .as_ref()
+                    .map_or(0, |replica| replica.standing().syncs),
+            ),
+        ];
+        counters.extend(gauges.map(|(name, value)| Counter {
+            name: name.to_owned(),
+            value,
+        }));
+        counters.sort_by(|a, b| a.name.cmp(&b.name));
+        CountersReply {
+            host: self.settings.host.clone(),
+            counters,
+        }
+    }
+}
+
+fn role(
+    host: &primrose_base::name::Name,
+    voter: bool,
+    leader: Option<&primrose_base::name::Name>,
+) -> Role {
+    if leader == Some(host) {
+        Role::Leader
+    } else if voter {
+        Role::Voter
+    } else {
+        Role::Follower
+    }
+}
+
+/// The figures of an owner cover the fleet; those of another host cover its own queue and what owners told it.
+fn account_rows(state: &State, configuration: &Configuration) -> Vec<Account> {
+    let snapshot: &Snapshot = state.lender.as_ref().unwrap_or(&state.borrower);
+    let mut rows = Vec::new();
+    for pool in &snapshot.pools {
+        let Some(pool_item) = configuration.pools.by_id(pool.pool) else {
+            continue;
+        };
+        for figures in &pool.accounts {
+            let Some(account) = account_name(configuration, figures.account) else {
+                continue;
+            };
+            rows.push(Account {
+                account,
+                pool: pool_item.name.clone(),
+                share: u32::try_from(figures.share).unwrap_or(u32::MAX),
+                waiting: figures.waiting,
+                in_flight: figures.in_flight,
+                service: figures.service,
+                v: figures.v,
+            });
+        }
+    }
+    rows.sort_by(|a, b| (&a.account, &a.pool).cmp(&(&b.account, &b.pool)));
+    rows
+}
+
+fn account_name(
+    configuration: &Configuration,
+    account: id::Account,
+) -> Option<primrose_base::name::Name> {
+    Some(configuration.accounts.by_id(account)?.name.clone())
+}
--- a/crates/daemon/src/packets.rs
+++ b/crates/daemon/src/packets.rs
@@ -55,8 +55,17 @@
     pub fn new() -> (Inbox, Receivers) {
         let (membership, membership_receiver) = mpsc::channel(QUEUE);
         let (scheduler, scheduler_receiver) = mpsc::channel(QUEUE);
-        let receivers = Receivers { membership: membership_receiver, scheduler: scheduler_receiver };
-        (Inbox { membership, scheduler }, receivers)
+        let receivers = Receivers {
+            membership: membership_receiver,
+            scheduler: scheduler_receiver,
+        };
+        (
+            Inbox {
+                membership,
+                scheduler,
+            },
+            receivers,
+        )
     }
 
     /// Hands over a packet; it is dropped if the queue of its task is full.
@@ -83,12 +92,23 @@
     counters: Arc<Counters>,
 ) -> io::Result<Outbox> {
     let socket = Arc::new(UdpSocket::bind(address).await?);
-    let outbox = Outbox { socket: Arc::clone(&socket), key: key.clone(), traffic: traffic.clone(), links };
+    let outbox = Outbox {
+        socket: Arc::clone(&socket),
+        key: key.clone(),
+        traffic: traffic.clone(),
+        links,
+    };
     tokio::spawn(receive(socket, key, traffic, inbox, counters));
     Ok(outbox)
 }
 
-async fn receive(socket: Arc<UdpSocket>, key: Key, traffic: Traffic, inbox: Inbox, counters: Arc<Counters>) {
+async fn receive(
+    socket: Arc<UdpSocket>,
+    key: Key,
+    traffic: Traffic,
+    inbox: Inbox,
+    counters: Arc<Counters>,
+) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         // An error on a datagram socket reports an earlier datagram that could not be delivered.
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,135 @@
+//! Serves the calls of other daemons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use primrose_config::Configuration;
+use primrose_consensus::message::Message;
+use primrose_state::Command;
+use primrose_wire::frame::Traffic;
+use primrose_wire::handshake;
+use primrose_wire::key::Key;
+use primrose_wire::peer::{Introduction, News, Packet, Peer, Submitted};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::counters::Counters;
+use crate::packets::{Inbox, Received};
+use crate::replica::{self, Input};
+
+/// A call that waits for a newer configuration is answered after this time at the latest.
+const FOLLOW_WAIT: Duration = Duration::from_secs(3);
+
+/// What the calls of other daemons need.
+#[derive(Clone)]
+pub struct Inputs {
+    /// Authenticates the callers.
+    pub key: Key,
+    /// Counts bytes.
+    pub traffic: Traffic,
+    /// `Some` on hosts that keep a replica of the log.
+    pub replica: Option<replica::Handle>,
+    /// The configuration in force here.
+    pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    /// Receives packets that came by TCP.
+    pub inbox: Inbox,
+    /// Counters.
+    pub counters: Arc<Counters>,
+}
+
+/// Starts to serve other daemons.
+///
+/// # Errors
+///
+/// Returns the error of the socket if the address cannot be bound.
+pub async fn bind(address: SocketAddr, inputs: Inputs) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(accept(listener, inputs));
+    Ok(address)
+}
+
+async fn accept(listener: TcpListener, inputs: Inputs) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, source)) => {
+                tokio::spawn(serve(stream, source, inputs.clone()));
+            }
+            // Out of file descriptors, for example; the pause keeps the loop from spinning.
+            Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, source: SocketAddr, inputs: Inputs) {
+    let Ok(connection) = handshake::accept(stream, &inputs.key, &inputs.traffic).await else {
+        inputs.counters.count("peer_refused");
+        return;
+    };
+    let server = Server { source, inputs };
+    let calls = BaseChannel::with_defaults(connection).execute(server.serve());
+    calls
+        .for_each(|call| async {
+            tokio::spawn(call);
+        })
+        .await;
+}
+
+#[derive(Clone)]
+struct Server {
+    source: SocketAddr,
+    inputs: Inputs,
+}
+
+impl Peer for Server {
+    async fn deliver(self, _: Context, packet: Packet) {
+        self.inputs.inbox.deliver(Received {
+            source: self.source,
+            packet,
+        });
+    }
+
+    async fn step(self, _: Context, messages: Vec<Message>) {
+        if let Some(replica) = &self.inputs.replica {
+            replica.send(Input::Messages(messages));
+        }
+    }
+
+    async fn introduce(self, _: Context, caller: Introduction) -> Option<Introduction> {
+        let replica = self.inputs.replica.as_ref()?;
+        if caller.is_empty {
+            replica.send(Input::Introduce(caller));
+        }
+        Some(replica.standing().introduction)
+    }
+
+    async fn submit(self, _: Context, command: Command) -> Submitted {
+        match &self.inputs.replica {
+            Some(replica) => replica.submit(command).await,
+            None => Submitted::NotLeader { leader: None },
+        }
+    }
+
+    async fn follow(self, _: Context, version: u64) -> Option<News> {
+        let replica = self.inputs.replica.as_ref()?;
+        let mut configuration = self.inputs.configuration.clone();
+        let is_newer = |current: &Option<Arc<Configuration>>| {
+            current
+                .as_ref()
+                .is_some_and(|current| current.version > version)
+        };
+        let waited = tokio::time::timeout(FOLLOW_WAIT, configuration.wait_for(is_newer)).await;
+        let newer = waited
+            .is_ok()
+            .then(|| replica.read(|machine| machine.changes_since(version)));
+        Some(News {
+            leader: replica.standing().leader,
+            update: newer,
+        })
+    }
+}
--- a/crates/daemon/src/scheduler/calls.rs
+++ b/crates/daemon/src/scheduler/calls.rs
@@ -42,24 +42,38 @@
 
 impl Calls {
     pub(super) fn insert(&mut self, call: Call, reply: Reply) {
-        let entry = Entry { call, stage: Stage::Waiting { reply } };
-        let at = self.entries.partition_point(|other| other.call.id < entry.call.id);
+        let entry = Entry {
+            call,
+            stage: Stage::Waiting { reply },
+        };
+        let at = self
+            .entries
+            .partition_point(|other| other.call.id < entry.call.id);
         self.entries.insert(at, entry);
     }
 
     pub(super) fn get(&self, id: u64) -> Option<&Entry> {
-        let at = self.entries.binary_search_by_key(&id, |entry| entry.call.id).ok()?;
+        let at = self
+            .entries
+            .binary_search_by_key(&id, |entry| entry.call.id)
+            .ok()?;
         Some(&self.entries[at])
     }
 
     pub(super) fn remove(&mut self, id: u64) -> Option<Entry> {
-        let at = self.entries.binary_search_by_key(&id, |entry| entry.call.id).ok()?;
+        let at = self
+            .entries
+            .binary_search_by_key(&id, |entry| entry.call.id)
+            .ok()?;
         Some(self.entries.remove(at))
     }
 
     /// Moves a request from the queue to a slot and returns its reply channel.
     pub(super) fn start(&mut self, id: u64, server: id::Server, now: Time) -> Option<Reply> {
-        let at = self.entries.binary_search_by_key(&id, |entry| entry.call.id).ok()?;
+        let at = self
+            .entries
+            .binary_search_by_key(&id, |entry| entry.call.id)
+            .ok()?;
         let running = Stage::Running { server, since: now };
         match std::mem::replace(&mut self.entries[at].stage, running) {
             Stage::Waiting { reply } => Some(reply),
@@ -69,7 +83,10 @@
 
     /// Ids of all requests in the queue.
     pub(super) fn waiting(&self) -> Vec<u64> {
-        let waiting = self.entries.iter().filter(|entry| matches!(entry.stage, Stage::Waiting { .. }));
+        let waiting = self
+            .entries
+            .iter()
+            .filter(|entry| matches!(entry.stage, Stage::Waiting { .. }));
         waiting.map(|entry| entry.call.id).collect()
     }
 }
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -243,22 +243,39 @@
         }
         let waiting = self.borrower.waiting_total();
         if waiting >= self.inputs.limits.waiting_per_host as usize {
-            let message = format!("{waiting} requests wait on this host; send the request again later");
-            return Some(Failure::refuse("host_waiting_limit", StatusCode::SERVICE_UNAVAILABLE, message));
+            let message =
+                format!("{waiting} requests wait on this host; send the request again later");
+            return Some(Failure::refuse(
+                "host_waiting_limit",
+                StatusCode::SERVICE_UNAVAILABLE,
+                message,
+            ));
         }
         let account = self.configuration.accounts.by_id(call.account);
         let limit = account.map_or(0, |account| self.configuration.waiting_limit(account));
         let waiting = self.borrower.waiting(call.pool, call.account);
         if waiting >= limit as usize {
-            let message = format!("{waiting} requests of this account wait on this host; its limit is {limit}");
-            return Some(Failure::refuse("account_waiting_limit", StatusCode::TOO_MANY_REQUESTS, message));
+            let message = format!(
+                "{waiting} requests of this account wait on this host; its limit is {limit}"
+            );
+            return Some(Failure::refuse(
+                "account_waiting_limit",
+                StatusCode::TOO_MANY_REQUESTS,
+                message,
+            ));
         }
         None
     }
 
     fn estimate(&self, call: &Call) -> u64 {
-        let default = self.configuration.pools.by_id(call.pool).map_or(1, |pool| u64::from(pool.output_estimate));
-        let output = self.estimator.output_tokens(call.pool, call.account, default, call.max_output_tokens);
+        let default = self
+            .configuration
+            .pools
+            .by_id(call.pool)
+            .map_or(1, |pool| u64::from(pool.output_estimate));
+        let output =
+            self.estimator
+                .output_tokens(call.pool, call.account, default, call.max_output_tokens);
         self.charge(call.pool, call.input_tokens, output)
     }
 
@@ -266,7 +283,11 @@
     fn charge(&self, pool: id::Pool, input_tokens: u64, output_tokens: u64) -> u64 {
         let pool = self.configuration.pools.by_id(pool);
         match pool.map(|pool| &pool.kind) {
-            Some(Kind::Model { input_weight, output_weight, .. }) => {
+            Some(Kind::Model {
+                input_weight,
+                output_weight,
+                ..
+            }) => {
                 input_tokens * u64::from(*input_weight) + output_tokens * u64::from(*output_weight)
             }
             Some(Kind::Plain) | None => output_tokens,
@@ -295,7 +316,8 @@
         self.paces.record(server, &end, now);
         if end.verdict == primrose_base::verdict::Verdict::Complete {
             self.inputs.counters.count("served");
-            self.estimator.record(call.pool, call.account, end.usage.output_tokens);
+            self.estimator
+                .record(call.pool, call.account, end.usage.output_tokens);
         }
     }
 
@@ -304,7 +326,11 @@
             return;
         };
         self.inputs.counters.count("dispatched");
-        let address = self.configuration.servers.by_id(server).map(|server| server.address);
+        let address = self
+            .configuration
+            .servers
+            .by_id(server)
+            .map(|server| server.address);
         let answer = match address {
             Some(address) => Ok(Slot { server, address }),
             None => Err(no_server()),
@@ -363,7 +389,10 @@
         let shares: Vec<Share> = configuration
             .accounts
             .iter()
-            .map(|account| Share { account: account.id, share: u64::from(account.share) })
+            .map(|account| Share {
+                account: account.id,
+                share: u64::from(account.share),
+            })
             .collect();
         self.borrower.set_shares(&shares);
         self.configuration = configuration;
@@ -372,13 +401,29 @@
             lender.set_shares(&shares);
         }
         let hosts = self.configuration.hosts.iter();
-        let own = hosts.filter(|host| host.domain == self.inputs.domain && host.state == Life::Active);
-        self.ownership.configure(own.map(|host| DomainHost { host: host.id, name: host.name.clone() }).collect());
+        let own =
+            hosts.filter(|host| host.domain == self.inputs.domain && host.state == Life::Active);
+        self.ownership.configure(
+            own.map(|host| DomainHost {
+                host: host.id,
+                name: host.name.clone(),
+            })
+            .collect(),
+        );
     }
 
     fn set_servers(&mut self, now: Time) {
-        let pool_of = |server: &ServerItem| self.configuration.pools.get(server.pool.as_str()).map(|pool| pool.id);
-        let in_use = self.configuration.servers.iter().filter(|server| server.state != Life::Retired);
+        let pool_of = |server: &ServerItem| {
+            self.configuration
+                .pools
+                .get(server.pool.as_str())
+                .map(|pool| pool.id)
+        };
+        let in_use = self
+            .configuration
+            .servers
+            .iter()
+            .filter(|server| server.state != Life::Retired);
         let mut borrowed = Vec::new();
         let mut lent = Vec::new();
         for server in in_use {
@@ -386,11 +431,20 @@
                 continue;
             };
             if server.state == Life::Active && !self.paces.is_paused(server.id, now) {
-                borrowed.push(borrower::Server { server: server.id, pool, domain: server.domain.clone() });
+                borrowed.push(borrower::Server {
+                    server: server.id,
+                    pool,
+                    domain: server.domain.clone(),
+                });
             }
             if server.domain == self.inputs.domain {
                 let limit = self.paces.limit(server.id, server.slots, now);
-                lent.push(lender::Server { server: server.id, pool, limit, leaving: server.state != Life::Active });
+                lent.push(lender::Server {
+                    server: server.id,
+                    pool,
+                    limit,
+                    leaving: server.state != Life::Active,
+                });
             }
         }
         borrowed.sort_unstable_by_key(|server| server.server);
@@ -408,7 +462,11 @@
 
     /// Failure domains that have hosts, sorted.
     fn domains(&self) -> Vec<Name> {
-        let hosts = self.configuration.hosts.iter().filter(|host| host.state == Life::Active);
+        let hosts = self
+            .configuration
+            .hosts
+            .iter()
+            .filter(|host| host.state == Life::Active);
         let mut domains: Vec<Name> = hosts.map(|host| host.domain.clone()).collect();
         domains.sort_unstable();
         domains.dedup();
@@ -419,7 +477,9 @@
     fn candidates(&self, domain: &Name) -> Vec<id::Host> {
         let live = self.view.live(domain);
         let configured = self.configuration.hosts.iter();
-        let mut hosts: Vec<_> = configured.filter(|host| live.binary_search(&host.id).is_ok()).collect();
+        let mut hosts: Vec<_> = configured
+            .filter(|host| live.binary_search(&host.id).is_ok())
+            .collect();
         hosts.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         hosts.into_iter().map(|host| host.id).collect()
     }
@@ -457,7 +517,10 @@
             }
             return;
         };
-        let support = Support { supporters: share.supporters, hosts: share.hosts };
+        let support = Support {
+            supporters: share.supporters,
+            hosts: share.hosts,
+        };
         if self.lender.is_none() {
             self.lender_incarnation += 1;
             self.lender = Some(Lender::new(now, self.lender_incarnation, Tuning::default()));
@@ -493,17 +556,29 @@
             Packet::Report(report) => match &mut self.lender {
                 Some(lender) => lender.report(now, &report),
                 None => {
-                    let owner = self.ownership.owner(now).filter(|owner| *owner != self.inputs.origin.host);
-                    let redirect = Packet::Redirect { from: self.inputs.origin.host, owner };
+                    let owner = self
+                        .ownership
+                        .owner(now)
+                        .filter(|owner| *owner != self.inputs.origin.host);
+                    let redirect = Packet::Redirect {
+                        from: self.inputs.origin.host,
+                        owner,
+                    };
                     self.send(report.host, &redirect);
                 }
             },
             Packet::Answer { from, answer } => self.answer(from, &answer, now),
-            Packet::Redirect { from, owner: Some(owner) } => self.owners.redirect(from, owner, now),
+            Packet::Redirect {
+                from,
+                owner: Some(owner),
+            } => self.owners.redirect(from, owner, now),
             Packet::Redirect { owner: None, .. } => {}
             Packet::Ask(ask) => {
                 let response = self.ownership.on_ask(now, &ask);
-                let support = Packet::Support { from: self.inputs.origin.host, answer: response.answer };
+                let support = Packet::Support {
+                    from: self.inputs.origin.host,
+                    answer: response.answer,
+                };
                 self.send(ask.owner, &support);
                 if let Some(release) = response.release {
                     self.send_to_domain(&Packet::Release(release));
@@ -552,7 +627,13 @@
                 self.owners.update(&domain, &self.candidates(&domain), now)
             };
             if let Some(owner) = owner.filter(|_| !servers.is_empty()) {
-                self.send(owner, &Packet::Pace { from: self.inputs.origin.host, servers });
+                self.send(
+                    owner,
+                    &Packet::Pace {
+                        from: self.inputs.origin.host,
+                        servers,
+                    },
+                );
             }
         }
     }
@@ -560,7 +641,8 @@
     /// Carries out the decisions of the borrower; returns whether the lender has got something to decide.
     fn borrow(&mut self, now: Time) -> bool {
         let calls = &self.calls;
-        let choose = |request: &Request, candidates: &[Candidate]| choose(calls, request, candidates);
+        let choose =
+            |request: &Request, candidates: &[Candidate]| choose(calls, request, candidates);
         let mut has_reported = false;
         for action in self.borrower.poll(now, choose) {
             match action {
@@ -590,7 +672,13 @@
                 self.answer(me, &push.answer, now);
                 has_answered = true;
             } else {
-                self.send(push.to, &Packet::Answer { from: me, answer: push.answer });
+                self.send(
+                    push.to,
+                    &Packet::Answer {
+                        from: me,
+                        answer: push.answer,
+                    },
+                );
             }
         }
         has_answered
--- a/crates/daemon/src/scheduler/owners.rs
+++ b/crates/daemon/src/scheduler/owners.rs
@@ -28,9 +28,16 @@
 impl Owners {
     /// Keeps or replaces the owner of `domain` and returns it. `candidates` are the live hosts of the domain, the likely
     /// owner first.
-    pub(super) fn update(&mut self, domain: &Name, candidates: &[id::Host], now: Time) -> Option<id::Host> {
+    pub(super) fn update(
+        &mut self,
+        domain: &Name,
+        candidates: &[id::Host],
+        now: Time,
+    ) -> Option<id::Host> {
         let followed = self.followed(domain, now);
-        let position = candidates.iter().position(|host| Some(*host) == followed.owner);
+        let position = candidates
+            .iter()
+            .position(|host| Some(*host) == followed.owner);
         let is_silent = now.since(followed.heard_at) >= SILENCE_LIMIT_MS;
         let next = match position {
             Some(position) if is_silent => (position + 1) % candidates.len(),
@@ -62,11 +69,18 @@
     }
 
     fn followed(&mut self, domain: &Name, now: Time) -> &mut Followed {
-        let at = self.domains.binary_search_by(|followed| followed.domain.cmp(domain)).unwrap_or_else(|at| {
-            let followed = Followed { domain: domain.clone(), owner: None, heard_at: now };
-            self.domains.insert(at, followed);
-            at
-        });
+        let at = self
+            .domains
+            .binary_search_by(|followed| followed.domain.cmp(domain))
+            .unwrap_or_else(|at| {
+                let followed = Followed {
+                    domain: domain.clone(),
+                    owner: None,
+                    heard_at: now,
+                };
+                self.domains.insert(at, followed);
+                at
+            });
         &mut self.domains[at]
     }
 }
--- a/crates/daemon/src/scheduler/pace.rs
+++ b/crates/daemon/src/scheduler/pace.rs
@@ -105,10 +105,19 @@
     }
 
     fn pace(&mut self, server: id::Server) -> &mut Pace {
-        let at = self.servers.binary_search_by_key(&server, |pace| pace.server).unwrap_or_else(|at| {
-            self.servers.insert(at, Pace { server, ..Pace::default() });
-            at
-        });
+        let at = self
+            .servers
+            .binary_search_by_key(&server, |pace| pace.server)
+            .unwrap_or_else(|at| {
+                self.servers.insert(
+                    at,
+                    Pace {
+                        server,
+                        ..Pace::default()
+                    },
+                );
+                at
+            });
         &mut self.servers[at]
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
+    /// Name of the fleet; a data folder of another fleet is refused.
+    pub fleet: Name,
     /// Name of this host.
     pub host: Name,
     /// The failure domain of this host.
@@ -129,7 +131,9 @@
         help: Option<String>,
     },
     /// A key file can be read by others.
-    #[error("{path} has the permissions {mode:03o}; a key file must be readable by its owner only (600)")]
+    #[error(
+        "{path} has the permissions {mode:03o}; a key file must be readable by its owner only (600)"
+    )]
     Permissions {
         /// The file.
         path: String,
@@ -166,7 +170,8 @@
 ///
 /// Returns [`Error::Text`] with the place in the text where it can be told.
 pub fn parse(name: &str, text: &str) -> Result<Settings, Error> {
-    let settings: Settings = serde_yaml_ng::from_str(text).map_err(|error| text_error(name, text, &error))?;
+    let settings: Settings =
+        serde_yaml_ng::from_str(text).map_err(|error| text_error(name, text, &error))?;
     check(&settings).map_err(|message| Error::Text {
         message,
         source_code: NamedSource::new(name, text.to_owned()),
@@ -183,7 +188,10 @@
 /// Refuses a file that others can read and a key that is too short.
 pub fn read_key(path: &Path) -> Result<Key, Error> {
     let name = path.display().to_string();
-    let metadata = std::fs::metadata(path).map_err(|source| Error::Read { path: name.clone(), source })?;
+    let metadata = std::fs::metadata(path).map_err(|source| Error::Read {
+        path: name.clone(),
+        source,
+    })?;
     let mode = metadata.mode() & 0o777;
     if mode & 0o077 != 0 {
         return Err(Error::Permissions { path: name, mode });
@@ -193,7 +201,10 @@
 }
 
 fn read_text(path: &Path) -> Result<String, Error> {
-    std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.display().to_string(), source })
+    std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.display().to_string(),
+        source,
+    })
 }
 
 fn check(settings: &Settings) -> Result<(), String> {
@@ -201,19 +212,28 @@
     if voters == 0 {
         return Err("peers: at least one peer must have 'voter: true'".to_owned());
     }
-    let own = settings.peers.iter().find(|peer| peer.host == settings.host);
+    let own = settings
+        .peers
+        .iter()
+        .find(|peer| peer.host == settings.host);
     if own.is_some_and(|own| own.voter) && settings.data_folder.is_none() {
-        return Err("data_folder is missing: this host is listed as a voter and needs a disk".to_owned());
+        return Err(
+            "data_folder is missing: this host is listed as a voter and needs a disk".to_owned(),
+        );
     }
     if own.is_some_and(|own| own.failure_domain != settings.failure_domain) {
-        return Err("peers: the failure_domain listed for this host differs from its own".to_owned());
+        return Err(
+            "peers: the failure_domain listed for this host differs from its own".to_owned(),
+        );
     }
     Ok(())
 }
 
 fn text_error(name: &str, text: &str, error: &serde_yaml_ng::Error) -> Error {
     let message = error.to_string();
-    let place = error.location().map(|location| SourceSpan::from((location.index(), 1)));
+    let place = error
+        .location()
+        .map(|location| SourceSpan::from((location.index(), 1)));
     Error::Text {
         help: nearest_key(&message),
         message,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -98,6 +98,8 @@
 /// A claim on the key of a non-idempotent request.
 #[derive(Clone, Debug)]
 pub struct Claim {
+    /// Tells this request from others with the same key; unique in this process.
+    pub request: u64,
     /// The account that owns the key.
     pub account: id::Account,
     /// The caller's idempotency key.
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -261,6 +261,7 @@
         key: &str,
     ) -> Result<Hold, Failure> {
         let claim = Claim {
+            request: self.runner.gate.next_id(),
             account: caller.account.id,
             key: key.into(),
             digest: digest(method, path, &head.bytes),
--- a/crates/schedule/src/estimate.rs
+++ b/crates/schedule/src/estimate.rs
@@ -29,7 +29,13 @@
     /// Expected output tokens of a request of `account`.
     ///
     /// `default` counts until the account has had an answer; `limit` is the caller's `max_tokens`.
-    pub fn output_tokens(&self, pool: id::Pool, account: id::Account, default: u64, limit: Option<u64>) -> u64 {
+    pub fn output_tokens(
+        &self,
+        pool: id::Pool,
+        account: id::Account,
+        default: u64,
+        limit: Option<u64>,
+    ) -> u64 {
         let mean = match self.position(pool, account) {
             Ok(at) => self.means[at].scaled.div_ceil(SCALE),
             Err(_) => default,
@@ -45,11 +51,19 @@
                 let mean = &mut self.means[at].scaled;
                 *mean = (*mean * (SMOOTHING - 1) + scaled) / SMOOTHING;
             }
-            Err(at) => self.means.insert(at, Mean { pool, account, scaled }),
+            Err(at) => self.means.insert(
+                at,
+                Mean {
+                    pool,
+                    account,
+                    scaled,
+                },
+            ),
         }
     }
 
     fn position(&self, pool: id::Pool, account: id::Account) -> Result<usize, usize> {
-        self.means.binary_search_by_key(&(pool, account), |mean| (mean.pool, mean.account))
+        self.means
+            .binary_search_by_key(&(pool, account), |mean| (mean.pool, mean.account))
     }
 }
--- a/crates/schedule/src/health.rs
+++ b/crates/schedule/src/health.rs
@@ -41,7 +41,11 @@
             }
             Err(at) => {
                 let retry_at = now.plus_ms(FIRST_PAUSE_MS);
-                let failed = Failed { server, pause_ms: FIRST_PAUSE_MS, retry_at };
+                let failed = Failed {
+                    server,
+                    pause_ms: FIRST_PAUSE_MS,
+                    retry_at,
+                };
                 self.failed.insert(at, failed);
             }
         }
@@ -77,6 +81,7 @@
     }
 
     fn position(&self, server: id::Server) -> Result<usize, usize> {
-        self.failed.binary_search_by_key(&server, |failed| failed.server)
+        self.failed
+            .binary_search_by_key(&server, |failed| failed.server)
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,13 +6,12 @@
 
 use primrose_base::id;
 use primrose_base::name::Name;
-use primrose_config::Configuration;
 use primrose_consensus::membership::Id;
 use primrose_consensus::message::Message;
 use primrose_member::message::Datagram;
 use primrose_member::ownership::{Answer as SupportAnswer, Ask, Release};
 use primrose_schedule::message::{Answer, Report};
-use primrose_state::{Command, Reply};
+use primrose_state::{Command, Reply, Update};
 use serde::{Deserialize, Serialize};
 
 /// A message that may be lost, repeated or overtaken.
@@ -103,8 +102,8 @@
 pub struct News {
     /// The leader of the log, if the answering voter knows one.
     pub leader: Option<Name>,
-    /// The configuration, if it is newer than the one that the caller has.
-    pub configuration: Option<Configuration>,
+    /// How to reach the current configuration, if it is newer than the one that the caller has.
+    pub update: Option<Update>,
 }
 
 /// Calls between daemons.
