--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,24 +1,14 @@
 //! The router daemon.
 
-use std::path::PathBuf;
+mod flags;
 
 use miette::IntoDiagnostic;
 use primrose_daemon::{logger, node, settings};
 use slog::error;
 use tokio::signal::unix::{SignalKind, signal};
 
-xflags::xflags! {
-    /// Router daemon of primrosearch. Settings are described in docs/settings.md.
-    cmd primrosed {
-        /// Settings file (YAML).
-        required settings: PathBuf
-        /// Only checks the settings file, its key file and its data folder's place.
-        optional --check-settings
-    }
-}
-
 fn main() -> miette::Result<()> {
-    let flags = Primrosed::from_env_or_exit();
+    let flags = flags::Primrosed::from_env_or_exit();
     let settings = settings::read(&flags.settings)?;
     if flags.check_settings {
         settings::read_key(&settings.fleet_key_file)?;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -92,7 +92,7 @@
         place: inputs.place.clone(),
     };
     let seeds = seeds(&inputs);
-    let detector = Detector::new(me, seeds, Settings::default(), rand::random(), Time::now());
+    let detector = Detector::new(me, seeds, Settings::default(), Time::now(), rand::random());
     let task = Task {
         detector,
         inputs,
--- a/crates/daemon/src/scheduler/calls.rs
+++ b/crates/daemon/src/scheduler/calls.rs
@@ -1,6 +1,5 @@
 //! The requests of this host that wait or run.
 
-use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_proxy::failure::Failure;
 use primrose_proxy::gate::{Call, Slot};
@@ -28,8 +27,6 @@
     Running {
         /// The backend server.
         server: id::Server,
-        /// When it got the slot.
-        since: Time,
     },
 }
 
@@ -69,12 +66,12 @@
     }
 
     /// Moves a request from the queue to a slot and returns its reply channel.
-    pub(super) fn start(&mut self, id: u64, server: id::Server, now: Time) -> Option<Reply> {
+    pub(super) fn start(&mut self, id: u64, server: id::Server) -> Option<Reply> {
         let at = self
             .entries
             .binary_search_by_key(&id, |entry| entry.call.id)
             .ok()?;
-        let running = Stage::Running { server, since: now };
+        let running = Stage::Running { server };
         match std::mem::replace(&mut self.entries[at].stage, running) {
             Stage::Waiting { reply } => Some(reply),
             Stage::Running { .. } => None,
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -307,7 +307,7 @@
             return;
         };
         let call = entry.call;
-        let Stage::Running { server, .. } = entry.stage else {
+        let Stage::Running { server } = entry.stage else {
             self.borrower.cancel(now, id);
             return;
         };
@@ -321,8 +321,8 @@
         }
     }
 
-    fn dispatch(&mut self, id: u64, server: id::Server, now: Time) {
-        let Some(reply) = self.calls.start(id, server, now) else {
+    fn dispatch(&mut self, id: u64, server: id::Server) {
+        let Some(reply) = self.calls.start(id, server) else {
             return;
         };
         self.inputs.counters.count("dispatched");
@@ -646,7 +646,7 @@
         let mut has_reported = false;
         for action in self.borrower.poll(now, choose) {
             match action {
-                Action::Dispatch { request, server } => self.dispatch(request, server, now),
+                Action::Dispatch { request, server } => self.dispatch(request, server),
                 Action::Refuse { request, reason } => self.refuse(request, reason),
                 Action::Send { to, report } if to == self.inputs.origin.host => {
                     if let Some(lender) = &mut self.lender {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -116,20 +116,9 @@
         source: std::io::Error,
     },
     /// The text is not valid.
-    #[error("{message}")]
-    Text {
-        /// What is wrong.
-        message: String,
-        /// The settings file.
-        #[source_code]
-        source_code: NamedSource<String>,
-        /// Where.
-        #[label("here")]
-        place: Option<SourceSpan>,
-        /// What to write instead.
-        #[help]
-        help: Option<String>,
-    },
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Text(Box<Invalid>),
     /// A key file can be read by others.
     #[error(
         "{path} has the permissions {mode:03o}; a key file must be readable by its owner only (600)"
@@ -150,6 +139,23 @@
     },
 }
 
+/// What is wrong with the text of a settings file.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{message}")]
+pub struct Invalid {
+    /// What is wrong.
+    pub message: String,
+    /// The settings file.
+    #[source_code]
+    pub source_code: NamedSource<String>,
+    /// Where.
+    #[label("here")]
+    pub place: Option<SourceSpan>,
+    /// What to write instead.
+    #[help]
+    pub help: Option<String>,
+}
+
 /// Reads and checks a settings file. Relative paths in it are relative to its folder.
 ///
 /// # Errors
@@ -172,12 +178,7 @@
 pub fn parse(name: &str, text: &str) -> Result<Settings, Error> {
     let settings: Settings =
         serde_yaml_ng::from_str(text).map_err(|error| text_error(name, text, &error))?;
-    check(&settings).map_err(|message| Error::Text {
-        message,
-        source_code: NamedSource::new(name, text.to_owned()),
-        place: None,
-        help: None,
-    })?;
+    check(&settings).map_err(|message| invalid(name, text, message, None, None))?;
     Ok(settings)
 }
 
@@ -234,12 +235,24 @@
     let place = error
         .location()
         .map(|location| SourceSpan::from((location.index(), 1)));
-    Error::Text {
-        help: nearest_key(&message),
+    let help = nearest_key(&message);
+    invalid(name, text, message, place, help)
+}
+
+fn invalid(
+    name: &str,
+    text: &str,
+    message: String,
+    place: Option<SourceSpan>,
+    help: Option<String>,
+) -> Error {
+    let source_code = NamedSource::new(name, text.to_owned());
+    Error::Text(Box::new(Invalid {
         message,
-        source_code: NamedSource::new(name, text.to_owned()),
+        source_code,
         place,
-    }
+        help,
+    }))
 }
 
 /// For a message like "unknown field `a`, expected one of `b`, `c`" suggests the expected key that is most alike.
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -19,7 +19,7 @@
 use crate::failure::Failure;
 
 /// The part of a body that is held, in bytes. It bounds the memory of a waiting request on a small host.
-pub const MAX_HEAD_BYTES: usize = 256 << 10;
+pub(crate) const MAX_HEAD_BYTES: usize = 256 << 10;
 
 /// The body of a request to a backend server.
 pub(crate) type Outgoing = UnsyncBoxBody<Bytes, std::io::Error>;
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -6,7 +6,7 @@
 use crate::gate::Usage;
 
 /// Gaps between tokens above this are late; 95 in 100 must be below it.
-pub const TOKEN_GAP_TARGET_MS: u64 = 50;
+pub(crate) const TOKEN_GAP_TARGET_MS: u64 = 50;
 
 /// The longest line of an event stream that is examined, in bytes; longer lines pass but count as one token.
 const MAX_LINE_BYTES: usize = 64 << 10;
