--- a/crates/daemon/src/form.rs
+++ b/crates/daemon/src/form.rs
@@ -10,7 +10,7 @@
 use primrose_config::draft::Host as HostDraft;
 use primrose_config::{Action, Change};
 use primrose_consensus::membership::Member;
-use primrose_state::Command;
+use primrose_state::{ChangeReply, Command, Reply};
 use primrose_wire::peer::Introduction;
 use slog::{Logger, warn};
 use tarpc::context;
@@ -112,7 +112,7 @@
 
     async fn submit_hosts(&self) {
         let actions = self.settings.peers.iter().map(|peer| {
-            Action::PutHost(HostDraft {
+            Action::AddHost(HostDraft {
                 name: peer.host.clone(),
                 domain: peer.failure_domain.clone(),
                 peer: peer.peer_address,
@@ -128,7 +128,11 @@
             .submitter
             .submit(Command::Change(change), CHANGE_TIMEOUT_MS)
             .await;
-        if !matches!(outcome, Outcome::Applied(_)) {
+        let is_accepted = matches!(
+            outcome,
+            Outcome::Applied(Reply::Change(ChangeReply::Accepted { .. }))
+        );
+        if !is_accepted {
             warn!(self.log, "the hosts of the settings are not in the configuration yet"; "outcome" => ?outcome);
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use primrose_base::name::Name;
 use primrose_config::Configuration;
 use primrose_member::view::Place;
 use primrose_proxy::gate::{Event, Gate};
@@ -388,17 +389,18 @@
             else {
                 continue;
             };
-            tokio::spawn(send_step(self.links.clone(), address, outgoing));
+            let sender = self.settings.host.clone();
+            tokio::spawn(send_step(self.links.clone(), address, sender, outgoing));
         }
     }
 }
 
-async fn send_step(links: Links, address: SocketAddr, outgoing: Outgoing) {
+async fn send_step(links: Links, address: SocketAddr, sender: Name, outgoing: Outgoing) {
     let Ok(client) = links.client(address).await else {
         return;
     };
     if client
-        .step(context::current(), outgoing.messages)
+        .step(context::current(), sender, outgoing.messages)
         .await
         .is_err()
     {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use primrose_base::name::Name;
 use primrose_config::Configuration;
 use primrose_consensus::message::Message;
 use primrose_state::Command;
@@ -94,9 +95,9 @@
         });
     }
 
-    async fn step(self, _: Context, messages: Vec<Message>) {
+    async fn step(self, _: Context, sender: Name, messages: Vec<Message>) {
         if let Some(replica) = &self.inputs.replica {
-            replica.send(Input::Messages(messages));
+            replica.send(Input::Messages { sender, messages });
         }
     }
 
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{self as queue, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -36,8 +36,13 @@
 
 /// Something the thread has to do.
 pub enum Input {
-    /// Messages of other replicas.
-    Messages(Vec<Message>),
+    /// Messages of another replica.
+    Messages {
+        /// The host that it lives on.
+        sender: Name,
+        /// The messages.
+        messages: Vec<Message>,
+    },
     /// A command for the log.
     Submit {
         /// The command; the time in a claim is set here.
@@ -77,7 +82,7 @@
 /// A running replica.
 #[derive(Clone)]
 pub struct Handle {
-    inputs: Sender<Input>,
+    inputs: queue::Sender<Input>,
     standing: watch::Receiver<Standing>,
     machine: Arc<Mutex<Machine>>,
 }
@@ -174,7 +179,7 @@
         replica: id,
         is_empty,
     };
-    let (input_sender, input_receiver) = channel();
+    let (input_sender, input_receiver) = queue::channel();
     let (standing_sender, standing) = watch::channel(Standing {
         introduction,
         leader: None,
@@ -197,6 +202,7 @@
         clock: None,
         barrier: None,
         newcomers: Vec::new(),
+        senders: Vec::new(),
     };
     thread::Builder::new()
         .name("replica".to_owned())
@@ -231,6 +237,12 @@
     reply: oneshot::Sender<Submitted>,
 }
 
+/// Where a replica lives that has sent a message.
+struct Sender {
+    id: Id,
+    host: Name,
+}
+
 struct Worker {
     replica: Replica,
     inputs: Inputs,
@@ -248,6 +260,8 @@
     barrier: Option<u64>,
     /// Replicas with new disks that asked to be added, one per host.
     newcomers: Vec<Introduction>,
+    /// Sorted by id.
+    senders: Vec<Sender>,
 }
 
 impl Worker {
@@ -273,7 +287,10 @@
     fn take(&mut self, input: Input) {
         let now = Time::now();
         match input {
-            Input::Messages(messages) => {
+            Input::Messages { sender, messages } => {
+                if let Some(first) = messages.first() {
+                    self.learn(first.from, sender);
+                }
                 for message in messages {
                     self.replica.receive(now, message);
                 }
@@ -426,9 +443,23 @@
         }
     }
 
+    /// Records where a replica lives. An empty replica has no membership in which to look up whom it answers.
+    fn learn(&mut self, id: Id, host: Name) {
+        match self.senders.binary_search_by_key(&id, |sender| sender.id) {
+            Ok(at) => self.senders[at].host = host,
+            Err(at) => self.senders.insert(at, Sender { id, host }),
+        }
+    }
+
     fn host_of(&self, id: Id) -> Option<Name> {
-        let member = self.replica.node().membership().member(id)?;
-        Some(member.host.clone())
+        if let Some(member) = self.replica.node().membership().member(id) {
+            return Some(member.host.clone());
+        }
+        let at = self
+            .senders
+            .binary_search_by_key(&id, |sender| sender.id)
+            .ok()?;
+        Some(self.senders[at].host.clone())
     }
 
     fn leader(&self) -> Option<Name> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -111,8 +111,8 @@
 pub trait Peer {
     /// Delivers a packet that is too long for a datagram.
     async fn deliver(packet: Packet);
-    /// Delivers messages of the replicated log.
-    async fn step(messages: Vec<Message>);
+    /// Delivers messages of the replicated log from the replica on host `sender`.
+    async fn step(sender: Name, messages: Vec<Message>);
     /// Introduces the caller's replica and returns the own one, if this host keeps one.
     async fn introduce(caller: Introduction) -> Option<Introduction>;
     /// Proposes a command and waits until it is applied.
