Release the configuration channel before reading the state machine

Cause: the call that follows the configuration kept the guard of wait_for while it waited for the lock on the state machine; the replica's thread held that lock and waited for the channel. Seen once: a voter stopped answering operators and peers in a fleet of 9 daemons, found by a request that hung and a process that used no processor time. Ruled out: the disk and the log, whose thread was only waiting. Both places now hold one lock at a time. Messages of the log without entries go as packets.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,11 +7,13 @@
 
 use primrose_base::name::Name;
 use primrose_config::Configuration;
+use primrose_consensus::message::{Body, Message};
 use primrose_member::view::Place;
 use primrose_proxy::gate::{Event, Gate};
 use primrose_proxy::server;
 use primrose_schedule::ledger::Origin;
 use primrose_wire::frame::Traffic;
+use primrose_wire::peer::Packet;
 use slog::{Logger, info, warn};
 use tarpc::context;
 use tokio::sync::{mpsc, watch};
@@ -19,7 +21,7 @@
 use crate::counters::Counters;
 use crate::links::Links;
 use crate::membership::{self, View};
-use crate::packets::{self, Inbox, Outbox, Receivers};
+use crate::packets::{self, Inbox, Outbox, Received};
 use crate::replica::{self, Input, Outgoing, address_of};
 use crate::scheduler::{self, Query};
 use crate::settings::{self, Settings};
@@ -137,7 +139,7 @@
         draining,
         log: log.clone(),
     };
-    let replica = parts.open_replica(configuration_sender.clone())?;
+    let replica = parts.open_replica(configuration_sender.clone(), receivers.replica)?;
     let submitter = Submitter::new(
         Arc::clone(&settings),
         links,
@@ -156,9 +158,13 @@
     peers::bind(peer_address, peer_inputs)
         .await
         .map_err(socket_error("daemons", peer_address))?;
-    let handle = parts
-        .serve(replica, submitter, receivers, draining_sender)
-        .await?;
+    let serving = Serving {
+        replica,
+        submitter,
+        membership: receivers.membership,
+        scheduler: receivers.scheduler,
+    };
+    let handle = parts.serve(serving, draining_sender).await?;
     info!(log, "started";
         "callers" => %handle.caller_address(), "operators" => %handle.operator_address(), "peers" => %peer_address);
     Ok(handle)
@@ -168,6 +174,7 @@
     fn open_replica(
         &self,
         configuration: watch::Sender<Option<Arc<Configuration>>>,
+        packets: mpsc::Receiver<Received>,
     ) -> Result<Option<replica::Handle>, Error> {
         let Some(folder) = &self.settings.data_folder else {
             return Ok(None);
@@ -182,12 +189,14 @@
             log: self.log.clone(),
         };
         let replica = replica::open(folder, inputs)?;
-        let sender = StepSender {
+        let stepper = Stepper {
             settings: Arc::clone(&self.settings),
             links: self.links.clone(),
             configuration: self.configuration.clone(),
+            outbox: self.outbox.clone(),
         };
-        tokio::spawn(sender.run(messages));
+        tokio::spawn(stepper.send(messages));
+        tokio::spawn(receive_steps(replica.clone(), packets));
         Ok(Some(replica))
     }
 
@@ -215,13 +224,13 @@
         }
     }
 
-    async fn serve(
-        self,
-        replica: Option<replica::Handle>,
-        submitter: Submitter,
-        receivers: Receivers,
-        draining: watch::Sender<bool>,
-    ) -> Result<Handle, Error> {
+    async fn serve(self, serving: Serving, draining: watch::Sender<bool>) -> Result<Handle, Error> {
+        let Serving {
+            replica,
+            submitter,
+            membership,
+            scheduler,
+        } = serving;
         let (gate, events, claim_events) = Gate::new();
         let (origin_sender, origin) = watch::channel(None);
         let (ready_sender, ready) = watch::channel(false);
@@ -252,11 +261,15 @@
             operator_address.map_err(socket_error("operators", self.settings.operator_address))?;
         let log = self.log.clone();
         let joining = Joining {
+            membership,
+            scheduler,
+            events,
+            queries,
             origin: origin_sender,
             ready: ready_sender,
             view: view_sender,
         };
-        tokio::spawn(self.join(joining, receivers, events, queries));
+        tokio::spawn(self.join(joining));
         Ok(Handle {
             callers,
             operator_address,
@@ -288,13 +301,7 @@
     }
 
     /// Starts membership and scheduling once this host is in the configuration.
-    async fn join(
-        self,
-        joining: Joining,
-        receivers: Receivers,
-        events: mpsc::UnboundedReceiver<Event>,
-        queries: mpsc::Receiver<Query>,
-    ) {
+    async fn join(self, joining: Joining) {
         let mut configuration = self.configuration.clone();
         let host = self.settings.host.clone();
         let is_member = |current: &Option<Arc<Configuration>>| {
@@ -329,7 +336,7 @@
             },
             configuration: self.configuration.clone(),
             draining: self.draining.clone(),
-            packets: receivers.membership,
+            packets: joining.membership,
             outbox: self.outbox.clone(),
             counters: Arc::clone(&self.counters),
             log: self.log.clone(),
@@ -338,9 +345,9 @@
             origin,
             domain,
             limits: self.settings.limits,
-            events,
-            packets: receivers.scheduler,
-            queries,
+            events: joining.events,
+            packets: joining.scheduler,
+            queries: joining.queries,
             configuration: self.configuration,
             view: members.view.clone(),
             draining: self.draining,
@@ -357,8 +364,20 @@
     }
 }
 
-/// What other tasks learn when this host has joined.
+/// What serves callers and operators from the start.
+struct Serving {
+    replica: Option<replica::Handle>,
+    submitter: Submitter,
+    membership: mpsc::Receiver<Received>,
+    scheduler: mpsc::Receiver<Received>,
+}
+
+/// What waits for this host to join the fleet: the inputs of membership and scheduling, and what others then learn.
 struct Joining {
+    membership: mpsc::Receiver<Received>,
+    scheduler: mpsc::Receiver<Received>,
+    events: mpsc::UnboundedReceiver<Event>,
+    queries: mpsc::Receiver<Query>,
     origin: watch::Sender<Option<Origin>>,
     ready: watch::Sender<bool>,
     view: watch::Sender<Arc<View>>,
@@ -374,15 +393,17 @@
     }
 }
 
-/// Sends the messages of the replica.
-struct StepSender {
+/// Carries the messages of the replica: entries over TCP, which resends what is lost, all others as packets, which take
+/// a third of the bytes and may be lost.
+struct Stepper {
     settings: Arc<Settings>,
     links: Links,
+    outbox: Outbox,
     configuration: watch::Receiver<Option<Arc<Configuration>>>,
 }
 
-impl StepSender {
-    async fn run(self, mut messages: mpsc::UnboundedReceiver<Outgoing>) {
+impl Stepper {
+    async fn send(self, mut messages: mpsc::UnboundedReceiver<Outgoing>) {
         while let Some(outgoing) = messages.recv().await {
             let configuration = self.configuration.borrow().clone();
             let Ok(address) = address_of(&outgoing.host, configuration.as_deref(), &self.settings)
@@ -390,7 +411,33 @@
                 continue;
             };
             let sender = self.settings.host.clone();
-            tokio::spawn(send_step(self.links.clone(), address, sender, outgoing));
+            if outgoing.messages.iter().any(carries_data) {
+                tokio::spawn(send_step(self.links.clone(), address, sender, outgoing));
+            } else {
+                self.outbox.send(
+                    address,
+                    &Packet::Step {
+                        sender,
+                        messages: outgoing.messages,
+                    },
+                );
+            }
+        }
+    }
+}
+
+fn carries_data(message: &Message) -> bool {
+    match &message.body {
+        Body::Append { entries, .. } => !entries.is_empty(),
+        Body::Chunk { data, .. } => !data.is_empty(),
+        _ => false,
+    }
+}
+
+async fn receive_steps(replica: replica::Handle, mut packets: mpsc::Receiver<Received>) {
+    while let Some(received) = packets.recv().await {
+        if let Packet::Step { sender, messages } = received.packet {
+            replica.send(Input::Messages { sender, messages });
         }
     }
 }
--- a/crates/daemon/src/packets.rs
+++ b/crates/daemon/src/packets.rs
@@ -40,12 +40,15 @@
 pub struct Inbox {
     membership: mpsc::Sender<Received>,
     scheduler: mpsc::Sender<Received>,
+    replica: mpsc::Sender<Received>,
 }
 
 /// The receiving ends of an [`Inbox`].
 pub struct Receivers {
     /// Packets of membership.
     pub membership: mpsc::Receiver<Received>,
+    /// Messages of the replicated log.
+    pub replica: mpsc::Receiver<Received>,
     /// All others.
     pub scheduler: mpsc::Receiver<Received>,
 }
@@ -55,14 +58,17 @@
     pub fn new() -> (Inbox, Receivers) {
         let (membership, membership_receiver) = mpsc::channel(QUEUE);
         let (scheduler, scheduler_receiver) = mpsc::channel(QUEUE);
+        let (replica, replica_receiver) = mpsc::channel(QUEUE);
         let receivers = Receivers {
             membership: membership_receiver,
+            replica: replica_receiver,
             scheduler: scheduler_receiver,
         };
         (
             Inbox {
                 membership,
                 scheduler,
+                replica,
             },
             receivers,
         )
@@ -72,6 +78,7 @@
     pub fn deliver(&self, received: Received) {
         let queue = match received.packet {
             Packet::Member(_) => &self.membership,
+            Packet::Step { .. } => &self.replica,
             _ => &self.scheduler,
         };
         let _ = queue.try_send(received);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -124,10 +124,12 @@
                 .as_ref()
                 .is_some_and(|current| current.version > version)
         };
-        let waited = tokio::time::timeout(FOLLOW_WAIT, configuration.wait_for(is_newer)).await;
-        let newer = waited
-            .is_ok()
-            .then(|| replica.read(|machine| machine.changes_since(version)));
+        // The guard that `wait_for` returns must not live on: the replica's thread publishes configurations, and `read`
+        // waits for that thread.
+        let has_newer = tokio::time::timeout(FOLLOW_WAIT, configuration.wait_for(is_newer))
+            .await
+            .is_ok();
+        let newer = has_newer.then(|| replica.read(|machine| machine.changes_since(version)));
         Some(News {
             leader: replica.standing().leader,
             update: newer,
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -412,21 +412,21 @@
     }
 
     fn publish_configuration(&self) {
-        let machine = lock(&self.machine);
-        let configuration = machine.configuration();
-        if configuration.version == 0 {
-            return;
+        let published = self
+            .inputs
+            .configuration
+            .borrow()
+            .as_ref()
+            .map_or(0, |current| current.version);
+        let newer = {
+            let machine = lock(&self.machine);
+            let configuration = machine.configuration();
+            (configuration.version > published).then(|| Arc::new(configuration.clone()))
+        };
+        // Sent without the lock on the machine, since a reader of the channel may be waiting for it.
+        if newer.is_some() {
+            self.inputs.configuration.send_replace(newer);
         }
-        self.inputs.configuration.send_if_modified(|current| {
-            if current
-                .as_ref()
-                .is_some_and(|current| current.version >= configuration.version)
-            {
-                return false;
-            }
-            *current = Some(Arc::new(configuration.clone()));
-            true
-        });
     }
 
     fn send(&self, output: Output) {
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -590,7 +590,7 @@
                 self.paces.merge(&servers, now);
                 self.set_servers(now);
             }
-            Packet::Member(_) => {}
+            Packet::Member(_) | Packet::Step { .. } => {}
         }
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -46,6 +46,13 @@
     },
     /// An owner gives up.
     Release(Release),
+    /// Messages of the replicated log without entries: heartbeats, votes and answers.
+    Step {
+        /// The host of the sending replica.
+        sender: Name,
+        /// The messages.
+        messages: Vec<Message>,
+    },
     /// How engines served this host's requests since the last of these packets.
     Pace {
         /// The sender.
