--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,64 @@
+//! Addresses and the key, from the command line or the environment.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use primrose_operator::{Client, Key, Timeouts};
+
+use crate::end::End;
+use crate::flags::Primrose;
+
+/// Addresses of daemons, if there is no `--addresses`.
+const ADDRESSES: &str = "PRIMROSE_ADDRESSES";
+
+/// File with the key, if there is no `--key-file`.
+const KEY_FILE: &str = "PRIMROSE_KEY_FILE";
+
+/// The key itself, if there is no file.
+const KEY: &str = "PRIMROSE_KEY";
+
+/// The client that the flags and the environment describe.
+pub(crate) fn client(flags: &Primrose) -> Result<Client, End> {
+    let addresses = addresses(flags)?;
+    Ok(Client::new(addresses, key(flags)?, Timeouts::default()))
+}
+
+fn addresses(flags: &Primrose) -> Result<Vec<String>, End> {
+    let list = flags
+        .addresses
+        .clone()
+        .or_else(|| std::env::var(ADDRESSES).ok());
+    let list = list.ok_or_else(|| {
+        End::Usage(format!(
+            "no addresses of daemons: give --addresses or set {ADDRESSES}"
+        ))
+    })?;
+    let mut addresses = Vec::new();
+    for address in list.split(',').map(str::trim).filter(|a| !a.is_empty()) {
+        if address.parse::<SocketAddr>().is_err() {
+            return Err(End::Usage(format!("{address:?} is not an address IP:PORT")));
+        }
+        addresses.push(address.to_owned());
+    }
+    if addresses.is_empty() {
+        return Err(End::Usage("the list of addresses is empty".to_owned()));
+    }
+    Ok(addresses)
+}
+
+fn key(flags: &Primrose) -> Result<Key, End> {
+    let file = flags.key_file.clone();
+    let file = file.or_else(|| std::env::var_os(KEY_FILE).map(PathBuf::from));
+    let key = match file {
+        Some(path) => Key::from_file(Path::new(&path)),
+        None => {
+            let text = std::env::var(KEY).map_err(|_| {
+                End::Usage(format!(
+                    "no key: give --key-file or set {KEY_FILE} or {KEY}"
+                ))
+            })?;
+            Key::new(&text)
+        }
+    };
+    key.map_err(|error| End::Usage(error.to_string()))
+}
--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -4,7 +4,7 @@
 
 use primrose_base::name::Name;
 
-use crate::change::{Action, Change, Code, Refusal};
+use crate::change::{Action, Change, Code, EMPTY, Refusal};
 use crate::configuration::{Configuration, Conflict, MAX_VOTERS};
 use crate::draft::{self, Invalid};
 use crate::item::{Account, Host, Pool, Server, State};
@@ -59,7 +59,7 @@
             return Err(Refusal::of_change(Code::BaseVersion, message));
         }
         if change.actions.is_empty() {
-            return Err(Refusal::of_change(Code::Empty, "the change has no actions"));
+            return Err(Refusal::of_change(Code::Empty, EMPTY));
         }
         let mut next = self.clone();
         for (index, action) in change.actions.iter().enumerate() {
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -21,6 +21,48 @@
     pub actions: Vec<Action>,
 }
 
+impl Change {
+    /// Checks what can be checked without the configuration that the change is for: the fields of each item.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the first action with an invalid field.
+    pub fn check(&self) -> Result<(), Refusal> {
+        if self.actions.is_empty() {
+            return Err(Refusal::of_change(Code::Empty, EMPTY));
+        }
+        for (index, action) in self.actions.iter().enumerate() {
+            action.check().map_err(|invalid| Refusal {
+                code: Code::InvalidValue,
+                message: invalid.message,
+                action: Some(index as u32),
+                field: Some(invalid.field.to_owned()),
+            })?;
+        }
+        Ok(())
+    }
+}
+
+impl Action {
+    fn check(&self) -> Result<(), draft::Invalid> {
+        match self {
+            Action::PutSettings(settings) => settings.check(),
+            Action::PutAccount(draft) => {
+                let mut draft = draft.clone();
+                draft.normalise();
+                draft.check()
+            }
+            Action::PutPool(draft) => draft.check(),
+            Action::AddServer(draft) | Action::PutServer(draft) => draft.check(),
+            Action::AddHost(draft) | Action::PutHost(draft) => draft.check(),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Message of [`Code::Empty`].
+pub(crate) const EMPTY: &str = "the change has no actions";
+
 /// One step of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -106,6 +148,29 @@
     }
 }
 
+impl Code {
+    const ALL: [Code; 13] = [
+        Code::BaseVersion,
+        Code::Empty,
+        Code::IdReused,
+        Code::InvalidValue,
+        Code::UnknownName,
+        Code::DuplicateName,
+        Code::DuplicateKey,
+        Code::DuplicateModel,
+        Code::DuplicateAddress,
+        Code::InUse,
+        Code::WrongState,
+        Code::LastHost,
+        Code::Voters,
+    ];
+
+    /// The code with this text, or none if this release does not know it.
+    pub fn from_text(text: &str) -> Option<Code> {
+        Code::ALL.into_iter().find(|code| code.as_str() == text)
+    }
+}
+
 impl fmt::Display for Code {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(self.as_str())
--- a/crates/config/src/draft.rs
+++ b/crates/config/src/draft.rs
@@ -5,7 +5,7 @@
 use primrose_base::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::item::Kind;
+use crate::item::{self, Kind};
 use crate::key::KeyHash;
 
 /// API keys that an account has at most; rotation needs two.
@@ -104,6 +104,22 @@
 }
 
 impl Account {
+    /// An account without keys and without a limit of its own.
+    pub fn new(name: Name, share: u32) -> Account {
+        Account {
+            name,
+            share,
+            keys: Vec::new(),
+            waiting_limit: None,
+        }
+    }
+
+    /// The account with one more key.
+    pub fn with_key(mut self, key: KeyHash) -> Account {
+        self.keys.push(key);
+        self
+    }
+
     /// Sorts the keys, so that the same account is written the same way.
     pub(crate) fn normalise(&mut self) {
         self.keys.sort_unstable();
@@ -130,6 +146,29 @@
 }
 
 impl Pool {
+    /// A pool that serves a model with the usual weights.
+    pub fn model(name: Name, model: &str) -> Pool {
+        let kind = Kind::Model {
+            model: model.into(),
+            input_weight: item::INPUT_WEIGHT,
+            output_weight: item::OUTPUT_WEIGHT,
+        };
+        Pool {
+            name,
+            kind,
+            output_estimate: item::OUTPUT_ESTIMATE,
+        }
+    }
+
+    /// A pool that serves a plain service, whose calls are charged one token each.
+    pub fn plain(name: Name) -> Pool {
+        Pool {
+            name,
+            kind: Kind::Plain,
+            output_estimate: 1,
+        }
+    }
+
     pub(crate) fn check(&self) -> Result<(), Invalid> {
         if let Kind::Model {
             model,
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -21,14 +21,16 @@
 
 /// The place of the value at `path`, or of the nearest value around it that can be found.
 pub(crate) fn locate(text: &str, path: &[Step]) -> Option<Location> {
-    for length in (0..=path.len()).rev() {
-        let found = Probe(&path[..length]).deserialize(serde_yaml_ng::Deserializer::from_str(text));
-        match found {
-            Err(error) if error.to_string().contains(HERE) => return error.location(),
-            _ => {}
-        }
-    }
-    None
+    let mut lengths = (0..=path.len()).rev();
+    lengths.find_map(|length| exact(text, &path[..length]))
+}
+
+/// The place of the value at `path`.
+pub(crate) fn exact(text: &str, path: &[Step]) -> Option<Location> {
+    let found = Probe(path).deserialize(serde_yaml_ng::Deserializer::from_str(text));
+    let error = found.err()?;
+    let is_place = error.to_string().contains(HERE);
+    is_place.then(|| error.location()).flatten()
 }
 
 /// Marks the error that is raised on purpose.
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -10,7 +10,7 @@
 
 use crate::change::{Change, Refusal};
 use crate::configuration::{Configuration, Document, Fault};
-use crate::locate::{Step, locate};
+use crate::locate::{Step, exact, locate};
 
 /// The least similarity (Jaro-Winkler, 0 to 1) of a key that is suggested in place of an unknown one.
 const SUGGESTION_SIMILARITY: f64 = 0.7;
@@ -56,6 +56,31 @@
     read(name, text)
 }
 
+/// A text that is either of the two.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Either {
+    /// A whole configuration.
+    Configuration(Box<Configuration>),
+    /// A change.
+    Change(Change),
+}
+
+/// Reads a configuration or a change, which is recognised by its keys. `name` is the name of the file for messages.
+///
+/// # Errors
+///
+/// As for [`read_configuration`] and [`read_change`].
+pub fn read_either(name: &str, text: &str) -> Result<Either, Box<Error>> {
+    let has_key = |key: &str| exact(text, &[Step::Key(key.to_owned())]).is_some();
+    // A configuration has neither key.
+    if has_key("actions") || has_key("base") {
+        read_change(name, text).map(Either::Change)
+    } else {
+        let configuration = read_configuration(name, text)?;
+        Ok(Either::Configuration(Box::new(configuration)))
+    }
+}
+
 /// The text of a configuration.
 pub fn print_configuration(configuration: &Configuration) -> String {
     print(configuration)
