--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -153,7 +153,7 @@
     })
 }
 
-/// The rest of the line from the place on. The parser counts columns in characters, a span counts bytes.
+/// The value at the place, as far as its line shows where it ends. The parser counts columns in characters, a span counts bytes.
 fn span_at(text: &str, line: usize, column: usize) -> SourceSpan {
     let mut start = 0;
     for earlier in text.split_inclusive('\n').take(line.saturating_sub(1)) {
@@ -166,8 +166,9 @@
         .take(column.saturating_sub(1))
         .map(char::len_utf8)
         .sum();
-    let length = rest.get(skipped..).unwrap_or_default().trim_end().len();
-    SourceSpan::new((start + skipped).into(), length)
+    let value = rest.get(skipped..).unwrap_or_default();
+    let value = value.split([',', '}', ']']).next().unwrap_or_default();
+    SourceSpan::new((start + skipped).into(), value.trim_end().len())
 }
 
 /// The parser's message without its place, which is shown separately.
