--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,12 +5,13 @@
 
 use primrose_base::name::Name;
 use primrose_config::{Change, Code, Configuration, Refusal};
+use primrose_operator::order::{State, Work};
 use primrose_operator::text::{self, Either};
 use primrose_operator::{Client, Outcome, Plan, Progress, api, plan};
 use serde::Serialize;
 
 use crate::end::{End, Report, complain, print_json, say};
-use crate::flags::{Apply, Check, Diff, Drain, DrainCmd, Primrose, PrimroseCmd};
+use crate::flags::{Apply, Check, Diff, Drain, DrainCmd, Order, OrderCmd, Primrose, PrimroseCmd};
 use crate::settings;
 use crate::table::Table;
 
@@ -20,19 +21,17 @@
 /// Carries out the command line.
 pub(crate) async fn run(flags: Primrose) -> Result<(), End> {
     let json = flags.json;
-    if let PrimroseCmd::Check(check) = &flags.subcommand {
-        return run_check(check, json);
-    }
-    let client = settings::client(&flags)?;
+    let client = || settings::client(flags.addresses.as_deref(), flags.key_file.as_deref());
     match flags.subcommand {
         PrimroseCmd::Check(check) => run_check(&check, json),
-        PrimroseCmd::Show(_) => show(&client, json).await,
-        PrimroseCmd::Diff(diff) => run_diff(&client, &diff, json).await,
-        PrimroseCmd::Apply(apply) => run_apply(&client, &apply, json).await,
-        PrimroseCmd::Drain(drain) => run_drain(&client, drain, json).await,
-        PrimroseCmd::Status(_) => status(&client, json).await,
-        PrimroseCmd::Accounts(_) => accounts(&client, json).await,
-        PrimroseCmd::Counters(_) => counters(&client, json).await,
+        PrimroseCmd::Show(_) => show(&client()?, json).await,
+        PrimroseCmd::Diff(diff) => run_diff(&client()?, &diff, json).await,
+        PrimroseCmd::Apply(apply) => run_apply(&client()?, &apply, json).await,
+        PrimroseCmd::Drain(drain) => run_drain(&client()?, drain, json).await,
+        PrimroseCmd::Order(order) => run_order(&client()?, order, json).await,
+        PrimroseCmd::Status(_) => status(&client()?, json).await,
+        PrimroseCmd::Accounts(_) => accounts(&client()?, json).await,
+        PrimroseCmd::Counters(_) => counters(&client()?, json).await,
     }
 }
 
@@ -251,11 +250,11 @@
     json: bool,
 ) -> Result<(), End> {
     let version = match client.submit(change).await {
-        Outcome::Accepted { version } => version,
+        Outcome::Accepted(version) => version,
         Outcome::Refused(refused) => return Err(refused_by_fleet(refused, file)),
         Outcome::Unknown { attempts } => {
             return Err(End::Unknown {
-                change: change.id.to_string(),
+                what: format!("change {}", change.id),
                 attempts,
                 resend,
             });
@@ -335,6 +334,94 @@
     text
 }
 
+#[derive(Serialize)]
+struct Recorded<'a> {
+    outcome: &'static str,
+    order: &'a Name,
+    number: u64,
+}
+
+async fn run_order(client: &Client, order: Order, json: bool) -> Result<(), End> {
+    let id = order.id.unwrap_or_else(|| plan::random_id("order"));
+    let (server, work) = match order.subcommand {
+        OrderCmd::List(_) => return orders(client, json).await,
+        OrderCmd::LoadModel(load) => (load.server, Work::LoadModel { model: load.model }),
+        OrderCmd::LoadAdapter(load) => {
+            let (model, adapter) = (load.model, load.adapter);
+            (load.server, Work::LoadAdapter { model, adapter })
+        }
+        OrderCmd::LoadVersion(load) => {
+            let (model, version) = (load.model, load.version);
+            (load.server, Work::LoadVersion { model, version })
+        }
+        OrderCmd::ChangeRole(change) => (change.server, Work::ChangeRole { role: change.role }),
+    };
+    let request = api::OrderRequest { id, server, work };
+    let number = match client.order(&request).await {
+        Outcome::Accepted(number) => number,
+        Outcome::Refused(refused) => return Err(refused_by_fleet(refused, None)),
+        Outcome::Unknown { attempts } => {
+            let arguments = describe_work(&request.work).join(&format!(" {} ", request.server));
+            return Err(End::Unknown {
+                what: format!("order {}", request.id),
+                attempts,
+                resend: format!("primrose order --id {} {arguments}", request.id),
+            });
+        }
+    };
+    if json {
+        print_json(&Recorded {
+            outcome: "recorded",
+            order: &request.id,
+            number,
+        });
+    } else {
+        say(&format!(
+            "recorded: order {} has number {number}\n",
+            request.id
+        ));
+    }
+    Ok(())
+}
+
+/// The subcommand and its arguments after the server.
+fn describe_work(work: &Work) -> [String; 2] {
+    let (command, arguments) = match work {
+        Work::LoadModel { model } => ("load-model", model.clone()),
+        Work::LoadAdapter { model, adapter } => ("load-adapter", format!("{model} {adapter}")),
+        Work::LoadVersion { model, version } => ("load-version", format!("{model} {version}")),
+        Work::ChangeRole { role } => ("change-role", role.clone()),
+    };
+    [command.to_owned(), arguments]
+}
+
+async fn orders(client: &Client, json: bool) -> Result<(), End> {
+    let orders = client.orders().await;
+    let orders = orders.map_err(|error| End::failed(error.to_string()))?;
+    if json {
+        print_json(&orders);
+        return Ok(());
+    }
+    let mut table = Table::new(&["NUMBER", "ID", "SERVER", "WORK", "STATE"]);
+    for order in &orders.orders {
+        let state = match &order.state {
+            State::Pending => "pending".to_owned(),
+            State::Done => "done".to_owned(),
+            State::Failed { message } => format!("failed: {message}"),
+            State::Cancelled => "cancelled".to_owned(),
+        };
+        table.row(vec![
+            order.number.to_string(),
+            order.id.to_string(),
+            order.server.as_ref().map_or("-", Name::as_str).to_owned(),
+            describe_work(&order.work).join(" "),
+            state,
+        ]);
+    }
+    say(&table.lines());
+    Ok(())
+}
+
 async fn status(client: &Client, json: bool) -> Result<(), End> {
     let status = client.status().await;
     let status = status.map_err(|error| End::failed(error.to_string()))?;
--- a/crates/cli/src/end.rs
+++ b/crates/cli/src/end.rs
@@ -14,13 +14,13 @@
     Refused(Box<Report>),
     /// The command line or the settings are wrong.
     Usage(String),
-    /// The change may be accepted or not.
+    /// The change or order may be accepted or not.
     Unknown {
-        /// The change id.
-        change: String,
+        /// The change or order with its id.
+        what: String,
         /// What each daemon that was tried did.
         attempts: Vec<Attempt>,
-        /// The command that resends the same change.
+        /// The command that submits the same again.
         resend: String,
     },
 }
@@ -53,7 +53,7 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     version: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    change: Option<&'a str>,
+    what: Option<&'a str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     resend: Option<&'a str>,
 }
@@ -68,7 +68,7 @@
             line: None,
             column: None,
             version: None,
-            change: None,
+            what: None,
             resend: None,
         }
     }
@@ -111,18 +111,16 @@
             },
             End::Usage(message) => complain(&format!("error: {message}\ntry `primrose --help`")),
             End::Unknown {
-                change,
+                what,
                 attempts,
                 resend,
             } => {
-                complain(&format!(
-                    "unknown outcome: change {change} may be in force or not"
-                ));
+                complain(&format!("unknown outcome: {what} may be accepted or not"));
                 for attempt in attempts {
                     complain(&format!("  {}: {}", attempt.address, attempt.message));
                 }
                 complain(&format!(
-                    "Submit the same change again; with the same change id it is applied at most once:\n  {resend}"
+                    "Submit the same again; with the same id it is accepted at most once:\n  {resend}"
                 ));
             }
         }
@@ -145,7 +143,7 @@
             }
             End::Usage(message) => (2, Printed::new("usage", message.clone())),
             End::Unknown {
-                change,
+                what,
                 attempts,
                 resend,
             } => {
@@ -154,7 +152,7 @@
                     .map(|a| format!("{}: {}", a.address, a.message));
                 let message = each.collect::<Vec<_>>().join(", ");
                 let printed = Printed {
-                    change: Some(change),
+                    what: Some(what),
                     resend: Some(resend),
                     ..Printed::new("unknown", message)
                 };
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -95,6 +95,53 @@
             }
         }
 
+        /// Give an order to the engine of a backend server, or list the orders.
+        ///
+        /// EXAMPLE: primrose order load-model m1 plum-8b
+        cmd order {
+            /// Order id; random if left out
+            optional --id id: Name
+
+            /// Load a model.
+            cmd load-model {
+                /// Name of the server
+                required server: Name
+                /// Name of the model
+                required model: String
+            }
+
+            /// Load an adapter for a model.
+            cmd load-adapter {
+                /// Name of the server
+                required server: Name
+                /// Name of the model
+                required model: String
+                /// Name of the adapter
+                required adapter: String
+            }
+
+            /// Load another version of a model.
+            cmd load-version {
+                /// Name of the server
+                required server: Name
+                /// Name of the model
+                required model: String
+                /// The version
+                required version: String
+            }
+
+            /// Change the role of an engine.
+            cmd change-role {
+                /// Name of the server
+                required server: Name
+                /// The role, such as prefill or decode
+                required role: String
+            }
+
+            /// List the recorded orders and what became of them.
+            cmd list {}
+        }
+
         /// Print the hosts and the state of the log.
         ///
         /// EXAMPLE: primrose status
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -6,7 +6,6 @@
 use primrose_operator::{Client, Key, Timeouts};
 
 use crate::end::End;
-use crate::flags::Primrose;
 
 /// Addresses of daemons, if there is no `--addresses`.
 const ADDRESSES: &str = "PRIMROSE_ADDRESSES";
@@ -17,17 +16,15 @@
 /// The key itself, if there is no file.
 const KEY: &str = "PRIMROSE_KEY";
 
-/// The client that the flags and the environment describe.
-pub(crate) fn client(flags: &Primrose) -> Result<Client, End> {
-    let addresses = addresses(flags)?;
-    Ok(Client::new(addresses, key(flags)?, Timeouts::default()))
+/// The client for the values of `--addresses` and `--key-file`, or for those of the environment.
+pub(crate) fn client(addresses: Option<&str>, key_file: Option<&Path>) -> Result<Client, End> {
+    let addresses = parse_addresses(addresses)?;
+    Ok(Client::new(addresses, key(key_file)?, Timeouts::default()))
 }
 
-fn addresses(flags: &Primrose) -> Result<Vec<String>, End> {
-    let list = flags
-        .addresses
-        .clone()
-        .or_else(|| std::env::var(ADDRESSES).ok());
+fn parse_addresses(list: Option<&str>) -> Result<Vec<String>, End> {
+    let list = list.map(str::to_owned);
+    let list = list.or_else(|| std::env::var(ADDRESSES).ok());
     let list = list.ok_or_else(|| {
         End::Usage(format!(
             "no addresses of daemons: give --addresses or set {ADDRESSES}"
@@ -46,11 +43,11 @@
     Ok(addresses)
 }
 
-fn key(flags: &Primrose) -> Result<Key, End> {
-    let file = flags.key_file.clone();
+fn key(file: Option<&Path>) -> Result<Key, End> {
+    let file = file.map(Path::to_owned);
     let file = file.or_else(|| std::env::var_os(KEY_FILE).map(PathBuf::from));
     let key = match file {
-        Some(path) => Key::from_file(Path::new(&path)),
+        Some(path) => Key::from_file(&path),
         None => {
             let text = std::env::var(KEY).map_err(|_| {
                 End::Usage(format!(
--- a/crates/cli/tests/primrose.rs
+++ b/crates/cli/tests/primrose.rs
@@ -35,6 +35,8 @@
 
 const REFUSED: &str = r#"{"outcome":"refused","code":"duplicate_key","message":"same key","action":0,"field":"keys","version":4}"#;
 
+const RECORDED: &str = r#"{"outcome":"recorded","number":7}"#;
+
 const STATUS: &str = r#"{"host":"h1","version":5,"leader":"h1","term":2,"reachable_voters":2,"voters":3,"hosts":[
 {"name":"h1","domain":"a","reachable":true,"version":5,"incarnation":1,"role":"leader","ready":true},
 {"name":"h2","domain":"b","reachable":true,"version":5,"incarnation":2,"role":"voter","ready":true},
@@ -44,6 +46,8 @@
 
 const COUNTERS: &str = r#"{"host":"h1","counters":[{"name":"refused.draining","value":3}]}"#;
 
+const ORDERS: &str = r#"{"host":"h1","orders":[{"number":1,"id":"o1","server":"m1","work":{"load_model":{"model":"plum-8b"}},"state":{"failed":{"message":"no room"}}}]}"#;
+
 /// A daemon that answers submissions with `submission`, or loses the answer if there is none.
 fn daemon(submission: Option<(u16, &'static str)>) -> Fake {
     Fake::start(move |request| match (request.target.as_str(), submission) {
@@ -51,7 +55,10 @@
         ("GET /operator/status", _) => Act::Answer(200, STATUS.to_owned()),
         ("GET /operator/accounts", _) => Act::Answer(200, ACCOUNTS.to_owned()),
         ("GET /operator/counters", _) => Act::Answer(200, COUNTERS.to_owned()),
-        ("POST /operator/changes", Some((status, body))) => Act::Answer(status, body.to_owned()),
+        ("GET /operator/orders", _) => Act::Answer(200, ORDERS.to_owned()),
+        ("POST /operator/orders" | "POST /operator/changes", Some((status, body))) => {
+            Act::Answer(status, body.to_owned())
+        }
         _ if request.body.contains("drain") => Act::Cut("{".to_owned()),
         _ => Act::Lose,
     })
@@ -90,6 +97,10 @@
 #[test_case(Some((409, REFUSED)), &["apply", "change.yaml"], 1, "change.yaml:7:11"; "refused")]
 #[test_case(None, &["apply", "change.yaml"], 3, "primrose apply change.yaml"; "answer lost")]
 #[test_case(None, &["drain", "server", "m1", "--id", "d1"], 3, "primrose drain server m1 --id d1 --base 4"; "answer to a drain lost")]
+#[test_case(Some((200, RECORDED)), &["order", "load-model", "m1", "plum-8b", "--id", "o1"], 0, "recorded: order o1 has number 7"; "order recorded")]
+#[test_case(Some((409, REFUSED)), &["order", "change-role", "m1", "decode"], 1, "same key"; "order refused")]
+#[test_case(None, &["order", "load-adapter", "m1", "plum-8b", "stock", "--id", "o1"], 3, "primrose order --id o1 load-adapter m1 plum-8b stock"; "answer to an order lost")]
+#[test_case(None, &["order", "list"], 0, "1       o1  m1      load-model plum-8b  failed: no room"; "orders")]
 #[test_case(None, &["apply", "fleet.yaml"], 2, "holds a configuration"; "a configuration is no change")]
 #[test_case(None, &["apply", "missing.yaml"], 2, "cannot be read"; "no such file")]
 #[test_case(None, &["aply", "change.yaml"], 2, "unexpected argument"; "no such command")]
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -36,17 +36,14 @@
     timeouts: Timeouts,
 }
 
-/// What became of a submitted change.
+/// What became of a submitted change or order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// It is in force on the voters.
-    Accepted {
-        /// The version that it made.
-        version: u64,
-    },
-    /// Nothing of it is in force, and nothing will be.
+    /// The log has accepted it, with the version that the change made or the number of the order.
+    Accepted(u64),
+    /// Nothing of it is accepted, and nothing will be.
     Refused(api::Refused),
-    /// It may be in force, now or later. Submitting the same change with the same id is safe and tells.
+    /// It may be accepted, now or later. Submitting the same again with the same id is safe and tells.
     Unknown {
         /// What each daemon that was tried did.
         attempts: Vec<Attempt>,
@@ -114,10 +111,28 @@
     /// the change id: the fleet applies the change once and repeats its first reply. Once an answer was lost, only a
     /// reply of the log counts as a refusal; a daemon that refuses by itself knows nothing about the first submission.
     pub async fn submit(&self, change: &Change) -> Outcome {
+        let body = Bytes::from(text::print_change(change));
+        self.propose("/operator/changes", body, of_change).await
+    }
+
+    /// Submits an order to an engine, with the same rules as [`Client::submit`].
+    pub async fn order(&self, order: &api::OrderRequest) -> Outcome {
+        // Writing to a vector fails only for maps with keys that are no strings; the type has none.
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        self.propose("/operator/orders", body.into(), of_order)
+            .await
+    }
+
+    async fn propose(
+        &self,
+        path: &str,
+        body: Bytes,
+        read: fn(&[u8]) -> Result<Verdict, serde_json::Error>,
+    ) -> Outcome {
         let question = Question {
             method: "POST",
-            path: "/operator/changes",
-            body: Bytes::from(text::print_change(change)),
+            path,
+            body,
         };
         let mut attempts = Vec::new();
         let mut refusal = None;
@@ -129,7 +144,7 @@
                     lost = true;
                     message
                 }
-                Ok(answer) => match submission(&answer) {
+                Ok(answer) => match verdict(&answer, read) {
                     Verdict::Final(outcome) => return outcome,
                     Verdict::Unknown(message) => {
                         lost = true;
@@ -187,6 +202,15 @@
         self.get_json("/operator/accounts").await
     }
 
+    /// The recorded orders, as the first daemon that answers sees them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::status`].
+    pub async fn orders(&self) -> Result<api::Orders, Error> {
+        self.get_json("/operator/orders").await
+    }
+
     /// The counters of the first daemon that answers.
     ///
     /// # Errors
@@ -250,15 +274,34 @@
     NotProposed(api::Refused),
 }
 
-fn submission(answer: &Answer) -> Verdict {
-    let by_daemon = [api::INVALID_TEXT, api::UNAVAILABLE];
-    match serde_json::from_slice::<api::Submission>(&answer.body) {
-        Ok(api::Submission::Accepted { version }) => Verdict::Final(Outcome::Accepted { version }),
-        Ok(api::Submission::Unknown { message }) => Verdict::Unknown(message),
-        Ok(api::Submission::Refused(refused)) if by_daemon.contains(&refused.code.as_str()) => {
-            Verdict::NotProposed(refused)
-        }
-        Ok(api::Submission::Refused(refused)) => Verdict::Final(Outcome::Refused(refused)),
+fn of_change(body: &[u8]) -> Result<Verdict, serde_json::Error> {
+    let submission = serde_json::from_slice(body)?;
+    Ok(match submission {
+        api::Submission::Accepted { version } => Verdict::Final(Outcome::Accepted(version)),
+        api::Submission::Refused(refused) => of_refusal(refused),
+        api::Submission::Unknown { message } => Verdict::Unknown(message),
+    })
+}
+
+fn of_order(body: &[u8]) -> Result<Verdict, serde_json::Error> {
+    let submission = serde_json::from_slice(body)?;
+    Ok(match submission {
+        api::OrderSubmission::Recorded { number } => Verdict::Final(Outcome::Accepted(number)),
+        api::OrderSubmission::Refused(refused) => of_refusal(refused),
+        api::OrderSubmission::Unknown { message } => Verdict::Unknown(message),
+    })
+}
+
+fn of_refusal(refused: api::Refused) -> Verdict {
+    match refused.code.as_str() {
+        api::INVALID_TEXT | api::UNAVAILABLE => Verdict::NotProposed(refused),
+        _ => Verdict::Final(Outcome::Refused(refused)),
+    }
+}
+
+fn verdict(answer: &Answer, read: fn(&[u8]) -> Result<Verdict, serde_json::Error>) -> Verdict {
+    match read(&answer.body) {
+        Ok(verdict) => verdict,
         Err(_) if (400..500).contains(&answer.status) => Verdict::NotProposed(api::Refused {
             code: format!("status_{}", answer.status),
             message: error_message(answer),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -14,4 +14,5 @@
 pub use plan::Plan;
 pub use primrose_config::text;
 pub use primrose_state::api;
+pub use primrose_state::order;
 pub use progress::Progress;
--- a/crates/operator/tests/client.rs
+++ b/crates/operator/tests/client.rs
@@ -92,10 +92,7 @@
     let (first, second) = (losing(&machine, cut), sound(&machine));
     let change = share_of_a(&Machine::default(), 2, "one").expect("valid");
     let client = client(&[&first.address, &second.address]);
-    assert_eq!(
-        client.submit(&change).await,
-        Outcome::Accepted { version: 1 }
-    );
+    assert_eq!(client.submit(&change).await, Outcome::Accepted(1));
     assert_eq!(machine.lock().expect("no panic").configuration().version, 1);
     let arrived = second.requests.lock().expect("no panic")[0].clone();
     assert_eq!(arrived.authorization, "Bearer secret");
@@ -117,7 +114,7 @@
     let outcome = client(&addresses).submit(&change).await;
     assert!(matches!(outcome, Outcome::Unknown { attempts } if attempts.len() == addresses.len()));
     let resent = client(&[&sound(&machine).address]).submit(&change).await;
-    assert_eq!(resent, Outcome::Accepted { version: 1 });
+    assert_eq!(resent, Outcome::Accepted(1));
     assert_eq!(machine.lock().expect("no panic").configuration().version, 1);
 }
 
@@ -129,7 +126,7 @@
     let (cut_off, sound) = (without_majority(), sound(&machine));
     let change = share_of_a(&Machine::default(), 2, "one").expect("valid");
     let all = client(&[&dead, &cut_off.address, &sound.address]);
-    assert_eq!(all.submit(&change).await, Outcome::Accepted { version: 1 });
+    assert_eq!(all.submit(&change).await, Outcome::Accepted(1));
     assert_eq!(all.configuration().await.expect("an answer").version, 1);
     for addresses in [vec![dead.as_str()], vec![&dead, &cut_off.address]] {
         let outcome = client(&addresses).submit(&change).await;
@@ -147,10 +144,7 @@
     let client = client(&[&daemon.address]);
     let first = share_of_a(&Machine::default(), 2, "one").expect("valid");
     let second = share_of_a(&Machine::default(), 3, "two").expect("valid");
-    assert_eq!(
-        client.submit(&first).await,
-        Outcome::Accepted { version: 1 }
-    );
+    assert_eq!(client.submit(&first).await, Outcome::Accepted(1));
     let outcome = client.submit(&second).await;
     assert!(
         matches!(&outcome, Outcome::Refused(r) if r.code == "base_version" && r.version == Some(1)),
--- a/crates/state/src/api.rs
+++ b/crates/state/src/api.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::ChangeReply;
+use crate::order;
 
 /// The reply to `POST /operator/changes`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,11 +53,7 @@
     pub fn http_status(&self) -> u16 {
         match self {
             Submission::Accepted { .. } => 200,
-            Submission::Refused(refused) => match refused.code.as_str() {
-                INVALID_TEXT => 400,
-                UNAVAILABLE => 503,
-                _ => 409,
-            },
+            Submission::Refused(refused) => refused.http_status(),
             Submission::Unknown { .. } => 504,
         }
     }
@@ -85,6 +82,14 @@
 }
 
 impl Refused {
+    fn http_status(&self) -> u16 {
+        match self.code.as_str() {
+            INVALID_TEXT => 400,
+            UNAVAILABLE => 503,
+            _ => 409,
+        }
+    }
+
     fn new(refusal: Refusal, version: u64) -> Refused {
         Refused {
             code: refusal.code.as_str().to_owned(),
@@ -96,6 +101,90 @@
     }
 }
 
+/// The body of `POST /operator/orders`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrderRequest {
+    /// Chosen by the operator. An order that is submitted again with the same id is not recorded a second time.
+    pub id: Name,
+    /// The name of the backend server.
+    pub server: Name,
+    /// What it is to do.
+    pub work: order::Work,
+}
+
+/// The reply to `POST /operator/orders`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum OrderSubmission {
+    /// The order is recorded and will be sent until the server answers.
+    Recorded {
+        /// The number of the order.
+        number: u64,
+    },
+    /// The order is not recorded.
+    Refused(Refused),
+    /// The order may be recorded or not. Submitting it again, with the same id, tells.
+    Unknown {
+        /// Why nothing is known.
+        message: String,
+    },
+}
+
+impl OrderSubmission {
+    /// The reply for the outcome of [`crate::Command::Order`].
+    pub fn of(outcome: Result<u64, order::Refusal>) -> OrderSubmission {
+        match outcome {
+            Ok(number) => OrderSubmission::Recorded { number },
+            Err(refusal) => OrderSubmission::refused(refusal.code(), refusal.to_string()),
+        }
+    }
+
+    /// A refusal, for example of a server name that the configuration does not have.
+    pub fn refused(code: &str, message: impl Into<String>) -> OrderSubmission {
+        OrderSubmission::Refused(Refused {
+            code: code.to_owned(),
+            message: message.into(),
+            action: None,
+            field: None,
+            version: None,
+        })
+    }
+
+    /// The status code of the HTTP response.
+    pub fn http_status(&self) -> u16 {
+        match self {
+            OrderSubmission::Recorded { .. } => 200,
+            OrderSubmission::Refused(refused) => refused.http_status(),
+            OrderSubmission::Unknown { .. } => 504,
+        }
+    }
+}
+
+/// A recorded order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Ascending in the order of the log.
+    pub number: u64,
+    /// The id that the operator chose.
+    pub id: Name,
+    /// The backend server, or none if the configuration does not have it any more.
+    pub server: Option<Name>,
+    /// What it is to do.
+    pub work: order::Work,
+    /// What became of it.
+    pub state: order::State,
+}
+
+/// The reply to `GET /operator/orders`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// The host that answers; it is a voter.
+    pub host: Name,
+    /// Ascending by number.
+    pub orders: Vec<Order>,
+}
+
 /// What a host does for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/state/src/order.rs
+++ b/crates/state/src/order.rs
@@ -129,6 +129,18 @@
     InvalidValue,
 }
 
+impl Refusal {
+    /// The text used in replies and counters.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Refusal::NoServer => "no_server",
+            Refusal::IdReused => "id_reused",
+            Refusal::Full => "full",
+            Refusal::InvalidValue => "invalid_value",
+        }
+    }
+}
+
 /// All orders that are kept.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Orders {
