--- a/crates/config/tests/change.rs
+++ b/crates/config/tests/change.rs
@@ -223,7 +223,7 @@
 }
 
 /// What a difference has to bring about: everything but ids and retired items.
-fn essence(fleet: &Configuration) -> impl PartialEq + std::fmt::Debug {
+fn comparable(fleet: &Configuration) -> impl PartialEq + std::fmt::Debug {
     fn drafts<T, D>(items: &Table<T>, draft: impl Fn(&T) -> Option<D>) -> Vec<D>
     where
         T: primrose_config::table::Entry,
@@ -256,11 +256,11 @@
     fn a_difference_leads_to_its_target(old in any_configuration(), new in any_configuration()) {
         let actions = difference(&old, &new);
         if actions.is_empty() {
-            prop_assert_eq!(essence(&old), essence(&new));
+            prop_assert_eq!(comparable(&old), comparable(&new));
             return Ok(());
         }
         match old.apply(&change(old.version, actions)) {
-            Ok(reached) => prop_assert_eq!(essence(&reached), essence(&new)),
+            Ok(reached) => prop_assert_eq!(comparable(&reached), comparable(&new)),
             Err(refusal) => {
                 let active = new.hosts.iter().any(|host| host.state == State::Active);
                 let expected = match refusal.code {
--- a/crates/state/src/dispatch.rs
+++ b/crates/state/src/dispatch.rs
@@ -199,7 +199,8 @@
 
     fn fill(&mut self, now: Time, configuration: &Configuration) {
         let settings = &configuration.settings;
-        let added = now.since(self.filled) * u64::from(settings.weight_loads_per_minute);
+        let loads_per_minute = u64::from(settings.weight_loads_per_minute);
+        let added = now.since(self.filled).saturating_mul(loads_per_minute);
         let capacity = UNITS_PER_LOAD * u64::from(settings.weight_load_burst);
         self.bucket = self.bucket.saturating_add(added).min(capacity);
         self.filled = self.filled.max(now);
