consensus: Test clusters under faults in virtual time

Five hosts with drifting clocks and disks that forget what was not synced; message loss, duplication, reordering, partitions, crashes (also in the middle of a write), freezes, lost disks, membership changes and transfers. Checked: election safety, log matching, equal commits, leader completeness, that nobody leads a later term during a lease, linearizability of eight registers, and that the fleet recovers.

--- /dev/null
+++ b/crates/consensus/tests/cluster.rs
@@ -0,0 +1,111 @@
+//! Several replicas in virtual time under faults.
+//!
+//! `PRIMROSE_SEEDS=N` runs the random tests with N seeds instead of the fixed few, from `PRIMROSE_FIRST_SEED` (default 1).
+
+#[path = "support/client.rs"]
+mod client;
+#[path = "support/cluster.rs"]
+mod cluster;
+#[path = "support/drive.rs"]
+mod drive;
+
+use cluster::Cluster;
+use rand::RngExt;
+use test_case::test_case;
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).map_or(default, |text| text.parse().expect("a number"))
+}
+
+/// What may go wrong in a run.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// Loss, duplication, reordering and partitions.
+    Network,
+    /// Crashes with loss of what was not synced, also in the middle of a write, and freezes.
+    Process,
+    /// Lost disks and membership changes, with all of the above.
+    Everything,
+}
+
+fn inject(cluster: &mut Cluster, kind: Kind) {
+    let choice = match kind {
+        Kind::Network => cluster.rng.random_range(0..4),
+        Kind::Process => cluster.rng.random_range(3..9),
+        Kind::Everything => cluster.rng.random_range(0..12),
+    };
+    let at = cluster.rng.random_range(0..5);
+    let leader = cluster.leader().unwrap_or(at);
+    match choice {
+        0 => partition(cluster),
+        1 => cluster.blocked[leader][at] = true,
+        2 => {
+            cluster.loss = cluster.rng.random_range(0..40);
+            cluster.max_delay_ms = cluster.rng.random_range(1..400);
+        }
+        3 => cluster.heal(),
+        4 => cluster.crash(at),
+        5 => cluster.crash(leader),
+        6 => {
+            let operations = cluster.rng.random_range(0..8);
+            cluster.hosts[at].drive.stop_after(operations);
+        }
+        7 => freeze(cluster, at),
+        8 => freeze(cluster, leader),
+        9 if cluster.is_repaired() => cluster.lose_disk(at),
+        10 => cluster.wanted = cluster.rng.random_range(3..=5),
+        11 => cluster.transfer(leader),
+        _ => {}
+    }
+}
+
+fn partition(cluster: &mut Cluster) {
+    let side: u32 = cluster.rng.random();
+    for from in 0..5 {
+        for to in 0..5 {
+            cluster.blocked[from][to] = (side >> from & 1) != (side >> to & 1);
+        }
+    }
+}
+
+fn freeze(cluster: &mut Cluster, at: usize) {
+    let ms = cluster.rng.random_range(100..3000);
+    cluster.hosts[at].frozen_until = cluster.now + ms;
+}
+
+fn run(seed: u64, kind: Kind) {
+    println!("seed {seed}, {kind:?}");
+    let mut cluster = Cluster::new(seed, 4);
+    cluster.run(3000);
+    let answered = cluster.clients.answered();
+    assert!(
+        answered > 50,
+        "seed {seed}: only {answered} answers without faults"
+    );
+    while cluster.now < 30_000 {
+        inject(&mut cluster, kind);
+        let ms = cluster.rng.random_range(100..1200);
+        cluster.run(ms);
+    }
+    cluster.settle();
+    cluster.clients.check(seed);
+    println!(
+        "seed {seed}: {} entries, {} answers, {} crashes, {} lost disks",
+        cluster.truth.committed.len(),
+        cluster.clients.answered(),
+        cluster.crashes,
+        cluster.lost_disks
+    );
+}
+
+// Guards against lost or differing commits, two leaders in a term, a leader during another one's lease, stale reads and a
+// fleet that does not recover.
+#[test_case(Kind::Network)]
+#[test_case(Kind::Process)]
+#[test_case(Kind::Everything)]
+fn random_faults(kind: Kind) {
+    let first = number("PRIMROSE_FIRST_SEED", 1);
+    for seed in first..first + number("PRIMROSE_SEEDS", 6) {
+        run(seed, kind);
+    }
+}
