--- /dev/null
+++ b/crates/consensus/tests/node.rs
@@ -0,0 +1,456 @@
+//! Single rules of the protocol, on nodes without disks.
+
+use primrose_base::clock::Time;
+use primrose_base::name::Name;
+use primrose_consensus::disk::Recovered;
+use primrose_consensus::entry::{Entry, Hard, Payload, Position};
+use primrose_consensus::membership::{Change, Id, Member, Membership, Refusal};
+use primrose_consensus::message::{Body, Message, Outcome, Stamp};
+use primrose_consensus::node::{Error, Node, Options, Role};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+fn at(ms: u64) -> Time {
+    Time::from_ms(ms)
+}
+
+fn host() -> Name {
+    Name::new("host").expect("valid")
+}
+
+fn entry(term: u64, index: u64) -> Entry {
+    Entry {
+        position: Position { term, index },
+        payload: Payload::Empty,
+    }
+}
+
+fn founders(count: u64) -> Membership {
+    let member = |id| Member {
+        id: Id(id),
+        host: host(),
+        voter: true,
+    };
+    Membership::new((1..=count).map(member).collect())
+}
+
+/// A node whose log holds the founding of `voters` voters, and `entries` after it.
+fn recovered(id: u64, voters: u64, entries: &[Entry]) -> Recovered {
+    let founding = Entry {
+        position: Position { term: 1, index: 1 },
+        payload: Payload::Members(founders(voters)),
+    };
+    let mut all = vec![founding];
+    all.extend_from_slice(entries);
+    let term = all[all.len() - 1].position.term;
+    Recovered {
+        id: Id(id),
+        hard: Hard {
+            term,
+            voted_for: None,
+            commit: 0,
+        },
+        snapshot: None,
+        entries: all,
+    }
+}
+
+fn node(id: u64, voters: u64) -> Node {
+    let options = Options::default();
+    Node::new(recovered(id, voters, &[]), options, at(1), id)
+}
+
+/// Carries out everything that is ready and returns the messages.
+fn flush(node: &mut Node) -> Vec<Message> {
+    let mut messages = Vec::new();
+    while let Some(ready) = node.ready() {
+        node.persisted();
+        messages.extend(ready.messages);
+    }
+    messages
+}
+
+/// Exchanges messages at `now` until there are none left. Messages of replicas that are not in `nodes` are dropped.
+fn exchange(nodes: &mut [&mut Node], now: Time) {
+    loop {
+        let mut messages = Vec::new();
+        for node in nodes.iter_mut() {
+            messages.extend(flush(node));
+        }
+        if messages.is_empty() {
+            return;
+        }
+        for message in messages {
+            if let Some(node) = nodes.iter_mut().find(|n| n.id() == message.to) {
+                node.step(now, message);
+            }
+        }
+    }
+}
+
+/// Ticks the nodes for `ms` and returns the time.
+fn run(nodes: &mut [&mut Node], from: Time, ms: u64) -> Time {
+    let end = from.plus_ms(ms);
+    let mut now = from;
+    while now < end {
+        now = now.plus_ms(20);
+        nodes.iter_mut().for_each(|node| node.tick(now));
+        exchange(nodes, now);
+    }
+    now
+}
+
+/// Three connected nodes, of which the first leads.
+fn trio() -> ([Node; 3], Time) {
+    let mut nodes = [node(1, 3), node(2, 3), node(3, 3)];
+    let mut now = at(700);
+    let [first, second, third] = &mut nodes;
+    // Only the first one's timer runs out; the others vote as they have not heard from a leader since their start.
+    while first.role() != Role::Leader {
+        now = now.plus_ms(20);
+        first.tick(now);
+        second.step(now, stray(2));
+        third.step(now, stray(3));
+        exchange(&mut [first, second, third], now);
+    }
+    let now = run(&mut [first, second, third], now, 200);
+    (nodes, now)
+}
+
+/// A message that only tells the time.
+fn stray(to: u64) -> Message {
+    Message {
+        from: Id(99),
+        to: Id(to),
+        term: 0,
+        body: Body::Transfer,
+    }
+}
+
+fn vote(from: u64, to: u64, term: u64, pre: bool) -> Message {
+    let last = Position {
+        term: 100,
+        index: 100,
+    };
+    Message {
+        from: Id(from),
+        to: Id(to),
+        term,
+        body: Body::Vote {
+            last,
+            pre,
+            transfer: false,
+        },
+    }
+}
+
+fn grants(messages: &[Message]) -> bool {
+    let granted = |m: &Message| matches!(m.body, Body::VoteReply { granted: true, .. });
+    messages.iter().any(granted)
+}
+
+// A vote during a leader's lease would allow two leaders at a time; so would one right after a restart, as the replica may
+// have acknowledged a heartbeat before it.
+#[test_case(true ; "pre-vote")]
+#[test_case(false ; "vote")]
+fn no_vote_while_a_leader_is_alive(pre: bool) {
+    let ([_, mut follower, _], now) = trio();
+    let term = follower.term();
+    follower.step(now.plus_ms(300), vote(3, 2, term + 1, pre));
+    assert!(!grants(&flush(&mut follower)));
+    assert_eq!(follower.term(), term);
+    follower.step(now.plus_ms(399), stray(2));
+    follower.step(now.plus_ms(601), vote(3, 2, term + 1, pre));
+    assert!(grants(&flush(&mut follower)));
+
+    let mut restarted = node(2, 3);
+    restarted.step(at(400), vote(3, 2, 5, pre));
+    assert!(!grants(&flush(&mut restarted)));
+}
+
+// A leader that was stopped for longer than its lease must not accept anything before it notices.
+#[test]
+fn a_frozen_leader_steps_down_first() {
+    let ([mut leader, ..], now) = trio();
+    assert!(leader.has_lease(now));
+    let woken = now.plus_ms(401);
+    assert!(!leader.has_lease(woken));
+    let error = leader.propose(woken, vec![1]).expect_err("frozen");
+    assert_eq!(error, Error::NotLeader { leader: None });
+    assert_eq!(leader.role(), Role::Follower);
+}
+
+// An isolated leader must know within one election timeout that it is none, counted from when it sent the last heartbeat
+// that was answered.
+#[test]
+fn an_isolated_leader_steps_down() {
+    let ([mut leader, ..], now) = trio();
+    run(&mut [&mut leader], now, 380);
+    assert!(!leader.has_lease(now.plus_ms(400)));
+    run(&mut [&mut leader], now.plus_ms(380), 120);
+    assert_eq!(leader.role(), Role::Follower);
+}
+
+// The answer to an old heartbeat that arrives late says nothing about the present.
+#[test]
+fn late_answers_do_not_extend_the_lease() {
+    let ([mut leader, mut second, _], now) = trio();
+    let sent = now.plus_ms(100);
+    leader.tick(sent);
+    let heartbeats = flush(&mut leader);
+    for message in heartbeats {
+        second.step(sent, message);
+    }
+    let answers = flush(&mut second);
+    let late = run(&mut [&mut leader], sent, 300);
+    for answer in answers {
+        leader.step(late, answer);
+    }
+    assert_eq!(leader.lease_until(), Some(sent.plus_ms(400)));
+}
+
+// Without the lease, a read must wait for a majority that answers a message sent after the read was asked for.
+#[test]
+fn reads_wait_for_a_majority() {
+    let ([mut leader, mut second, mut third], now) = trio();
+    let now = run(&mut [&mut leader], now, 420);
+    assert_eq!(leader.role(), Role::Leader);
+    assert!(!leader.has_lease(now));
+    leader.read(now, 7).expect("leads");
+    let ready = leader.ready().expect("a heartbeat");
+    leader.persisted();
+    assert!(ready.reads.is_empty());
+    for message in ready.messages {
+        second.step(now, message.clone());
+        third.step(now, message);
+    }
+    for message in flush(&mut second) {
+        leader.step(now, message);
+    }
+    let ready = leader.ready().expect("confirmed");
+    assert_eq!(ready.reads, [7]);
+}
+
+// Disk loss: the old replica id must never come back, and the new one must not count before its promotion.
+#[test]
+fn a_lost_disk_gets_a_new_id() {
+    let ([mut leader, mut second, third], now) = trio();
+    drop(third);
+    let mut fresh = Node::new(
+        Recovered {
+            id: Id(4),
+            hard: Hard::default(),
+            snapshot: None,
+            entries: Vec::new(),
+        },
+        Options::default(),
+        now,
+        4,
+    );
+    let add = Change::AddLearner {
+        id: Id(4),
+        host: host(),
+    };
+    leader.change(now, &add).expect("fits");
+    let promote = Change::Promote { id: Id(4) };
+    assert_eq!(leader.change(now, &promote), Err(Error::Pending));
+    let now = run(&mut [&mut leader, &mut second, &mut fresh], now, 200);
+    assert_eq!(leader.membership().majority(), 2);
+    let remove = Change::Remove { id: Id(3) };
+    leader.change(now, &remove).expect("fits");
+    let now = run(&mut [&mut leader, &mut second, &mut fresh], now, 200);
+    leader.change(now, &promote).expect("caught up");
+    let now = run(&mut [&mut leader, &mut second, &mut fresh], now, 200);
+    assert!(fresh.membership().is_voter(Id(4)));
+    let again = Change::AddLearner {
+        id: Id(3),
+        host: host(),
+    };
+    let error = Error::Refused(Refusal::Retired(Id(3)));
+    assert_eq!(leader.change(now, &again), Err(error));
+    // A message to the old id that arrives at the new one.
+    fresh.step(now.plus_ms(2000), vote(2, 3, 50, false));
+    assert!(!grants(&flush(&mut fresh)));
+}
+
+// A removal that leaves no connected majority would stop the fleet for good.
+#[test]
+fn changes_keep_a_connected_majority() {
+    let ([mut leader, mut second, _], now) = trio();
+    let now = run(&mut [&mut leader, &mut second], now, 600);
+    let remove = Change::Remove { id: Id(2) };
+    let error = Error::Quorum {
+        connected: 1,
+        voters: 2,
+    };
+    assert_eq!(leader.change(now, &remove), Err(error));
+    let itself = Change::Remove { id: Id(1) };
+    assert_eq!(
+        leader.change(now, &itself),
+        Err(Error::RemovesLeader(Id(1)))
+    );
+}
+
+// A graceful shutdown must not leave the fleet without a leader for an election timeout.
+#[test]
+fn leadership_passes_without_a_timeout() {
+    let ([mut leader, mut second, mut third], now) = trio();
+    leader.propose(now, vec![1]).expect("leads");
+    assert_eq!(leader.transfer(now, Some(Id(3))), Ok(Id(3)));
+    assert!(matches!(
+        leader.propose(now, vec![2]),
+        Err(Error::NotLeader { .. })
+    ));
+    exchange(&mut [&mut leader, &mut second, &mut third], now);
+    assert_eq!(third.role(), Role::Leader);
+    assert_eq!(leader.lease_until(), None);
+}
+
+// Without limits a slow follower or a burst of proposals would fill the memory.
+#[test]
+fn limits_hold() {
+    let ([mut leader, mut second, _], now) = trio();
+    let options = Options::default();
+    let limit = options.max_entry_bytes;
+    let error = leader.propose(now, vec![0; limit + 1]);
+    let bytes = limit + 1;
+    assert_eq!(error, Err(Error::TooLarge { bytes, limit }));
+    let mut accepted = 0;
+    while leader.propose(now, vec![0; 10_000]).is_ok() {
+        accepted += 1;
+    }
+    assert!(accepted * 10_000 <= options.max_uncommitted_bytes + 10_000);
+    assert!(matches!(
+        leader.propose(now, vec![0]),
+        Err(Error::Full { .. })
+    ));
+    let messages = flush(&mut leader);
+    let appends = messages.iter().filter(|m| m.to == Id(2));
+    assert_eq!(appends.count(), options.max_in_flight);
+    for message in messages {
+        if let Body::Append { entries, .. } = &message.body {
+            let bytes: usize = entries.iter().map(Entry::bytes).sum();
+            assert!(bytes <= options.max_message_bytes);
+        }
+    }
+    exchange(&mut [&mut leader, &mut second], now);
+    leader.tick(now.plus_ms(100));
+    exchange(&mut [&mut leader, &mut second], now.plus_ms(100));
+    assert_eq!(second.last(), leader.last());
+    leader
+        .propose(now.plus_ms(100), vec![0])
+        .expect("room again");
+}
+
+// Options whose lease outlasts the promise not to vote are unsafe.
+#[test]
+fn unsafe_options_are_refused() {
+    let options = Options {
+        lease_ms: 500,
+        ..Options::default()
+    };
+    assert!(options.check().is_err());
+    assert!(Options::default().check().is_ok());
+}
+
+fn deliver(
+    follower: &mut Node,
+    term: u64,
+    log: &[Entry],
+    previous: usize,
+    count: usize,
+) -> Outcome {
+    let end = (previous + count).min(log.len());
+    let entries = log[previous..end].to_vec();
+    let message = Message {
+        from: Id(2),
+        to: Id(1),
+        term,
+        body: Body::Append {
+            stamp: Stamp::default(),
+            previous: previous
+                .checked_sub(1)
+                .map_or(Position::default(), |p| log[p].position),
+            entries,
+            commit: 0,
+        },
+    };
+    follower.step(follower_time(term), message);
+    let messages = flush(follower);
+    match messages[messages.len() - 1].body {
+        Body::AppendReply { outcome, .. } => outcome,
+        ref other => panic!("unexpected {other:?}"),
+    }
+}
+
+fn follower_time(term: u64) -> Time {
+    at(1000 + term)
+}
+
+/// The log of a later leader: a prefix of an earlier one and entries of a newer term.
+fn extend(log: &[Entry], keep: usize, term: u64, count: usize) -> Vec<Entry> {
+    let mut log = log[..keep.clamp(1, log.len())].to_vec();
+    for _ in 0..count {
+        let index = log.len() as u64 + 1;
+        log.push(entry(term, index));
+    }
+    log
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    // A follower's log must follow the rules of the paper (truncate at the first conflict only), whatever arrives in
+    // whatever order, and a mismatch must be found within one round trip for each term.
+    #[test]
+    fn the_log_follows_a_plain_model(
+        leaders in prop::collection::vec(
+            (0..20_usize, 0..10_usize, prop::collection::vec((0..25_usize, 0..8_usize), 0..6)),
+            1..8,
+        ),
+    ) {
+        let mut follower = Node::new(recovered(1, 3, &[]), Options::default(), at(1), 1);
+        let mut log: Vec<Entry> = follower.entries().cloned().collect();
+        let mut model = log.clone();
+        for (number, (keep, count, messages)) in leaders.into_iter().enumerate() {
+            let term = number as u64 + 2;
+            log = extend(&log, keep, term, count);
+            for (previous, count) in messages {
+                let previous = previous.min(log.len());
+                let outcome = deliver(&mut follower, term, &log, previous, count);
+                let holds = previous == 0 || model.get(previous - 1) == Some(&log[previous - 1]);
+                let sent = &log[previous..(previous + count).min(log.len())];
+                if holds {
+                    for (offset, entry) in sent.iter().enumerate() {
+                        if model.get(previous + offset) != Some(entry) {
+                            model.truncate(previous + offset);
+                            model.push(entry.clone());
+                        }
+                    }
+                    prop_assert_eq!(outcome, Outcome::Matched((previous + sent.len()) as u64));
+                } else {
+                    prop_assert!(matches!(outcome, Outcome::Mismatch { .. }), "{outcome:?}");
+                }
+                prop_assert!(follower.entries().eq(model.iter()));
+            }
+        }
+        let mut previous = log.len();
+        for _ in 0..10 {
+            match deliver(&mut follower, 10, &log, previous, log.len()) {
+                Outcome::Matched(last) => {
+                    prop_assert_eq!(last, log.len() as u64);
+                    return Ok(());
+                }
+                Outcome::Mismatch { hint, .. } => {
+                    let fits = |e: &&Entry| e.position.index <= hint.index && e.position.term <= hint.term;
+                    let agreed = log.iter().filter(fits).count();
+                    prop_assert!(agreed < previous);
+                    previous = agreed;
+                }
+                Outcome::Stale => prop_assert!(false, "stale"),
+            }
+        }
+        prop_assert!(false, "no agreement after ten round trips");
+    }
+}
