consensus: Renew the folder of a removed host in the cluster tests

The refusal is intended (an id never comes back), so the harness now does what an operator has to do: it gives the host an empty folder.

--- a/crates/consensus/tests/cluster.rs
+++ b/crates/consensus/tests/cluster.rs
@@ -41,7 +41,12 @@
         1 => cluster.blocked[leader][at] = true,
         2 => {
             cluster.loss = cluster.rng.random_range(0..40);
-            cluster.max_delay_ms = cluster.rng.random_range(1..400);
+            let slowest = if cluster.rng.random_bool(0.2) {
+                1500
+            } else {
+                300
+            };
+            cluster.max_delay_ms = cluster.rng.random_range(1..slowest);
         }
         3 => cluster.heal(),
         4 => cluster.crash(at),
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -164,11 +164,105 @@
     follower.step(now.plus_ms(601), vote(3, 2, term + 1, pre));
     assert!(grants(&flush(&mut follower)));
 
-    let mut restarted = node(2, 3);
-    restarted.step(at(400), vote(3, 2, 5, pre));
+    let mut restarted = Node::new(recovered(2, 3, &[]), Options::default(), at(1000), 2);
+    restarted.step(at(1400), vote(3, 2, 5, pre));
     assert!(!grants(&flush(&mut restarted)));
 }
 
+// A candidate that lacks committed entries would replace them.
+#[test_case(true ; "pre-vote")]
+#[test_case(false ; "vote")]
+fn no_vote_for_a_shorter_log(pre: bool) {
+    let entries = [entry(1, 2), entry(200, 3)];
+    let mut voter = Node::new(recovered(2, 3, &entries), Options::default(), at(1), 2);
+    voter.step(at(300), stray(2));
+    voter.step(at(600), vote(3, 2, 300, pre));
+    assert!(!grants(&flush(&mut voter)));
+}
+
+// A vote that is forgotten in a crash would be given twice in one term.
+#[test]
+fn a_vote_is_persisted_before_it_is_sent() {
+    let mut voter = node(2, 3);
+    voter.step(at(300), stray(2));
+    voter.step(at(600), vote(3, 2, 5, false));
+    let ready = voter.ready().expect("a vote");
+    assert!(ready.sync && grants(&ready.messages));
+    let hard = ready.hard.expect("changed");
+    assert_eq!((hard.term, hard.voted_for), (5, Some(Id(3))));
+
+    let before = recovered(2, 3, &[]);
+    let mut restarted = Node::new(Recovered { hard, ..before }, Options::default(), at(1), 2);
+    restarted.step(at(300), stray(2));
+    restarted.step(at(600), vote(1, 2, 5, false));
+    assert!(!grants(&flush(&mut restarted)));
+    restarted.step(at(600), vote(3, 2, 5, false));
+    assert!(grants(&flush(&mut restarted)));
+}
+
+// An entry of an earlier term on a majority can still be replaced, so it must not be committed by counting, and reads must
+// wait for the first entry of the new term (section 5.4.2 and 8 of the paper).
+#[test]
+fn earlier_terms_are_not_committed_alone() {
+    let entries = [entry(2, 2), entry(2, 3)];
+    let mut leader = Node::new(recovered(1, 3, &entries), Options::default(), at(1), 1);
+    let mut now = at(1);
+    while leader.role() != Role::Leader {
+        now = now.plus_ms(20);
+        leader.tick(now);
+        for message in flush(&mut leader) {
+            if let Body::Vote { pre, .. } = message.body {
+                let granted = true;
+                let body = Body::VoteReply { granted, pre };
+                leader.step(now, reply(&message, body));
+            }
+        }
+    }
+    leader.read(now, 7).expect("leads");
+    let answer = |leader: &mut Node, index| {
+        let stamp = Stamp {
+            round: 9,
+            sent: now,
+        };
+        let outcome = Outcome::Matched(index);
+        let message = Message {
+            from: Id(2),
+            to: Id(1),
+            term: leader.term(),
+            body: Body::AppendReply { stamp, outcome },
+        };
+        leader.step(now, message);
+        leader.ready().map_or(Vec::new(), |ready| ready.reads)
+    };
+    flush(&mut leader);
+    assert!(answer(&mut leader, 3).is_empty());
+    assert_eq!(leader.commit(), 0);
+    leader.persisted();
+    let reads = answer(&mut leader, 4);
+    assert_eq!((leader.commit(), reads), (4, vec![7]));
+}
+
+fn reply(message: &Message, body: Body) -> Message {
+    Message {
+        from: message.to,
+        to: message.from,
+        term: message.term,
+        body,
+    }
+}
+
+// A leader must not count itself before its own disk has the entry.
+#[test]
+fn a_single_voter_waits_for_its_disk() {
+    let mut single = node(1, 1);
+    let now = run(&mut [&mut single], at(1), 1100);
+    let position = single.propose(now, vec![1]).expect("leads");
+    single.ready().expect("an entry to persist");
+    assert!(single.commit() < position.index);
+    single.persisted();
+    assert_eq!(single.commit(), position.index);
+}
+
 // A leader that was stopped for longer than its lease must not accept anything before it notices.
 #[test]
 fn a_frozen_leader_steps_down_first() {
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -418,6 +418,7 @@
 
     /// What a daemon's repair loop does: add hosts that have a disk, remove ids whose disk is gone.
     fn administrate(&mut self) {
+        self.renew_removed_hosts();
         let Some(at) = self.leader() else { return };
         if self.now < self.hosts[at].frozen_until {
             return;
@@ -435,6 +436,19 @@
         self.flush(at);
     }
 
+    /// A host that was removed and is wanted again needs an empty folder, as its replica id is retired.
+    fn renew_removed_hosts(&mut self) {
+        for at in 0..self.wanted {
+            let id = self.hosts[at].id;
+            let membership = self.truth.membership();
+            let retired = membership.is_some_and(|m| m.retired().binary_search(&id).is_ok());
+            if retired && self.hosts[at].replica.is_some() {
+                self.crash(at);
+                self.hosts[at].drive = Drive::default();
+            }
+        }
+    }
+
     fn due_changes(&self, at: usize) -> Vec<Change> {
         let membership = self.hosts[at].node().expect("up").membership();
         let voters = membership.voters().count();
