--- a/crates/consensus/examples/measure.rs
+++ b/crates/consensus/examples/measure.rs
@@ -1,9 +1,10 @@
-//! Measures restart time, fsyncs per proposal and memory per entry.
+//! Measures restart time, fsyncs per proposal, memory per entry, and the time without a leader after a leader stopped.
 //!
 //!     cargo run --release -p primrose-consensus --example measure -- FOLDER
 //!
 //! The files are written to a temporary folder below FOLDER (default: the current folder).
 
+use std::collections::VecDeque;
 use std::error::Error;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -14,6 +15,7 @@
 use primrose_consensus::disk::{self, Disk};
 use primrose_consensus::entry::{Entry, Payload, Position};
 use primrose_consensus::membership::{Id, Member, Membership};
+use primrose_consensus::message::Message;
 use primrose_consensus::node::{self, Node, Role};
 use primrose_consensus::replica::Replica;
 
@@ -22,6 +24,7 @@
 const ENTRY_BYTES: usize = 200;
 const REPLICAS: u64 = 3;
 const TICK_MS: u64 = 20;
+const DELAY_MS: u64 = 2;
 
 /// Three replicas on real folders, connected without delay, in virtual time.
 struct Fleet {
@@ -205,6 +208,98 @@
     Ok(())
 }
 
+/// Nodes in virtual time whose messages take `DELAY_MS`.
+struct Trial {
+    nodes: Vec<Node>,
+    messages: VecDeque<(u64, Message)>,
+    now: u64,
+}
+
+impl Trial {
+    fn new(seed: u64) -> Result<Trial> {
+        let mut nodes = Vec::new();
+        let mut members = Vec::new();
+        for number in 1..=REPLICAS {
+            let (id, host, voter) = (Id(number), Name::new("host")?, true);
+            members.push(Member { id, host, voter });
+            let recovered = disk::Recovered {
+                id,
+                hard: Default::default(),
+                snapshot: None,
+                entries: Vec::new(),
+            };
+            let options = node::Options::default();
+            let seed = seed * REPLICAS + number;
+            nodes.push(Node::new(recovered, options, Time::from_ms(0), seed));
+        }
+        nodes[0].found(Time::from_ms(0), Membership::new(members))?;
+        let messages = VecDeque::new();
+        let now = seed % TICK_MS;
+        Ok(Trial {
+            nodes,
+            messages,
+            now,
+        })
+    }
+
+    /// One millisecond. The ticks of the nodes are spread over the interval.
+    fn step(&mut self) {
+        self.now += 1;
+        let now = Time::from_ms(self.now);
+        while self.messages.front().is_some_and(|m| m.0 <= self.now) {
+            let Some((_, message)) = self.messages.pop_front() else {
+                break;
+            };
+            if let Some(node) = self.nodes.iter_mut().find(|n| n.id() == message.to) {
+                node.step(now, message);
+            }
+        }
+        for node in &mut self.nodes {
+            if (self.now + 7 * node.id().0).is_multiple_of(TICK_MS) {
+                node.tick(now);
+            }
+            while let Some(ready) = node.ready() {
+                node.persisted();
+                let at = self.now + DELAY_MS;
+                let messages = ready.messages.into_iter();
+                self.messages.extend(messages.map(|message| (at, message)));
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| node.role() == Role::Leader;
+        self.nodes.iter().position(leads)
+    }
+}
+
+/// How long two of three voters are without a leader after the leader stopped, over many trials in virtual time.
+fn measure_failover(trials: u64) -> Result<()> {
+    let mut times = Vec::new();
+    for seed in 0..trials {
+        let mut trial = Trial::new(seed)?;
+        while trial.now < 3000 + seed % 100 || trial.leader().is_none() {
+            trial.step();
+        }
+        let leader = trial.leader().ok_or("no leader")?;
+        trial.nodes.remove(leader);
+        let start = trial.now;
+        while trial.leader().is_none() {
+            trial.step();
+        }
+        times.push(trial.now - start);
+    }
+    times.sort_unstable();
+    let at = |percent: usize| times[(times.len() - 1) * percent / 100];
+    println!(
+        "time without a leader over {trials} trials: median {} ms, 99 in 100 within {} ms, longest {} ms",
+        at(50),
+        at(99),
+        at(100)
+    );
+    Ok(())
+}
+
 fn resident_bytes() -> Result<u64> {
     let text = fs::read_to_string("/proc/self/statm")?;
     let pages: u64 = text.split(' ').nth(1).ok_or("no field")?.parse()?;
@@ -215,6 +310,7 @@
     let parent = std::env::args_os().nth(1).map_or(".".into(), PathBuf::from);
     let folder = tempfile::tempdir_in(parent)?;
     measure_memory(200_000)?;
+    measure_failover(2000)?;
     for count in [1_000, 10_000, 100_000, 300_000] {
         measure_restart(&folder.path().join(format!("restart-{count}")), count)?;
     }
--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -257,7 +257,7 @@
     ///
     /// Returns an [`Error`] if the folder is in use, damaged or not the expected one.
     pub fn open(folder: &Path, options: Options) -> Result<(Disk, Recovered), Error> {
-        fs::create_dir_all(folder).map_err(failure("creation", &folder.to_string_lossy()))?;
+        create_folder(folder).map_err(failure("creation", &folder.to_string_lossy()))?;
         let lock = lock(folder)?;
         let (mut disk, recovered) = Disk::open_files(Files::folder(folder), options)?;
         disk._lock = Some(lock);
@@ -421,6 +421,20 @@
     }
 }
 
+/// Creates the folder and those above it, and syncs the name of each.
+fn create_folder(folder: &Path) -> io::Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    let parent = match folder.parent() {
+        Some(parent) if parent != Path::new("") => parent,
+        _ => Path::new("."),
+    };
+    create_folder(parent)?;
+    fs::create_dir(folder)?;
+    File::open(parent)?.sync_all()
+}
+
 fn lock(folder: &Path) -> Result<File, Error> {
     let path = folder.join(LOCK);
     let file = File::options()
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -42,6 +42,10 @@
 //! # }
 //! ```
 //!
+//! After a restart the state machine starts from the snapshot and may for a while be older than before. The daemon shows
+//! it only once [`Node::has_caught_up`] holds. Now and then (when [`Replica::entries_since_snapshot`] exceeds some
+//! thousands) it calls [`Replica::snapshot`], which bounds the log and the time of a restart.
+//!
 //! Which host a replica id lives on is in [`membership::Membership`]; the ids of hosts that are not in it yet are
 //! learnt from the connection on which their request to be added arrives.
 //!
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -216,6 +216,8 @@
     lost: Vec<u64>,
     /// Entries up to here were handed out to be applied.
     applied: u64,
+    /// The last index that the disk held at the start.
+    recovered_index: u64,
     /// Entries up to here were handed out to be persisted.
     handed: u64,
     /// Entries up to here are on this replica's disk.
@@ -230,7 +232,14 @@
 
 impl Node {
     /// A node that continues from what its disk holds. `seed` spreads the election timeouts.
+    ///
+    /// # Panics
+    ///
+    /// Panics if [`Options::check`] fails, because a lease that is too long allows two leaders at a time.
     pub fn new(recovered: Recovered, options: Options, now: Time, seed: u64) -> Node {
+        if let Err(error) = options.check() {
+            panic!("{error}");
+        }
         let snapshot = recovered.snapshot;
         let base = snapshot
             .as_ref()
@@ -281,6 +290,7 @@
             released: Vec::new(),
             lost: Vec::new(),
             applied: base.index,
+            recovered_index: last.index,
             handed: last.index,
             durable: last.index,
             truncate: None,
@@ -351,6 +361,12 @@
         self.applied
     }
 
+    /// Whether everything that was applied before the last restart is applied again. Until then the state may be older than
+    /// one that this replica has shown before, because the commit index on the disk may lag behind.
+    pub fn has_caught_up(&self) -> bool {
+        self.applied >= self.recovered_index
+    }
+
     /// The last entry that the latest snapshot covers.
     pub fn snapshot_position(&self) -> Position {
         self.snapshot
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -123,6 +123,12 @@
         awake && self.lease_until().is_some_and(|until| now < until)
     }
 
+    /// Since when it leads, on its own clock. A leader that sends orders to receivers that do not check terms waits until
+    /// the lease of its predecessor has ended for certain.
+    pub fn leads_since(&self) -> Option<Time> {
+        (self.role == Role::Leader).then_some(self.leader_since)
+    }
+
     /// The last index that the given replica is known to hold, if this node is the leader.
     pub fn matched(&self, id: Id) -> Option<u64> {
         let peer = self.peers.iter().find(|peer| peer.id == id);
@@ -279,7 +285,12 @@
         };
         let repeat = received != offset || now.since(sent) >= patience_ms;
         if index == position.index && repeat {
-            self.send_chunk(at, received, true);
+            peer.flow = Flow::Snapshot {
+                index,
+                offset: received,
+                sent: now,
+            };
+            self.send_chunk(at, received, self.options.max_message_bytes);
         }
     }
 
@@ -323,7 +334,7 @@
         }
         if let Flow::Snapshot { offset, .. } = self.peers[at].flow {
             if heartbeat && !sent {
-                self.send_chunk(at, offset, false);
+                self.send_chunk(at, offset, 0);
             }
             return;
         }
@@ -357,7 +368,7 @@
     fn send_append(&mut self, at: usize, max_bytes: usize) {
         let (id, next) = (self.peers[at].id, self.peers[at].next);
         let Some(term) = self.log.term(next - 1) else {
-            self.send_chunk(at, 0, true);
+            self.start_snapshot(at);
             return;
         };
         let previous = Position {
@@ -389,38 +400,40 @@
         self.send(id, body);
     }
 
-    /// Sends the part of the latest snapshot that starts at `offset`, or only asks how much has arrived.
-    fn send_chunk(&mut self, at: usize, offset: u64, with_data: bool) {
+    /// Starts to send the latest snapshot.
+    fn start_snapshot(&mut self, at: usize) {
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        let position = snapshot.position;
-        let continued =
-            matches!(self.peers[at].flow, Flow::Snapshot { index, .. } if index == position.index);
-        let offset = if continued { offset } else { 0 };
-        let start = (offset as usize).min(snapshot.data.len());
-        let length = match with_data || !continued {
-            true => self.options.max_message_bytes,
-            false => 0,
+        let peer = &mut self.peers[at];
+        peer.flow = Flow::Snapshot {
+            index: snapshot.position.index,
+            offset: 0,
+            sent: self.now,
         };
-        let end = (start + length).min(snapshot.data.len());
-        if with_data || !continued {
-            self.peers[at].flow = Flow::Snapshot {
-                index: position.index,
-                offset,
-                sent: self.now,
-            };
-            self.peers[at].in_flight.clear();
-        }
+        peer.in_flight.clear();
+        peer.sending = Some(snapshot);
+        self.send_chunk(at, 0, self.options.max_message_bytes);
+    }
+
+    /// Sends at most `max_bytes` of the snapshot from `offset` on. With 0 bytes it only asks how much has arrived.
+    fn send_chunk(&mut self, at: usize, offset: u64, max_bytes: usize) {
+        let peer = &self.peers[at];
+        let Some(snapshot) = peer.sending.clone() else {
+            return;
+        };
+        let total = snapshot.data.len();
+        let start = (offset as usize).min(total);
+        let end = (start + max_bytes).min(total);
         let body = Body::Chunk {
             stamp: self.stamp(),
-            position,
+            position: snapshot.position,
             membership: snapshot.membership.clone(),
-            total: snapshot.data.len() as u64,
+            total: total as u64,
             offset,
             data: snapshot.data[start..end].to_vec(),
         };
-        self.send(self.peers[at].id, body);
+        self.send(peer.id, body);
     }
 
     /// Moves the read barriers that hold to the next `Ready`.
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -1,9 +1,11 @@
 //! What a leader knows about one other replica.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use primrose_base::clock::Time;
 
+use crate::entry::Snapshot;
 use crate::membership::Id;
 use crate::message::Stamp;
 
@@ -19,7 +21,7 @@
     Pipeline,
     /// The entries it lacks are compacted away.
     Snapshot {
-        /// The index of the snapshot that is being sent.
+        /// The index of `Progress::sending`.
         index: u64,
         /// Bytes that it has acknowledged.
         offset: u64,
@@ -38,6 +40,9 @@
     pub(crate) flow: Flow,
     /// The last index of each message in flight, oldest first; only used in `Flow::Pipeline`.
     pub(crate) in_flight: VecDeque<u64>,
+    /// The snapshot that is being sent, in `Flow::Snapshot`. It stays the same until it has arrived, or a replica on a
+    /// slow link would start again with each new snapshot and never finish.
+    pub(crate) sending: Option<Arc<Snapshot>>,
     /// The highest commit index sent to it.
     pub(crate) commit_sent: u64,
     /// The latest message that it has answered in this term.
@@ -52,6 +57,7 @@
             next,
             flow: Flow::Probe { waiting: false },
             in_flight: VecDeque::new(),
+            sending: None,
             commit_sent: 0,
             acked: None,
         }
@@ -77,6 +83,7 @@
         if start {
             self.flow = Flow::Pipeline;
             self.in_flight.clear();
+            self.sending = None;
             self.next = self.matched + 1;
         }
         self.next = self.next.max(self.matched + 1);
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -39,7 +39,7 @@
     /// Role, term and leader, if one of them changed.
     pub status: Option<Status>,
     /// All entries up to this index are applied. A proposal whose index is not greater and which was not applied at its
-    /// position is lost for good.
+    /// position is lost for good, unless an [`Action::Restore`] skipped its index: then the restored state must tell.
     pub applied: u64,
 }
 
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -97,6 +97,8 @@
     rate: u64,
     next_tick: u64,
     checked: u64,
+    /// The highest index that was ever applied from this drive.
+    shown: u64,
 }
 
 impl Host {
@@ -223,6 +225,7 @@
             rate: self.rng.random_range(960..=1040),
             next_tick: 0,
             checked: 0,
+            shown: 0,
         }
     }
 
@@ -362,10 +365,15 @@
         self.clients.lose_host(at);
     }
 
+    fn replace_drive(&mut self, at: usize) {
+        self.hosts[at].drive = Drive::default();
+        self.hosts[at].shown = 0;
+    }
+
     /// The host comes back empty, with a new replica id.
     pub(crate) fn lose_disk(&mut self, at: usize) {
         self.crash(at);
-        self.hosts[at].drive = Drive::default();
+        self.replace_drive(at);
         self.lost_disks += 1;
     }
 
@@ -444,7 +452,7 @@
             let retired = membership.is_some_and(|m| m.retired().binary_search(&id).is_ok());
             if retired && self.hosts[at].replica.is_some() {
                 self.crash(at);
-                self.hosts[at].drive = Drive::default();
+                self.replace_drive(at);
             }
         }
     }
@@ -507,6 +515,12 @@
                 "seed {seed}: state"
             );
         }
+        // A replica that claims to have caught up must not be behind an earlier life.
+        if node.has_caught_up() {
+            let applied = node.applied();
+            assert!(applied >= host.shown, "seed {seed}: went back");
+            host.shown = applied;
+        }
         if node.role() == Role::Leader {
             let leader = *truth.leaders.entry(node.term()).or_insert(node.id());
             assert_eq!(
