--- /dev/null
+++ b/crates/bench/src/load/report.rs
@@ -0,0 +1,447 @@
+//! Figures of a run, as JSON and as a table.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use primrose_base::verdict::Verdict;
+use serde::{Deserialize, Serialize};
+
+use super::check::Check;
+use super::fairness::{self, Gap, Series};
+use super::history::{Attempt, Kind, Outcome};
+use super::run::{self, INTERVAL_MS, Record, Tokens};
+use super::settings::{Settings, Weights};
+
+/// Intervals per second.
+const PER_SECOND: usize = (1_000 / INTERVAL_MS) as usize;
+
+/// Quantiles of a time, in ms.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// Greatest value.
+    pub max: f64,
+}
+
+/// Attempts that ended alike.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    /// How they ended.
+    pub outcome: Outcome,
+    /// HTTP status, 0 without an answer.
+    pub status: u16,
+    /// Code of the error.
+    pub code: Option<String>,
+    /// Verdict of the error.
+    pub verdict: Option<Verdict>,
+    /// Number of attempts.
+    pub count: usize,
+}
+
+/// Figures of one account in the measured time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Name.
+    pub name: String,
+    /// Share.
+    pub share: f64,
+    /// Whether it always had a request waiting.
+    pub backlogged: bool,
+    /// Whole answers.
+    pub served: usize,
+    /// Refused attempts.
+    pub refused: usize,
+    /// Attempts that ended otherwise.
+    pub failed: usize,
+    /// First token of streamed requests.
+    pub first_token: Quantiles,
+    /// Weighted tokens per second and share.
+    pub service_per_s: f64,
+    /// Prompt and output tokens in each second of the whole run.
+    pub tokens_per_s: Vec<u64>,
+}
+
+/// Figures of a run. All rates and quantiles are of the measured time: after the warm-up and before the end.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Measured time, in s.
+    pub measured_s: f64,
+    /// Attempts of the whole run.
+    pub attempts: usize,
+    /// Whole answers of the whole run.
+    pub served: usize,
+    /// Attempts after the first of a call.
+    pub resent: usize,
+    /// Open-loop calls that were not sent because of the limit on calls in flight.
+    pub unsent: u64,
+    /// Event streams that broke.
+    pub broken_streams: usize,
+    /// All attempts of the whole run by how they ended.
+    pub outcomes: Vec<Group>,
+    /// Whole answers per second.
+    pub requests_per_s: f64,
+    /// Output tokens per second.
+    pub output_per_s: f64,
+    /// Events with tokens per second; an event is counted by the gap before it.
+    pub events_per_s: f64,
+    /// Weighted tokens per second.
+    pub weighted_per_s: f64,
+    /// First token of streamed requests.
+    pub first_token: Quantiles,
+    /// Time between tokens of streamed requests.
+    pub token_gap: Quantiles,
+    /// Whole answer of model requests.
+    pub answer: Quantiles,
+    /// Whole answer of plain calls.
+    pub plain: Quantiles,
+    /// Accounts in the order of the settings.
+    pub accounts: Vec<Account>,
+    /// Greatest fairness gap between backlogged accounts, in weighted tokens per share; intervals of 100 ms.
+    pub fairness: Gap,
+    /// Greatest gap that passes.
+    pub gap_bound: Option<f64>,
+    /// Mean number of running sequences as a share of the given slots.
+    pub slot_utilisation: Option<f64>,
+    /// Weighted tokens per second as a share of direct saturation.
+    pub utilisation: Option<f64>,
+    /// Comparison with the execution logs.
+    pub check: Check,
+}
+
+impl Report {
+    /// Computes the figures.
+    pub fn new(settings: &Settings, record: &Record, check: Check) -> Report {
+        let window = Window::new(settings, record);
+        let whole = |one: &&Attempt| one.outcome == Outcome::Complete;
+        let measured: Vec<&Attempt> = record
+            .history
+            .iter()
+            .filter(|one| window.holds(one))
+            .collect();
+        let served = measured.iter().copied().filter(whole).count();
+        let total = record
+            .tokens
+            .iter()
+            .map(|tokens| window.sum(tokens))
+            .fold((0, 0), add);
+        let weighted_per_s = weigh(settings.weights, total) / window.seconds;
+        Report {
+            seed: settings.seed,
+            measured_s: window.seconds,
+            attempts: record.history.len(),
+            served: record.history.iter().filter(whole).count(),
+            resent: record.history.iter().filter(|one| one.number > 0).count(),
+            unsent: record.unsent,
+            broken_streams: record
+                .history
+                .iter()
+                .filter(|one| is_broken_stream(one))
+                .count(),
+            outcomes: groups(&record.history),
+            requests_per_s: served as f64 / window.seconds,
+            output_per_s: total.1 as f64 / window.seconds,
+            events_per_s: record.gaps.len() as f64 / window.seconds,
+            weighted_per_s,
+            first_token: first_token(&measured),
+            token_gap: quantiles(&record.gaps),
+            answer: answer(&measured, |kind| kind != Kind::Plain),
+            plain: answer(&measured, |kind| kind == Kind::Plain),
+            accounts: accounts(settings, record, &window, &measured),
+            fairness: fairness::worst(&series(settings, record, &window)),
+            gap_bound: settings.gap_bound,
+            slot_utilisation: slot_utilisation(settings, record),
+            utilisation: settings.saturation.map(|most| weighted_per_s / most),
+            check,
+        }
+    }
+
+    /// Whether all checks hold.
+    pub fn passes(&self) -> bool {
+        let fair = self
+            .gap_bound
+            .is_none_or(|bound| self.fairness.gap <= bound);
+        fair && self.check.holds()
+    }
+}
+
+/// The measured time.
+struct Window {
+    from: usize,
+    to: usize,
+    seconds: f64,
+}
+
+impl Window {
+    fn new(settings: &Settings, record: &Record) -> Window {
+        let end_s = settings
+            .duration_s
+            .min(record.duration_s)
+            .max(settings.warmup_s);
+        let interval = |seconds: f64| (seconds * PER_SECOND as f64) as usize;
+        Window {
+            from: interval(settings.warmup_s),
+            to: interval(end_s).max(interval(settings.warmup_s) + 1),
+            seconds: (end_s - settings.warmup_s).max(1.0 / PER_SECOND as f64),
+        }
+    }
+
+    fn holds(&self, attempt: &Attempt) -> bool {
+        let at = (attempt.end_us / (INTERVAL_MS * 1_000)) as usize;
+        at >= self.from && at < self.to
+    }
+
+    fn sum(&self, tokens: &[Tokens]) -> (u64, u64) {
+        let inside = &tokens[self.from.min(tokens.len())..self.to.min(tokens.len())];
+        inside
+            .iter()
+            .map(|one| (one.input, one.output))
+            .fold((0, 0), add)
+    }
+}
+
+fn add(a: (u64, u64), b: (u64, u64)) -> (u64, u64) {
+    (a.0 + b.0, a.1 + b.1)
+}
+
+fn weigh(weights: Weights, (input, output): (u64, u64)) -> f64 {
+    weights.input * input as f64 + weights.output * output as f64
+}
+
+fn is_broken_stream(attempt: &Attempt) -> bool {
+    attempt.kind == Kind::Stream && attempt.outcome == Outcome::Broken
+}
+
+fn groups(history: &[Attempt]) -> Vec<Group> {
+    let mut keys: Vec<_> = history
+        .iter()
+        .map(|one| (one.outcome, one.status, one.code.as_deref(), one.verdict))
+        .collect();
+    keys.sort_unstable();
+    let chunks = keys.chunk_by(|a, b| a == b);
+    chunks
+        .map(|group| Group {
+            outcome: group[0].0,
+            status: group[0].1,
+            code: group[0].2.map(str::to_owned),
+            verdict: group[0].3,
+            count: group.len(),
+        })
+        .collect()
+}
+
+fn first_token(attempts: &[&Attempt]) -> Quantiles {
+    let streams = attempts.iter().filter(|one| one.kind == Kind::Stream);
+    let times = streams.filter_map(|one| Some(one.first_us?.saturating_sub(one.start_us)));
+    collected(times)
+}
+
+fn answer(attempts: &[&Attempt], kind: impl Fn(Kind) -> bool) -> Quantiles {
+    let whole = attempts
+        .iter()
+        .filter(|one| one.outcome == Outcome::Complete && kind(one.kind));
+    collected(whole.map(|one| one.end_us - one.start_us))
+}
+
+fn collected(times: impl Iterator<Item = u64>) -> Quantiles {
+    let mut histogram = run::histogram();
+    times.for_each(|time| histogram.saturating_record(time));
+    quantiles(&histogram)
+}
+
+/// Quantiles in ms of a histogram in µs.
+pub fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Quantiles {
+        count: histogram.len(),
+        p50: at(0.5),
+        p95: at(0.95),
+        p99: at(0.99),
+        max: histogram.max() as f64 / 1_000.0,
+    }
+}
+
+fn accounts(
+    settings: &Settings,
+    record: &Record,
+    window: &Window,
+    measured: &[&Attempt],
+) -> Vec<Account> {
+    let account = |(index, account): (usize, &super::settings::Account)| {
+        let own: Vec<&Attempt> = measured
+            .iter()
+            .copied()
+            .filter(|one| one.account == index)
+            .collect();
+        let count = |outcome| own.iter().filter(|one| one.outcome == outcome).count();
+        let (served, refused) = (count(Outcome::Complete), count(Outcome::Refused));
+        let service = weigh(settings.weights, window.sum(&record.tokens[index]));
+        Account {
+            name: account.name.clone(),
+            share: account.share,
+            backlogged: account.behaviour.is_backlogged(),
+            served,
+            refused,
+            failed: own.len() - served - refused,
+            first_token: first_token(&own),
+            service_per_s: service / account.share / window.seconds,
+            tokens_per_s: per_second(&record.tokens[index]),
+        }
+    };
+    settings.accounts.iter().enumerate().map(account).collect()
+}
+
+/// Tokens in each second, up to the last one with any.
+fn per_second(tokens: &[Tokens]) -> Vec<u64> {
+    let second = |part: &[Tokens]| part.iter().map(|one| one.input + one.output).sum();
+    let mut seconds: Vec<u64> = tokens.chunks(PER_SECOND).map(second).collect();
+    let used = seconds
+        .iter()
+        .rposition(|count| *count > 0)
+        .map_or(0, |last| last + 1);
+    seconds.truncate(used);
+    seconds
+}
+
+fn series(settings: &Settings, record: &Record, window: &Window) -> Vec<Series> {
+    let mut series = Vec::new();
+    for (account, tokens) in settings.accounts.iter().zip(&record.tokens) {
+        if !account.behaviour.is_backlogged() {
+            continue;
+        }
+        let mut sum = 0.0;
+        let inside = &tokens[window.from.min(tokens.len())..window.to.min(tokens.len())];
+        let charges = inside
+            .iter()
+            .map(|one| weigh(settings.weights, (one.input, one.output)));
+        let rising = charges.map(|charge| {
+            sum += charge / account.share;
+            sum
+        });
+        series.push(Series {
+            account: account.name.clone(),
+            group: account.model.clone(),
+            service: std::iter::once(0.0).chain(rising).collect(),
+        });
+    }
+    series
+}
+
+fn slot_utilisation(settings: &Settings, record: &Record) -> Option<f64> {
+    let slots = f64::from(settings.slots?);
+    let samples = record.running.len();
+    let total: usize = record.running.iter().sum();
+    (samples > 0).then(|| total as f64 / samples as f64 / slots)
+}
+
+impl fmt::Display for Quantiles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Quantiles {
+            count,
+            p50,
+            p95,
+            p99,
+            max,
+        } = self;
+        write!(f, "{count:>9} {p50:>9.2} {p95:>9.2} {p99:>9.2} {max:>9.2}")
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}, measured {:.1} s", self.seed, self.measured_s)?;
+        writeln!(
+            f,
+            "attempts {}, served {}, resent {}, unsent {}, broken streams {}",
+            self.attempts, self.served, self.resent, self.unsent, self.broken_streams
+        )?;
+        for group in &self.outcomes {
+            let outcome = format!("{:?}", group.outcome);
+            let code = group.code.as_deref().unwrap_or("-");
+            let verdict = group.verdict.map_or("-", Verdict::as_str);
+            writeln!(
+                f,
+                "  {outcome:<12} {:>4} {code:<24} {verdict:<13} {:>9}",
+                group.status, group.count
+            )?;
+        }
+        writeln!(
+            f,
+            "per second: requests {:.1}, output tokens {:.1}, weighted tokens {:.1}, token events {:.1}",
+            self.requests_per_s, self.output_per_s, self.weighted_per_s, self.events_per_s
+        )?;
+        writeln!(
+            f,
+            "time in ms       count       p50       p95       p99       max"
+        )?;
+        writeln!(f, "  first token {}", self.first_token)?;
+        writeln!(f, "  token gap   {}", self.token_gap)?;
+        writeln!(f, "  model       {}", self.answer)?;
+        writeln!(f, "  plain       {}", self.plain)?;
+        writeln!(
+            f,
+            "account          share   served  refused   failed  first p95  service/share/s"
+        )?;
+        for account in &self.accounts {
+            let Account {
+                name,
+                share,
+                served,
+                refused,
+                failed,
+                first_token,
+                service_per_s,
+                backlogged,
+                ..
+            } = account;
+            let mark = if *backlogged { "backlogged" } else { "" };
+            let first = first_token.p95;
+            writeln!(
+                f,
+                "  {name:<14} {share:>5} {served:>8} {refused:>8} {failed:>8} {first:>10.1} {service_per_s:>16.1} {mark}"
+            )?;
+        }
+        let gap = &self.fairness;
+        let bound = self
+            .gap_bound
+            .map_or("none".to_owned(), |bound| format!("{bound:.0}"));
+        writeln!(
+            f,
+            "fairness gap {:.0} ({} ahead of {}), bound {bound}",
+            gap.gap, gap.ahead, gap.behind
+        )?;
+        let percent = |share: Option<f64>| {
+            share.map_or("-".to_owned(), |share| format!("{:.1}%", share * 100.0))
+        };
+        writeln!(
+            f,
+            "utilisation: of slots {}, of direct saturation {}",
+            percent(self.slot_utilisation),
+            percent(self.utilisation)
+        )?;
+        let check = &self.check;
+        writeln!(
+            f,
+            "check: {} attempts, {} executions, {} violations, {} logs unread",
+            check.attempts,
+            check.executions,
+            check.violations.len(),
+            check.unread.len()
+        )?;
+        for violation in check.violations.iter().take(SHOWN_VIOLATIONS) {
+            writeln!(f, "  {:?} {}", violation.rule, violation.nonce)?;
+        }
+        write!(f, "{}", if self.passes() { "PASS" } else { "FAIL" })
+    }
+}
+
+/// Violations in the table; the JSON report has them all.
+const SHOWN_VIOLATIONS: usize = 20;
