bench: Count token events as they arrive and saturate with the account mix

Events were counted by the gaps of the attempts that ended in the measured time, which left out long streams that ended later. Each stand-in was driven by one account, so that saturation depended on which account met which stand-in; now every backlogged account drives every stand-in by its share.

--- a/crates/bench/src/load/overhead.rs
+++ b/crates/bench/src/load/overhead.rs
@@ -10,7 +10,7 @@
 use super::history::{Attempt, Kind, Outcome};
 use super::report::{Quantiles, Report, quantiles};
 use super::run::{self, Record};
-use super::settings::{Behaviour, Settings, Spread};
+use super::settings::{Account, Behaviour, Settings, Spread};
 
 /// Ticks per second in `/proc/PID/stat`; Linux fixes this value for user space on the usual architectures.
 const TICKS_PER_S: f64 = 100.0;
@@ -18,7 +18,7 @@
 /// Calls in flight per slot in a saturation run; above 1 so that a sequence always waits.
 const SATURATION_DEPTH: f64 = 1.25;
 
-/// Runs the workload against the stand-ins in `direct`, with more calls in flight than slots.
+/// Runs the workload of the backlogged accounts against the stand-ins in `direct`, with more calls in flight than slots.
 ///
 /// # Errors
 ///
@@ -31,21 +31,10 @@
         !settings.direct.is_empty(),
         "saturate needs the addresses in `direct`"
     );
-    let servers = settings.direct.len();
-    let in_flight = (f64::from(slots) * SATURATION_DEPTH / servers as f64).ceil() as usize;
     let mut direct = settings.clone();
     direct.targets.clone_from(&settings.direct);
     direct.spread = Spread::Account;
-    // One closed loop per stand-in keeps the queues of all of them filled; a random spread would not.
-    direct.accounts = (0..servers)
-        .map(|index| {
-            let mut account = settings.accounts[index % settings.accounts.len()].clone();
-            account.name = format!("direct-{index}");
-            account.behaviour = Behaviour::Backlogged { in_flight };
-            account.plain = None;
-            account
-        })
-        .collect();
+    direct.accounts = saturating(settings, f64::from(slots));
     direct.gap_bound = None;
     direct.saturation = None;
     let record = run::run(&direct).await?;
@@ -53,6 +42,38 @@
     Ok(Report::new(&direct, &record, check))
 }
 
+/// One closed loop per account and stand-in, with calls in flight by share.
+///
+/// All stand-ins then get the mix that a fair router gives them, and no queue runs empty, as a random spread would
+/// let happen.
+fn saturating(settings: &Settings, slots: f64) -> Vec<Account> {
+    let servers = settings.direct.len();
+    let backlogged = settings
+        .accounts
+        .iter()
+        .filter(|one| one.behaviour.is_backlogged());
+    let mut chosen: Vec<&Account> = backlogged.collect();
+    if chosen.is_empty() {
+        chosen = settings.accounts.iter().collect();
+    }
+    let shares: f64 = chosen.iter().map(|one| one.share).sum();
+    let mut accounts = Vec::new();
+    // With `Spread::Account` the target of an account is its index modulo the number of stand-ins.
+    for account in chosen {
+        let in_flight = slots * SATURATION_DEPTH / servers as f64 * account.share / shares;
+        for server in 0..servers {
+            let mut copy = account.clone();
+            copy.name = format!("{}-{server}", account.name);
+            copy.behaviour = Behaviour::Backlogged {
+                in_flight: in_flight.ceil() as usize,
+            };
+            copy.plain = None;
+            accounts.push(copy);
+        }
+    }
+    accounts
+}
+
 /// Figures of one side of the comparison, over all rounds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Side {
@@ -117,6 +138,7 @@
     answer: Histogram<u64>,
     first_token: Histogram<u64>,
     gaps: Histogram<u64>,
+    events: u64,
     served: usize,
     failed: usize,
     seconds: f64,
@@ -130,6 +152,7 @@
             answer: run::histogram(),
             first_token: run::histogram(),
             gaps: run::histogram(),
+            events: 0,
             served: 0,
             failed: 0,
             seconds: 0.0,
@@ -159,6 +182,12 @@
             .unwrap_or(0);
         self.seconds += end_us as f64 / 1e6;
         self.gaps.add(&record.gaps).into_diagnostic()?;
+        self.events += record
+            .tokens
+            .iter()
+            .flatten()
+            .map(|one| one.events)
+            .sum::<u64>();
         for attempt in &record.history {
             if attempt.outcome != Outcome::Complete {
                 self.failed += 1;
@@ -183,7 +212,7 @@
             first_token: quantiles(&self.first_token),
             token_gap: quantiles(&self.gaps),
             requests_per_s: self.served as f64 / self.seconds,
-            events_per_s: self.gaps.len() as f64 / self.seconds,
+            events_per_s: self.events as f64 / self.seconds,
             cores: self.cpu_s / self.seconds,
             failed: self.failed,
         }
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -91,7 +91,7 @@
     pub requests_per_s: f64,
     /// Output tokens per second.
     pub output_per_s: f64,
-    /// Events with tokens per second; an event is counted by the gap before it.
+    /// Events with output tokens per second.
     pub events_per_s: f64,
     /// Weighted tokens per second.
     pub weighted_per_s: f64,
@@ -132,7 +132,7 @@
             .tokens
             .iter()
             .map(|tokens| window.sum(tokens))
-            .fold((0, 0), add);
+            .fold(Tokens::default(), add);
         let weighted_per_s = weigh(settings.weights, total) / window.seconds;
         Report {
             seed: settings.seed,
@@ -148,8 +148,8 @@
                 .count(),
             outcomes: groups(&record.history),
             requests_per_s: served as f64 / window.seconds,
-            output_per_s: total.1 as f64 / window.seconds,
-            events_per_s: record.gaps.len() as f64 / window.seconds,
+            output_per_s: total.output as f64 / window.seconds,
+            events_per_s: total.events as f64 / window.seconds,
             weighted_per_s,
             first_token: first_token(&measured),
             token_gap: quantiles(&record.gaps),
@@ -199,21 +199,22 @@
         at >= self.from && at < self.to
     }
 
-    fn sum(&self, tokens: &[Tokens]) -> (u64, u64) {
+    fn sum(&self, tokens: &[Tokens]) -> Tokens {
         let inside = &tokens[self.from.min(tokens.len())..self.to.min(tokens.len())];
-        inside
-            .iter()
-            .map(|one| (one.input, one.output))
-            .fold((0, 0), add)
+        inside.iter().copied().fold(Tokens::default(), add)
     }
 }
 
-fn add(a: (u64, u64), b: (u64, u64)) -> (u64, u64) {
-    (a.0 + b.0, a.1 + b.1)
+fn add(a: Tokens, b: Tokens) -> Tokens {
+    Tokens {
+        input: a.input + b.input,
+        output: a.output + b.output,
+        events: a.events + b.events,
+    }
 }
 
-fn weigh(weights: Weights, (input, output): (u64, u64)) -> f64 {
-    weights.input * input as f64 + weights.output * output as f64
+fn weigh(weights: Weights, tokens: Tokens) -> f64 {
+    weights.input * tokens.input as f64 + weights.output * tokens.output as f64
 }
 
 fn is_broken_stream(attempt: &Attempt) -> bool {
@@ -319,9 +320,7 @@
         }
         let mut sum = 0.0;
         let inside = &tokens[window.from.min(tokens.len())..window.to.min(tokens.len())];
-        let charges = inside
-            .iter()
-            .map(|one| weigh(settings.weights, (one.input, one.output)));
+        let charges = inside.iter().map(|one| weigh(settings.weights, *one));
         let rising = charges.map(|charge| {
             sum += charge / account.share;
             sum
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -30,7 +30,7 @@
     pub history: Vec<Attempt>,
     /// Prompt and output tokens of each account in each interval.
     pub tokens: Vec<Vec<Tokens>>,
-    /// Time between two events with tokens, in µs, within the measured time.
+    /// Time between two events with tokens, in µs, of the attempts that ended within the measured time.
     pub gaps: Histogram<u64>,
     /// Sequences that ran on the model engines at each reading.
     pub running: Vec<usize>,
@@ -47,12 +47,15 @@
     pub input: u64,
     /// Output tokens, counted when they arrive.
     pub output: u64,
+    /// Events with output tokens; a JSON answer is one event.
+    pub events: u64,
 }
 
 #[derive(Debug, Default)]
 struct Interval {
     input: AtomicU64,
     output: AtomicU64,
+    events: AtomicU64,
 }
 
 struct Shared {
@@ -153,12 +156,9 @@
     fn count(&self, account: usize, input: u32, output: u32) {
         let at = self.start.elapsed().as_millis() as u64 / INTERVAL_MS;
         if let Some(interval) = self.intervals[account].get(at as usize) {
-            interval
-                .input
-                .fetch_add(u64::from(input), Ordering::Relaxed);
-            interval
-                .output
-                .fetch_add(u64::from(output), Ordering::Relaxed);
+            add(&interval.input, u64::from(input));
+            add(&interval.output, u64::from(output));
+            add(&interval.events, 1);
         }
     }
 
@@ -171,6 +171,7 @@
         let tokens = |interval: &Interval| Tokens {
             input: interval.input.load(Ordering::Relaxed),
             output: interval.output.load(Ordering::Relaxed),
+            events: interval.events.load(Ordering::Relaxed),
         };
         let account = |intervals: &Vec<Interval>| intervals.iter().map(tokens).collect();
         Record {
@@ -184,6 +185,10 @@
     }
 }
 
+fn add(counter: &AtomicU64, count: u64) {
+    counter.fetch_add(count, Ordering::Relaxed);
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -58,25 +58,30 @@
     settings
 }
 
-async fn report(settings: &Settings) -> Report {
-    let record = run::run(settings).await.unwrap();
-    let check = check::run(settings, &record.history).await;
-    Report::new(settings, &record, check)
-}
-
-/// Guards against checks that fail without a fault, and against calls that are not recorded.
+/// Guards against checks that fail without a fault, and against calls or tokens that are not counted.
 #[tokio::test]
 async fn run_without_faults_passes() {
     let model = stand_in(Service::Model, Faults::default()).await;
     let plain = stand_in(Service::Plain, Faults::default()).await;
-    let report = report(&settings(
+    let settings = settings(
         model.address,
         plain.address,
         &[model.control, plain.control],
-    ))
-    .await;
+    );
+    let record = run::run(&settings).await.unwrap();
+    let check = check::run(&settings, &record.history).await;
+    let report = Report::new(&settings, &record, check);
     assert!(report.passes(), "{report}");
     assert_eq!((report.served, report.check.executions), (60, 60));
+    let tokens = record
+        .tokens
+        .iter()
+        .flatten()
+        .map(|one| one.input + one.output);
+    let attempts = record.history.iter().filter(|one| one.kind != Kind::Plain);
+    let expected = attempts.map(|one| u64::from(one.prompt_tokens + one.output_tokens));
+    assert_eq!(tokens.sum::<u64>(), expected.sum::<u64>());
+    assert!(record.tokens.iter().flatten().any(|one| one.events > 0));
 }
 
 /// Guards against faults of the answers that the client does not notice.
