engine: Simulate a crash whose execution log survives

A stand-in that is killed loses its log, and the check of a run then fails for lack of evidence. POST /disconnect breaks all connections for requests; with the refusal fault this looks like a crash to the routers while the log stays readable.

bench: A run in which nothing was served no longer passes, and reading a log gives up after 20 s instead of waiting for a stand-in that is cut off.

--- a/crates/bench/src/load/client.rs
+++ b/crates/bench/src/load/client.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -34,29 +35,27 @@
         .build(connector)
 }
 
+/// Time after which a stand-in counts as not readable, in s.
+const READ_TIMEOUT_S: u64 = 20;
+
 /// Reads a JSON document.
 ///
 /// # Errors
 ///
-/// Returns an error if the address does not answer with such a document.
+/// Returns an error if the address does not answer with such a document in time.
 pub async fn get<T: DeserializeOwned>(pool: &Pool, address: SocketAddr, path: &str) -> Result<T> {
-    let what = || format!("http://{address}{path} cannot be read");
-    let request = Request::get(format!("http://{address}{path}"))
-        .body(Full::default())
-        .into_diagnostic()?;
-    let response = pool
-        .request(request)
-        .await
-        .into_diagnostic()
-        .wrap_err_with(what)?;
-    let body = response
-        .into_body()
-        .collect()
+    let url = format!("http://{address}{path}");
+    let what = || format!("{url} cannot be read");
+    let request = Request::get(&url).body(Full::default()).into_diagnostic()?;
+    let read = async {
+        let response = pool.request(request).await.into_diagnostic()?;
+        let body = response.into_body().collect().await.into_diagnostic()?;
+        serde_json::from_slice(&body.to_bytes()).into_diagnostic()
+    };
+    tokio::time::timeout(Duration::from_secs(READ_TIMEOUT_S), read)
         .await
         .into_diagnostic()
-        .wrap_err_with(what)?;
-    serde_json::from_slice(&body.to_bytes())
-        .into_diagnostic()
+        .and_then(|result| result)
         .wrap_err_with(what)
 }
 
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -164,12 +164,10 @@
         }
     }
 
-    /// Whether all checks hold.
+    /// Whether all checks hold. A run without a single whole answer shows nothing and does not pass.
     pub fn passes(&self) -> bool {
-        let fair = self
-            .gap_bound
-            .is_none_or(|bound| self.fairness.gap <= bound);
-        fair && self.check.holds()
+        let bound = self.gap_bound.unwrap_or(f64::INFINITY);
+        self.served > 0 && self.fairness.gap <= bound && self.check.holds()
     }
 }
 
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -17,7 +17,7 @@
 use rand::rngs::StdRng;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 async fn stand_in(kind: Service, faults: Faults) -> Handle {
     let settings = primrose_engine::Settings {
@@ -32,6 +32,14 @@
     bind(settings).await.unwrap()
 }
 
+/// An address that refuses connections. It stays bound, so that no other test gets it.
+fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
 /// Settings for 60 calls of one closed and one open loop.
 fn settings(target: SocketAddr, plain: SocketAddr, logs: &[SocketAddr]) -> Settings {
     let mut settings = Settings::parse(&format!(
@@ -100,13 +108,68 @@
     assert!(outcomes.clone().any(|outcome| outcome == expected));
 }
 
+/// Guards against a run that passes although no request was served.
+#[tokio::test]
+async fn run_without_answers_fails() {
+    let (_socket, address) = closed_port();
+    let settings = settings(address, address, &[]);
+    let record = run::run(&settings).await.unwrap();
+    let check = check::run(&settings, &record.history).await;
+    assert!(check.holds());
+    assert!(!Report::new(&settings, &record, check).passes());
+}
+
+/// Guards against a saturation run that leaves out a stand-in, or counts calls that do not fill slots.
+#[tokio::test]
+async fn saturation_drives_every_stand_in() {
+    let models = [
+        stand_in(Service::Model, Faults::default()).await,
+        stand_in(Service::Model, Faults::default()).await,
+    ];
+    let mut settings = settings(
+        models[0].address,
+        models[0].address,
+        &[models[0].control, models[1].control],
+    );
+    settings.direct = vec![models[0].address, models[1].address];
+    settings.slots = Some(8);
+    let report = overhead::saturate(&settings).await.unwrap();
+    assert!(report.passes(), "{report}");
+    assert!(
+        models
+            .iter()
+            .all(|model| !model.log().executions.is_empty())
+    );
+    assert_eq!((report.plain.count, report.served), (0, 60));
+}
+
+/// Guards against a comparison whose sides are mixed up or share nonces.
+#[tokio::test]
+async fn overhead_compares_both_ways() {
+    let (near, far) = (
+        stand_in(Service::Model, Faults::default()).await,
+        stand_in(Service::Model, Faults::default()).await,
+    );
+    let mut settings = settings(far.address, far.address, &[near.control, far.control]);
+    settings.plain_targets.clear();
+    settings.accounts.truncate(1);
+    settings.accounts[0].plain = None;
+    settings.direct = vec![near.address];
+    settings.processes = vec![std::process::id()];
+    let overhead = overhead::measure(&settings, 2).await.unwrap();
+    assert!(overhead.check.holds());
+    assert_eq!(
+        (near.log().executions.len(), far.log().executions.len()),
+        (120, 120)
+    );
+    assert_eq!((overhead.direct.failed, overhead.through.failed), (0, 0));
+}
+
 /// Guards against a stand-in that cannot be read and is taken as one without violations.
 #[tokio::test]
 async fn unread_log_fails_the_run() {
     let model = stand_in(Service::Model, Faults::default()).await;
-    let gone = stand_in(Service::Plain, Faults::default()).await;
-    let address = gone.control;
-    gone.stop().await;
+    let (_socket, address) = closed_port();
     let settings = settings(model.address, model.address, &[model.control, address]);
     let check = check::run(&settings, &[]).await;
     assert_eq!(check.unread, [address]);
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 use crate::batch::{Engine, Event, Load, Prefix, Sequence, lock};
@@ -45,6 +45,8 @@
     engine: Engine,
     chance: Mutex<Chance>,
     orders: Mutex<Vec<Order>>,
+    /// Number of times that all connections for requests were broken.
+    breaks: watch::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -141,6 +143,7 @@
             engine,
             chance: Mutex::new(chance),
             orders: Mutex::default(),
+            breaks: watch::Sender::new(0),
         }
     }
 
@@ -153,6 +156,11 @@
         lock(&self.chance).faults = faults;
     }
 
+    /// Breaks all connections for requests; those to the control address stay.
+    pub(crate) fn disconnect(&self) {
+        self.breaks.send_modify(|breaks| *breaks += 1);
+    }
+
     fn refuses(&self) -> bool {
         let mut chance = lock(&self.chance);
         let probability = chance.faults.refuse;
@@ -176,6 +184,10 @@
             (&Method::GET, "/log") => reply(&self.log()),
             (&Method::GET, "/faults") => reply(&lock(&self.chance).faults),
             (&Method::POST, "/faults") => self.change_faults(&body),
+            (&Method::POST, "/disconnect") => {
+                self.disconnect();
+                reply(&json!({"disconnected": true}))
+            }
             _ if self.settings.kind == Kind::Plain => self.plain(&head, &body).await,
             (&Method::POST, "/v1/chat/completions") => self.complete(&head.headers, &body).await,
             (&Method::GET, "/v1/models") => self.models(),
@@ -562,11 +574,12 @@
         if can_refuse && service.refuses() {
             continue;
         }
-        connections.spawn(serve(stream, Arc::clone(&service)));
+        connections.spawn(serve(stream, Arc::clone(&service), can_refuse));
     }
 }
 
-async fn serve(stream: TcpStream, service: Arc<Service>) {
+async fn serve(stream: TcpStream, service: Arc<Service>, can_break: bool) {
+    let mut breaks = service.breaks.subscribe();
     // Without this, Nagle's algorithm delays small events; a failure only costs speed.
     let _ = stream.set_nodelay(true);
     let answer = service_fn(|request| {
@@ -578,8 +591,11 @@
         // The default of 30 s also closes idle connections, at times just when the other side reuses one.
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), answer);
-    // Errors are broken connections, which the execution log shows as cancelled.
-    let _ = connection.await;
+    tokio::select! {
+        // Errors are broken connections, which the execution log shows as cancelled.
+        _ = connection => {}
+        _ = breaks.changed(), if can_break => {}
+    }
 }
 
 fn execution(headers: &HeaderMap, nonce: &str, prompt: u32, output: u32) -> Execution {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -145,6 +145,11 @@
         self.service.set_faults(faults);
     }
 
+    /// Breaks all connections for requests. With `Faults::refuse` at 1 this is a crash whose log survives.
+    pub fn disconnect(&self) {
+        self.service.disconnect();
+    }
+
     /// Ends the stand-in, breaks its connections and waits until its addresses are free.
     pub async fn stop(mut self) {
         for task in &self.tasks {
--- a/crates/engine/tests/stand_in.rs
+++ b/crates/engine/tests/stand_in.rs
@@ -195,6 +195,29 @@
     );
 }
 
+/// Guards against a simulated crash that leaves connections or sequences alive.
+#[tokio::test]
+async fn disconnect_breaks_answers() {
+    let handle = bind(fast()).await.unwrap();
+    let stream = complete(&handle, "d-1", 1_000_000, true);
+    let disconnect = async {
+        while handle
+            .log()
+            .executions
+            .first()
+            .is_none_or(|one| one.output_tokens == 0)
+        {
+            tokio::task::yield_now().await;
+        }
+        handle.disconnect();
+    };
+    let (reply, ()) = tokio::join!(stream, disconnect);
+    assert!(!reply.whole);
+    while handle.log().executions[0].progress != Progress::Cancelled {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Guards against sequences that keep their slot after their caller has left.
 #[tokio::test]
 async fn disconnect_cancels_the_sequence() {
