bench: Let a thread sleep for the last part of a relay's delay

The timers of tokio round up to a whole ms. Subtracting a constant from the delay was ruled out, because the rounding varies between 0 and 1 ms.

--- a/crates/bench/src/load/settings.rs
+++ b/crates/bench/src/load/settings.rs
@@ -32,7 +32,7 @@
     /// all can show up.
     #[serde(default = "default::settle_ms")]
     pub settle_ms: u64,
-    /// One-way delay between callers and targets that is added, in ms.
+    /// One-way delay between callers and targets that is added, in ms. The timer adds up to 1 ms to it.
     #[serde(default)]
     pub delay_ms: u64,
     /// Entry hosts, or stand-in model engines for a run without routers.
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -27,6 +27,9 @@
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 65_535;
 
+/// Part of a delay that is not left to the timers of tokio.
+const TIMER_SLACK: Duration = Duration::from_millis(2);
+
 /// Pause after a failed accept or receive, in ms.
 const FAILURE_PAUSE_MS: u64 = 10;
 
@@ -147,6 +150,23 @@
     Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(Duration::ZERO)
 }
 
+/// Waits until `due`, to a few tenths of a ms.
+///
+/// The timers of tokio round up to a whole ms and made a delay of 1.5 ms one of 2.9 ms (median), so a thread sleeps for
+/// the last part.
+async fn wait(due: Instant) {
+    let now = Instant::now();
+    if due <= now {
+        return;
+    }
+    if let Some(early) = due.checked_sub(TIMER_SLACK).filter(|early| *early > now) {
+        tokio::time::sleep_until(early).await;
+    }
+    let rest = due.saturating_duration_since(Instant::now());
+    // The task does not panic, and is only cancelled when the runtime ends.
+    let _ = tokio::task::spawn_blocking(move || std::thread::sleep(rest)).await;
+}
+
 async fn failure_pause() {
     tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
 }
@@ -205,7 +225,7 @@
     let writer = async move {
         let mut link = state.subscribe();
         while let Some((due, chunk)) = receiver.recv().await {
-            tokio::time::sleep_until(due).await;
+            wait(due).await;
             let healed = link.wait_for(|link| !link.cut).await.is_ok();
             if !healed || chunk.is_empty() || write.write_all(&chunk).await.is_err() {
                 break;
@@ -298,9 +318,10 @@
         state.send_modify(|link| link.lost += 1);
         return;
     }
+    let due = Instant::now() + link.delay;
     let (state, data) = (Arc::clone(state), data.to_vec());
     tasks.spawn(async move {
-        tokio::time::sleep(link.delay).await;
+        wait(due).await;
         if state.borrow().cut {
             state.send_modify(|link| link.lost += 1);
             return;
