--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -370,6 +370,13 @@
     }
 }
 
+/// Guards against an example that no longer fits the settings.
+#[test]
+fn example_is_valid() {
+    let settings = Settings::parse(include_str!("../settings/load.yaml")).unwrap();
+    assert_eq!(settings.accounts.len(), 4);
+}
+
 /// Guards against a mistyped setting that is silently ignored.
 #[test]
 fn unknown_settings_are_refused() {
