--- a/crates/member/src/detector.rs
+++ b/crates/member/src/detector.rs
@@ -74,8 +74,11 @@
     /// A longer gap between two calls means that this host was frozen and that others may hold it for dead. Must be
     /// well above the interval in which the caller calls [`Detector::tick`].
     pub freeze_ms: u64,
-    /// Bytes of updates in one datagram. 400 bytes in two datagrams a second stay within 2 KB/s per host.
+    /// Most bytes of updates in one datagram.
     pub update_bytes: usize,
+    /// Most bytes of updates that are passed on in one period. A limit per datagram alone let a host reach 2,046 bytes/s
+    /// when 61 of 670 hosts crashed, because a suspicion takes more datagrams.
+    pub period_update_bytes: usize,
 }
 
 impl Default for Settings {
@@ -88,6 +91,7 @@
             rejoin_ms: 5_000,
             freeze_ms: 2_000,
             update_bytes: 400,
+            period_update_bytes: 700,
         }
     }
 }
@@ -158,6 +162,8 @@
     me: Member,
     /// How often the record of this host is still to be passed on.
     sends_left: u32,
+    /// Bytes of updates that may still be passed on in this period.
+    bytes_left: usize,
     seeds: Vec<SocketAddr>,
     table: Table,
     /// Hosts that were retired by the configuration, sorted. Ids are never reused, so claims about them stay invalid.
@@ -197,6 +203,7 @@
             settings,
             me,
             sends_left: gossip::sends(1),
+            bytes_left: settings.period_update_bytes,
             seeds,
             table: Table::default(),
             retired: Vec::new(),
@@ -268,6 +275,7 @@
         self.relays.retain(|relay| relay.until > now);
         if now >= self.next_period {
             self.next_period = self.next_period.plus_ms(self.settings.period_ms).max(now);
+            self.bytes_left = self.settings.period_update_bytes;
             self.start_probes(now, &mut output);
         }
         if now >= self.next_rejoin {
@@ -702,7 +710,9 @@
         let mut updates = gossip::fit(updates.into_iter(), budget);
         let first: Vec<id::Host> = updates.iter().map(|update| update.host).collect();
         budget -= updates.iter().map(Update::max_bytes).sum::<usize>();
-        updates.extend(self.table.take_updates(budget, &first));
+        let passed_on = self.table.take_updates(budget.min(self.bytes_left), &first);
+        self.bytes_left -= passed_on.iter().map(Update::max_bytes).sum::<usize>();
+        updates.extend(passed_on);
         let datagram = Datagram {
             from: self.me.host,
             incarnation: self.me.incarnation,
@@ -774,7 +784,7 @@
             return;
         };
         let before = entry.member.state;
-        let doubtful = source == Source::View && update.state == State::Dead && before.is_present();
+        let doubtful = source != Source::News && update.state == State::Dead && before.is_present();
         let state = if doubtful {
             State::Suspect
         } else {
--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -263,6 +263,7 @@
     /// Decides on the ask of another host. If this host gives up its own ownership for it, the returned release has to
     /// be sent to all other hosts of the domain.
     pub fn on_ask(&mut self, now: Time, ask: &Ask) -> Response {
+        self.pass_over_silent(now);
         self.silent.retain(|host| *host != ask.owner);
         if self.is_majority(ask) {
             self.majority_heard = Some(now);
@@ -303,6 +304,7 @@
 
     /// Ends the support of a host that gives up.
     pub fn on_release(&mut self, now: Time, release: &Release) {
+        self.majority_heard = None;
         if release.leaving {
             self.pass_over(release.owner);
         }
--- a/crates/member/tests/detector.rs
+++ b/crates/member/tests/detector.rs
@@ -29,10 +29,12 @@
 // A crash that stays unnoticed, or is noticed later than the module's formula says.
 #[test]
 fn crash_is_detected_within_the_stated_time() {
-    for (size, seeds) in [(9, 0..20), (60, 0..5), (200, 0..2)] {
+    for (size, seeds) in [(9, 0..20), (60, 0..5), (200, 0..2), (670, 0..1)] {
         let mut times = Vec::new();
         for seed in seeds {
-            let mut fleet = started(size, seed);
+            let mut fleet = Fleet::start(size, seed);
+            fleet.acquaint();
+            fleet.run(10_000);
             fleet.hosts[4].mode = Mode::Down;
             let known = |fleet: &Fleet| {
                 fleet.agree(|host| Some(if host == 4 { State::Dead } else { State::Alive }))
@@ -80,10 +82,9 @@
         host.side = 0;
     }
     let ms = fleet.run_until(60_000, Fleet::all_alive);
-    println!(
-        "views complete {ms} ms after the partition, {} transient deaths",
-        fleet.false_deaths.len()
-    );
+    println!("views complete {ms} ms after the partition");
+    // What one side believed of the other's members must not make these hold each other for dead.
+    assert_eq!(fleet.false_deaths, []);
 }
 
 // A cut-off host must not bring back a host that died, nor miss one that joined meanwhile.
@@ -118,10 +119,13 @@
     fleet.run(20_000);
     assert!(fleet.hosts[5].detector.me().incarnation > before);
     let events = &fleet.hosts[5].events[seen..];
+    let raised =
+        |event: &Event| matches!(event, Event::Frozen { incarnation, .. } if *incarnation > before);
+    assert!(raised(&events[0].1), "{events:?}");
+    let suspects = |event: &Event| matches!(event, Event::Changed { member, .. } if member.state == State::Suspect);
     assert!(
-        events
-            .iter()
-            .any(|(_, event)| matches!(event, Event::Frozen { .. }))
+        !events.iter().any(|(_, event)| suspects(event)),
+        "{events:?}"
     );
     assert_eq!(fleet.false_deaths, []);
 }
@@ -248,21 +252,33 @@
         assert!(fleet.all_alive());
         fleet.reset_cost();
         fleet.run(20_000);
-        let (bytes, count) = fleet.cost(20_000);
-        println!("{size} hosts, quiet: {bytes:.0} bytes/s and {count:.2} datagrams/s per host");
-        assert!(bytes < 300.0, "{bytes}");
+        let (bytes, count, max) = fleet.cost(20_000);
+        println!(
+            "{size} hosts, quiet: {bytes:.0} bytes/s ({max:.0} at most), {count:.2} datagrams/s per host"
+        );
+        assert!(max < 300.0, "{max}");
         fleet.reset_cost();
-        fleet
-            .hosts
-            .iter_mut()
-            .filter(|host| host.detector.me().host.0 % 11 == 5)
-            .for_each(|host| host.mode = Mode::Down);
+        for host in (5..size).step_by(11) {
+            fleet.hosts[host].mode = Mode::Down;
+        }
         fleet.run(20_000);
-        let (bytes, count) = fleet.cost(20_000);
+        let (bytes, count, max) = fleet.cost(20_000);
+        println!(
+            "{size} hosts, one in 11 crashes: {bytes:.0} bytes/s ({max:.0} at most), {count:.2} datagrams/s per host"
+        );
+        assert!(max < 2_000.0, "{max}");
+        let expected = |host| {
+            if host % 11 == 5 {
+                State::Dead
+            } else {
+                State::Alive
+            }
+        };
+        let ms = fleet.run_until(60_000, |fleet| fleet.agree(|host| Some(expected(host))));
         println!(
-            "{size} hosts, one in 11 crashes: {bytes:.0} bytes/s and {count:.2} datagrams/s per host"
+            "{size} hosts: all know of all crashes after {} ms",
+            ms + 20_000
         );
-        assert!(bytes < 2_000.0, "{bytes}");
     }
 }
 
--- a/crates/member/tests/support/mod.rs
+++ b/crates/member/tests/support/mod.rs
@@ -263,12 +263,20 @@
         self.agree(|_| Some(State::Alive))
     }
 
-    /// Mean of (bytes, datagrams) per host and second since the last call of `reset_cost`.
-    pub(crate) fn cost(&self, ms: u64) -> (f64, f64) {
-        let scale = 1_000.0 / ms as f64 / self.hosts.len() as f64;
-        let bytes: u64 = self.hosts.iter().map(|host| host.sent_bytes).sum();
-        let count: u64 = self.hosts.iter().map(|host| host.sent_count).sum();
-        (bytes as f64 * scale, count as f64 * scale)
+    /// Mean bytes and datagrams per running host and second since the last call of `reset_cost`, and the most bytes of
+    /// any host.
+    pub(crate) fn cost(&self, ms: u64) -> (f64, f64, f64) {
+        let running = || self.hosts.iter().filter(|host| host.mode == Mode::Running);
+        let seconds = ms as f64 / 1_000.0;
+        let scale = 1.0 / seconds / running().count() as f64;
+        let bytes: u64 = running().map(|host| host.sent_bytes).sum();
+        let count: u64 = running().map(|host| host.sent_count).sum();
+        let max = running().map(|host| host.sent_bytes).max().unwrap_or(0);
+        (
+            bytes as f64 * scale,
+            count as f64 * scale,
+            max as f64 / seconds,
+        )
     }
 
     pub(crate) fn reset_cost(&mut self) {
