--- /dev/null
+++ b/crates/schedule/tests/choice.rs
@@ -0,0 +1,153 @@
+//! Tests of server choice.
+
+use primrose_base::clock::Time;
+use primrose_base::id::Server;
+use primrose_schedule::choice::{
+    Candidate, Change, Directory, EVENT_LIFETIME_MS, Pick, Prefix, Reason,
+};
+
+const NOW: Time = Time::from_ms(1_000);
+
+fn servers(count: u32) -> Vec<Candidate> {
+    let candidate = |server| Candidate {
+        server: Server(server),
+        idle: 1,
+        busy: 2,
+        slots: 8,
+    };
+    (1..=count).map(candidate).collect()
+}
+
+fn prefix(number: u32) -> Prefix {
+    Prefix::of(format!("{number:0>64}").as_bytes()).expect("long enough")
+}
+
+fn choose(directory: &Directory, number: u32, candidates: &[Candidate]) -> Pick {
+    directory
+        .choose(NOW, Some(prefix(number)), candidates)
+        .expect("a server is idle")
+}
+
+// Hosts that disagree on the server of a prefix fill every cache with it; a change of servers must move few prefixes.
+#[test]
+fn hash_is_even_and_moves_only_what_it_must() {
+    let directory = Directory::default();
+    let all = servers(5);
+    let mut counts = [0; 5];
+    for number in 0..1_000 {
+        let pick = choose(&directory, number, &all);
+        assert_eq!(pick.reason, Reason::Hash);
+        counts[pick.server.0 as usize - 1] += 1;
+        let without_fifth = choose(&directory, number, &all[..4]);
+        assert!(pick.server == Server(5) || pick == without_fifth);
+    }
+    println!("{counts:?}");
+    assert!(
+        counts.iter().all(|count| (150..250).contains(count)),
+        "{counts:?}"
+    );
+}
+
+// Text after the first KiB must not matter, and a short prompt must not tie requests together.
+#[test]
+fn prefix_is_the_first_kib() {
+    let long = vec![b'a'; 1_024];
+    let longer = [&long[..], b"b"].concat();
+    assert_eq!(Prefix::of(&long), Prefix::of(&longer));
+    assert_ne!(Prefix::of(&long), Prefix::of(&long[1..]));
+    assert_eq!(Prefix::of(&long[..63]), None);
+}
+
+// A server without an idle slot must not be chosen, however well it fits.
+#[test]
+fn busy_servers_are_passed_over() {
+    let mut directory = Directory::default();
+    let mut all = servers(3);
+    directory.record(NOW, Server(2), 1, Change::Stored(prefix(7)));
+    assert_eq!(
+        choose(&directory, 7, &all),
+        Pick {
+            server: Server(2),
+            reason: Reason::Cached
+        }
+    );
+    all[1].idle = 0;
+    assert_ne!(choose(&directory, 7, &all).server, Server(2));
+    all.iter_mut().for_each(|candidate| candidate.idle = 0);
+    assert_eq!(directory.choose(NOW, Some(prefix(7)), &all), None);
+    assert_eq!(directory.choose(NOW, None, &[]), None);
+}
+
+// One frequent prefix must not fill a server while others are idle, and requests without a prefix go where there is room.
+#[test]
+fn least_loaded_is_the_fallback() {
+    let directory = Directory::default();
+    let mut all = servers(3);
+    let preferred = choose(&directory, 7, &all).server.0 as usize - 1;
+    all[preferred].busy = 7;
+    assert_eq!(choose(&directory, 7, &all).reason, Reason::LeastLoaded);
+    all[0].busy = 3;
+    all[2].busy = 3;
+    all[1].busy = 1;
+    let pick = directory.choose(NOW, None, &all);
+    assert_eq!(
+        pick,
+        Some(Pick {
+            server: Server(2),
+            reason: Reason::LeastLoaded
+        })
+    );
+}
+
+// Late events and gaps must not make an evicted prefix look cached, nor a lost restart blind the directory for ever.
+#[test]
+fn events_may_be_late_or_missing() {
+    let mut directory = Directory::default();
+    let all = servers(2);
+    let reason = |directory: &Directory, number| choose(directory, number, &all).reason;
+    let (first, second) = (prefix(1), prefix(2));
+    directory.record(NOW, Server(1), 10, Change::Stored(first));
+    directory.record(NOW, Server(1), 11, Change::Removed(first));
+    directory.record(NOW, Server(1), 9, Change::Stored(first));
+    assert_eq!(reason(&directory, 1), Reason::Hash);
+    directory.record(NOW, Server(1), 12, Change::Stored(second));
+    assert_eq!(reason(&directory, 2), Reason::Cached);
+    directory.record(NOW, Server(1), 15, Change::Stored(first));
+    assert_eq!(reason(&directory, 1), Reason::Cached);
+    assert_eq!(reason(&directory, 2), Reason::MaybeCached);
+    directory.record(NOW, Server(1), 14, Change::Removed(second));
+    assert_eq!(reason(&directory, 2), Reason::Hash);
+    directory.record(NOW, Server(1), 0, Change::Cleared);
+    assert_eq!(reason(&directory, 1), Reason::Hash);
+    directory.record(NOW, Server(1), 1_000, Change::Stored(first));
+    for sequence in 1..=100 {
+        directory.record(NOW, Server(1), sequence, Change::Stored(second));
+    }
+    assert_eq!(reason(&directory, 2), Reason::Cached);
+    let late = NOW.plus_ms(EVENT_LIFETIME_MS + 1);
+    let pick = directory
+        .choose(late, Some(second), &all)
+        .expect("a server is idle");
+    assert_eq!(pick.reason, Reason::Hash);
+}
+
+// Events of many prefixes must not use up the memory, and the latest ones count most.
+#[test]
+fn memory_is_bounded() {
+    let mut directory = Directory::new(100);
+    for number in 0..10_000u32 {
+        let now = Time::from_ms(u64::from(number / 7));
+        directory.record(
+            now,
+            Server(number % 3),
+            u64::from(number / 3),
+            Change::Stored(prefix(number)),
+        );
+        assert!(directory.len() <= 100);
+    }
+    assert!(directory.len() > 80);
+    directory.record(NOW, Server(1), 9_999, Change::Stored(prefix(5)));
+    assert_eq!(choose(&directory, 5, &servers(2)).reason, Reason::Cached);
+    (0..3).for_each(|server| directory.forget(Server(server)));
+    assert!(directory.is_empty());
+}
--- /dev/null
+++ b/crates/schedule/tests/claim.rs
@@ -0,0 +1,199 @@
+//! Tests of the guard of requests that must run at most once.
+
+use primrose_base::clock::Time;
+use primrose_base::verdict::Verdict;
+use primrose_schedule::admission::Reason;
+use primrose_schedule::claim::{Cause, DEADLINE_MS, Ending, Guard, Reply, Settlement};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const START: Time = Time::from_ms(50);
+
+fn claimed(reply: Reply) -> (Guard, Option<Ending>) {
+    let mut guard = Guard::default();
+    assert!(guard.claim(START));
+    let ending = guard.on_reply(START.plus_ms(20), reply);
+    (guard, ending)
+}
+
+fn refused(reason: Reason, settlement: Option<Settlement>) -> Ending {
+    Ending {
+        cause: Cause::Refused(reason),
+        verdict: Verdict::NotRun,
+        settlement,
+    }
+}
+
+// A frozen host that wakes up would send a request whose key may have been handed on.
+#[test]
+fn old_claim_is_not_sent() {
+    let last = START.plus_ms(DEADLINE_MS - 1);
+    let (mut guard, _) = claimed(Reply::Won);
+    assert_eq!(guard.clone().send(last), Ok(true));
+    let expected = refused(Reason::ClaimExpired, Some(Settlement::Released));
+    assert_eq!(guard.send(last.plus_ms(1)), Err(expected));
+    assert_eq!(guard.send(START), Ok(false));
+}
+
+// The deadline counts from the first claim message; a repetition must not extend it, nor a late reply.
+#[test]
+fn deadline_counts_from_the_first_claim() {
+    let mut guard = Guard::default();
+    guard.claim(START);
+    guard.claim(START.plus_ms(5_000));
+    let end = START.plus_ms(DEADLINE_MS);
+    let expected = refused(Reason::ClaimExpired, Some(Settlement::Released));
+    assert_eq!(guard.on_reply(end, Reply::Won), Some(expected));
+}
+
+// A caller that is told the wrong verdict repeats a request that ran, or gives up one that did not.
+#[test_case(Reply::Held, Cause::Duplicate, Verdict::MayHaveRun, None)]
+#[test_case(Reply::Complete, Cause::Duplicate, Verdict::Complete, None)]
+#[test_case(
+    Reply::KeyReused,
+    Cause::Refused(Reason::KeyReused),
+    Verdict::NotRun,
+    None
+)]
+#[test_case(
+    Reply::Unavailable,
+    Cause::Refused(Reason::ClaimUnavailable),
+    Verdict::NotRun,
+    Some(Settlement::Released)
+)]
+fn refused_claim_ends_the_request(
+    reply: Reply,
+    cause: Cause,
+    verdict: Verdict,
+    settlement: Option<Settlement>,
+) {
+    let (mut guard, ending) = claimed(reply);
+    assert_eq!(
+        ending,
+        Some(Ending {
+            cause,
+            verdict,
+            settlement
+        })
+    );
+    assert_eq!(guard.send(START.plus_ms(30)), Ok(false));
+}
+
+// A claim that is won after the request ended would block its key for a day.
+#[test]
+fn claim_that_is_won_late_is_released() {
+    let (mut guard, _) = claimed(Reply::Unavailable);
+    let ending = guard
+        .on_reply(START.plus_ms(60_000), Reply::Won)
+        .expect("releases");
+    assert_eq!(ending.settlement, Some(Settlement::Released));
+    assert_eq!(guard.send(START.plus_ms(60_000)), Ok(false));
+}
+
+// A failure after the send must leave the claim in place, or the request runs twice.
+#[test]
+fn failure_is_settled_by_progress() {
+    let mut guard = Guard::default();
+    assert_eq!(
+        guard.on_failure(Reason::CallerGone),
+        Some(refused(Reason::CallerGone, None))
+    );
+    assert!(!guard.claim(START));
+    let (mut guard, _) = claimed(Reply::Won);
+    let released = refused(Reason::QueueDeadline, Some(Settlement::Released));
+    assert_eq!(
+        guard.clone().on_failure(Reason::QueueDeadline),
+        Some(released)
+    );
+    assert_eq!(guard.send(START.plus_ms(30)), Ok(true));
+    let interrupted = Ending {
+        cause: Cause::Interrupted,
+        verdict: Verdict::MayHaveRun,
+        settlement: None,
+    };
+    assert_eq!(
+        guard.clone().on_failure(Reason::CallerGone),
+        Some(interrupted)
+    );
+    let ending = guard.on_answer().expect("was sent");
+    assert_eq!(
+        (ending.verdict, ending.settlement),
+        (Verdict::Complete, Some(Settlement::Complete))
+    );
+    assert_eq!(guard.on_failure(Reason::CallerGone), None);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Claim,
+    Reply(Reply),
+    Check,
+    Send,
+    Answer,
+    Failure,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    use Reply::{Complete, Held, KeyReused, Unavailable, Won};
+    let reply = prop::sample::select(vec![Won, Won, Won, Held, Complete, KeyReused, Unavailable]);
+    prop_oneof![
+        3 => Just(Step::Claim),
+        3 => reply.prop_map(Step::Reply),
+        1 => Just(Step::Check),
+        3 => Just(Step::Send),
+        1 => Just(Step::Answer),
+        1 => Just(Step::Failure),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Some order of events sends twice, sends late, sends without a claim, or says "not run" or releases after a send.
+    #[test]
+    fn one_send_and_no_false_verdict(steps in prop::collection::vec((step(), 0..6_000u64), 1..14)) {
+        let mut guard = Guard::default();
+        let mut now = START;
+        let (mut claimed, mut won, mut sends) = (None, false, 0);
+        for (step, wait_ms) in steps {
+            now = now.plus_ms(wait_ms);
+            let ending = match step {
+                Step::Claim => {
+                    if guard.claim(now) && claimed.is_none() {
+                        claimed = Some(now);
+                    }
+                    None
+                }
+                Step::Reply(reply) => {
+                    won |= reply == Reply::Won && claimed.is_some();
+                    guard.on_reply(now, reply)
+                }
+                Step::Check => guard.check(now).err(),
+                Step::Send => match guard.send(now) {
+                    Ok(true) => {
+                        sends += 1;
+                        let asked = claimed.expect("sent without a claim");
+                        prop_assert!(won && now.since(asked) < DEADLINE_MS);
+                        None
+                    }
+                    Ok(false) => None,
+                    Err(ending) => Some(ending),
+                },
+                Step::Answer => guard.on_answer(),
+                Step::Failure => guard.on_failure(Reason::CallerGone),
+            };
+            prop_assert!(sends <= 1);
+            if let Some(ending) = ending.filter(|_| sends > 0) {
+                prop_assert_ne!(ending.verdict, Verdict::NotRun);
+                prop_assert_ne!(ending.settlement, Some(Settlement::Released));
+            } else if let Some(ending) = ending {
+                prop_assert_ne!(ending.settlement, Some(Settlement::Complete));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/limit.rs
@@ -0,0 +1,160 @@
+//! Tests of the slot limit against a model of an engine whose step time grows with its batch.
+
+use primrose_base::clock::Time;
+use primrose_schedule::limit::{Limit, SLOW_FIRST_MS, SLOW_GAP_MS, Sample, Settings};
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+use test_case::test_case;
+
+const REPORT_MS: u64 = 500;
+
+/// One step takes `base_us + slope_us * batch`, give or take 10%; each step gives every request one token.
+#[derive(Clone, Copy)]
+struct Engine {
+    base_us: u64,
+    slope_us: u64,
+    /// A first token takes this many steps.
+    first_steps: u64,
+}
+
+impl Engine {
+    fn sample(&self, batch: u32, rng: &mut Xoshiro256PlusPlus) -> Sample {
+        let step_us = self.base_us + self.slope_us * u64::from(batch);
+        let mut sample = Sample::default();
+        for _ in 0..u64::from(batch) * REPORT_MS * 1_000 / step_us {
+            let us = step_us * rng.random_range(90..=110) / 100;
+            sample.gaps += 1;
+            sample.slow_gaps += u64::from(us > SLOW_GAP_MS * 1_000);
+            // A request has 100 tokens.
+            if sample.gaps % 100 == 0 {
+                sample.firsts += 1;
+                sample.slow_firsts += u64::from(us * self.first_steps > SLOW_FIRST_MS * 1_000);
+            }
+        }
+        sample
+    }
+
+    /// The largest batch with fewer than 5 in 100 slow tokens: steps of up to 50 / 1.09 ms.
+    fn best(&self) -> u32 {
+        ((45_900 - self.base_us) / self.slope_us) as u32
+    }
+}
+
+struct Run {
+    /// Slots at each report.
+    slots: Vec<u32>,
+    total: Sample,
+}
+
+impl Run {
+    fn slow_percent(&self) -> f64 {
+        100.0 * self.total.slow_gaps as f64 / self.total.gaps as f64
+    }
+
+    fn mean(&self) -> f64 {
+        self.slots.iter().sum::<u32>() as f64 / self.slots.len() as f64
+    }
+}
+
+/// Runs the engine with as many requests as the limit and `demand` allow; reports arrive `lag_ms` late.
+fn run(limit: &mut Limit, engine: Engine, demand: u32, lag_ms: u64, from_ms: u64, ms: u64) -> Run {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(from_ms + lag_ms);
+    let mut late: Vec<(u64, Sample, u32)> = Vec::new();
+    let mut run = Run {
+        slots: Vec::new(),
+        total: Sample::default(),
+    };
+    for at in (from_ms..from_ms + ms).step_by(REPORT_MS as usize) {
+        let batch = limit.slots().min(demand);
+        let sample = engine.sample(batch, &mut rng);
+        run.total.gaps += sample.gaps;
+        run.total.slow_gaps += sample.slow_gaps;
+        run.slots.push(limit.slots());
+        late.push((at + lag_ms, sample, batch));
+        let now = Time::from_ms(at);
+        while late.first().is_some_and(|report| report.0 <= at) {
+            let (_, sample, busy) = late.remove(0);
+            limit.record(now, &sample, busy);
+        }
+        limit.evaluate(now);
+    }
+    run
+}
+
+const ENGINE: Engine = Engine {
+    base_us: 10_000,
+    slope_us: 1_500,
+    first_steps: 5,
+};
+
+// A limit that swings or settles far off wastes capacity or breaks the latency target.
+#[test_case(ENGINE, 4, 0 ; "from below")]
+#[test_case(ENGINE, 100, 0 ; "from above")]
+#[test_case(ENGINE, 4, 1_500 ; "from below with late reports")]
+#[test_case(ENGINE, 100, 1_500 ; "from above with late reports")]
+#[test_case(Engine { base_us: 40_000, slope_us: 4_000, first_steps: 5 }, 16, 1_500 ; "one slot is best")]
+#[test_case(Engine { base_us: 10_000, slope_us: 300, first_steps: 5 }, 64, 1_500 ; "large batch")]
+fn converges(engine: Engine, configured: u32, lag_ms: u64) {
+    let mut limit = Limit::new(configured, Settings::default(), Time::ZERO);
+    let first = run(&mut limit, engine, 1_000, lag_ms, 0, 240_000);
+    let run = run(&mut limit, engine, 1_000, lag_ms, 240_000, 1_800_000);
+    println!(
+        "best {}, from {configured}, lag {lag_ms} ms: after 4 min {}, then {:.1} on average, {:.1}% slow (before {:.1}%)",
+        engine.best(),
+        run.slots[0],
+        run.mean(),
+        run.slow_percent(),
+        first.slow_percent()
+    );
+    let best = f64::from(engine.best());
+    assert!(run.slow_percent() <= 5.0, "{}% slow", run.slow_percent());
+    assert!(
+        (run.mean() - best).abs() <= (0.1 * best).max(1.0),
+        "{} instead of {best}",
+        run.mean()
+    );
+}
+
+// A server that became slower must be relieved within seconds, and one that became faster must be used again.
+#[test]
+fn follows_a_change_of_the_engine() {
+    let mut limit = Limit::new(20, Settings::default(), Time::ZERO);
+    run(&mut limit, ENGINE, 1_000, 1_500, 0, 300_000);
+    let slower = Engine {
+        slope_us: 3_000,
+        ..ENGINE
+    };
+    let during = run(&mut limit, slower, 1_000, 1_500, 300_000, 60_000);
+    println!("best {}: {:?}", slower.best(), during.slots);
+    assert!(*during.slots.last().expect("ran") <= slower.best() + 1);
+    let after = run(&mut limit, ENGINE, 1_000, 1_500, 360_000, 600_000);
+    println!("best {}: {:?}", ENGINE.best(), after.slots.last());
+    assert!(*after.slots.last().expect("ran") + 2 >= ENGINE.best());
+}
+
+// Without demand nothing is learned; a limit that grows meanwhile would flood the server at the next burst.
+#[test]
+fn idle_server_keeps_its_limit() {
+    let mut limit = Limit::new(12, Settings::default(), Time::ZERO);
+    let run = run(&mut limit, ENGINE, 6, 0, 0, 120_000);
+    assert!(run.slots.iter().all(|&slots| slots == 12));
+}
+
+// Slow first tokens alone must count, and bounds must hold whatever is reported.
+#[test_case(Sample { gaps: 1_000, slow_gaps: 0, firsts: 40, slow_firsts: 40 }, 2 ; "down to the floor")]
+#[test_case(Sample { gaps: 1_000, slow_gaps: 0, firsts: 40, slow_firsts: 0 }, 9 ; "up to the ceiling")]
+#[test_case(Sample { gaps: 1_000, slow_gaps: 40, firsts: 40, slow_firsts: 0 }, 5 ; "between half the target and the target")]
+#[test_case(Sample { gaps: 3, slow_gaps: 3, firsts: 0, slow_firsts: 0 }, 5 ; "too few samples")]
+fn stays_within_bounds(sample: Sample, expected: u32) {
+    let settings = Settings {
+        floor: 2,
+        ceiling: 9,
+        ..Settings::default()
+    };
+    let mut limit = Limit::new(5, settings, Time::ZERO);
+    for at in (0..120_000).step_by(2_000).map(Time::from_ms) {
+        limit.record(at, &sample, limit.slots());
+        limit.evaluate(at);
+    }
+    assert_eq!(limit.slots(), expected);
+}
