--- a/crates/schedule/src/limit.rs
+++ b/crates/schedule/src/limit.rs
@@ -1,8 +1,9 @@
 //! Slot limit of one backend server: additive increase, multiplicative decrease.
 //!
 //! An engine slows down as its batch grows, and nothing says in advance at which size it becomes too slow. The limit
-//! grows by one slot after a window in which the server was full and fast, and shrinks by [`Settings::decrease_percent`]
-//! after one in which too many token gaps or first tokens were slow. Three rules keep it from swinging:
+//! grows by one slot after a window in which the server was full and fast, and shrinks to [`Settings::decrease_percent`]
+//! (or, close to the target, to [`Settings::mild_decrease_percent`]) of itself after one in which too many token gaps or
+//! first tokens were slow. Three rules keep it from swinging:
 //!
 //! - Between half the target and the target nothing changes.
 //! - Reports lag, so those that arrive within [`Settings::lag_ms`] after a change are ignored: they describe the limit
@@ -24,6 +25,9 @@
 /// Windows after which one that has too few samples is started again, so that old samples do not count for ever.
 const MAX_WINDOWS: u64 = 5;
 
+/// Up to this many times the target, the limit is taken to be only a little too high.
+pub const MILD_TARGETS: u64 = 3;
+
 /// Bounds and speed of a [`Limit`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -43,6 +47,9 @@
     pub min_samples: u64,
     /// What is left of the limit after a decrease, in percent.
     pub decrease_percent: u32,
+    /// The same if the share of slow tokens is at most [`MILD_TARGETS`] times the target. With 80% for every decrease,
+    /// noise at the edge kept an engine with a best batch of 119 at 109 on average.
+    pub mild_decrease_percent: u32,
     /// Time until a limit that was too high is tried again.
     pub retry_ms: u64,
     /// Longest such time.
@@ -59,6 +66,7 @@
             lag_ms: 2_000,
             min_samples: 20,
             decrease_percent: 80,
+            mild_decrease_percent: 96,
             retry_ms: 30_000,
             max_retry_ms: 240_000,
         }
@@ -193,7 +201,7 @@
     fn next(&mut self, now: Time, slow: u64) -> u32 {
         let target = self.settings.target_percent * 10;
         if slow > target {
-            return self.decreased(now);
+            return self.decreased(now, slow);
         }
         if self
             .failed
@@ -220,7 +228,7 @@
         }
     }
 
-    fn decreased(&mut self, now: Time) -> u32 {
+    fn decreased(&mut self, now: Time, slow: u64) -> u32 {
         // Slots that were not in use did not slow the server down.
         let used = self.value.min(self.peak_busy.max(self.settings.floor));
         let trial = self.failed.filter(|failed| used >= failed.limit);
@@ -231,9 +239,16 @@
             retry_at: now.plus_ms(wait_ms),
             wait_ms,
         });
+        let is_mild = slow <= MILD_TARGETS * self.settings.target_percent * 10;
+        let percent = if is_mild {
+            self.settings.mild_decrease_percent
+        } else {
+            self.settings.decrease_percent
+        };
+        let one_less = used.saturating_sub(1);
         let wanted = match trial {
-            Some(_) => used.saturating_sub(1),
-            None => (used * self.settings.decrease_percent / 100).min(used.saturating_sub(1)),
+            Some(_) => one_less,
+            None => (used * percent / 100).min(one_less),
         };
         wanted.max(self.settings.floor)
     }
--- a/crates/schedule/tests/limit.rs
+++ b/crates/schedule/tests/limit.rs
@@ -58,7 +58,9 @@
 
 /// Runs the engine with as many requests as the limit and `demand` allow; reports arrive `lag_ms` late.
 fn run(limit: &mut Limit, engine: Engine, demand: u32, lag_ms: u64, from_ms: u64, ms: u64) -> Run {
-    let mut rng = Xoshiro256PlusPlus::seed_from_u64(from_ms + lag_ms);
+    let seed = from_ms + lag_ms;
+    println!("seed {seed}");
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut late: Vec<(u64, Sample, u32)> = Vec::new();
     let mut run = Run {
         slots: Vec::new(),
@@ -109,7 +111,7 @@
     let best = f64::from(engine.best());
     assert!(run.slow_percent() <= 5.0, "{}% slow", run.slow_percent());
     assert!(
-        (run.mean() - best).abs() <= (0.1 * best).max(1.0),
+        (run.mean() - best).abs() <= (0.04 * best).max(1.0),
         "{} instead of {best}",
         run.mean()
     );
