--- a/crates/schedule/tests/choice.rs
+++ b/crates/schedule/tests/choice.rs
@@ -22,10 +22,16 @@
     Prefix::of(format!("{number:0>64}").as_bytes()).expect("long enough")
 }
 
+fn pick(server: u32, reason: Reason) -> Pick {
+    Pick {
+        server: Server(server),
+        reason,
+    }
+}
+
 fn choose(directory: &Directory, number: u32, candidates: &[Candidate]) -> Pick {
-    directory
-        .choose(NOW, Some(prefix(number)), candidates)
-        .expect("a server is idle")
+    let chosen = directory.choose(NOW, Some(prefix(number)), candidates);
+    chosen.expect("a server is idle")
 }
 
 // Hosts that disagree on the server of a prefix fill every cache with it; a change of servers must move few prefixes.
@@ -42,10 +48,7 @@
         assert!(pick.server == Server(5) || pick == without_fifth);
     }
     println!("{counts:?}");
-    assert!(
-        counts.iter().all(|count| (150..250).contains(count)),
-        "{counts:?}"
-    );
+    assert!(counts.iter().all(|count| (150..250).contains(count)));
 }
 
 // Text after the first KiB must not matter, and a short prompt must not tie requests together.
@@ -64,13 +67,7 @@
     let mut directory = Directory::default();
     let mut all = servers(3);
     directory.record(NOW, Server(2), 1, Change::Stored(prefix(7)));
-    assert_eq!(
-        choose(&directory, 7, &all),
-        Pick {
-            server: Server(2),
-            reason: Reason::Cached
-        }
-    );
+    assert_eq!(choose(&directory, 7, &all), pick(2, Reason::Cached));
     all[1].idle = 0;
     assert_ne!(choose(&directory, 7, &all).server, Server(2));
     all.iter_mut().for_each(|candidate| candidate.idle = 0);
@@ -86,16 +83,10 @@
     let preferred = choose(&directory, 7, &all).server.0 as usize - 1;
     all[preferred].busy = 7;
     assert_eq!(choose(&directory, 7, &all).reason, Reason::LeastLoaded);
-    all[0].busy = 3;
-    all[2].busy = 3;
-    all[1].busy = 1;
-    let pick = directory.choose(NOW, None, &all);
+    (all[0].busy, all[1].busy, all[2].busy) = (3, 1, 3);
     assert_eq!(
-        pick,
-        Some(Pick {
-            server: Server(2),
-            reason: Reason::LeastLoaded
-        })
+        directory.choose(NOW, None, &all),
+        Some(pick(2, Reason::LeastLoaded))
     );
 }
 
@@ -105,30 +96,30 @@
     let mut directory = Directory::default();
     let all = servers(2);
     let reason = |directory: &Directory, number| choose(directory, number, &all).reason;
-    let (first, second) = (prefix(1), prefix(2));
-    directory.record(NOW, Server(1), 10, Change::Stored(first));
-    directory.record(NOW, Server(1), 11, Change::Removed(first));
-    directory.record(NOW, Server(1), 9, Change::Stored(first));
-    assert_eq!(reason(&directory, 1), Reason::Hash);
-    directory.record(NOW, Server(1), 12, Change::Stored(second));
-    assert_eq!(reason(&directory, 2), Reason::Cached);
-    directory.record(NOW, Server(1), 15, Change::Stored(first));
-    assert_eq!(reason(&directory, 1), Reason::Cached);
-    assert_eq!(reason(&directory, 2), Reason::MaybeCached);
-    directory.record(NOW, Server(1), 14, Change::Removed(second));
-    assert_eq!(reason(&directory, 2), Reason::Hash);
-    directory.record(NOW, Server(1), 0, Change::Cleared);
-    assert_eq!(reason(&directory, 1), Reason::Hash);
-    directory.record(NOW, Server(1), 1_000, Change::Stored(first));
-    for sequence in 1..=100 {
-        directory.record(NOW, Server(1), sequence, Change::Stored(second));
-    }
+    let stored = |number| Change::Stored(prefix(number));
+    let removed = |number| Change::Removed(prefix(number));
+    let mut record = |sequence, change, number, expected| {
+        directory.record(NOW, Server(1), sequence, change);
+        assert_eq!(
+            reason(&directory, number),
+            expected,
+            "{sequence} {change:?}"
+        );
+    };
+    record(10, stored(1), 1, Reason::Cached);
+    record(11, removed(1), 1, Reason::Hash);
+    record(9, stored(1), 1, Reason::Hash);
+    record(12, stored(2), 2, Reason::Cached);
+    record(15, stored(1), 1, Reason::Cached);
+    record(16, stored(1), 2, Reason::MaybeCached);
+    record(14, removed(2), 2, Reason::Hash);
+    record(0, Change::Cleared, 1, Reason::Hash);
+    record(1_000, stored(1), 1, Reason::Cached);
+    (1..100).for_each(|sequence| directory.record(NOW, Server(1), sequence, stored(2)));
     assert_eq!(reason(&directory, 2), Reason::Cached);
     let late = NOW.plus_ms(EVENT_LIFETIME_MS + 1);
-    let pick = directory
-        .choose(late, Some(second), &all)
-        .expect("a server is idle");
-    assert_eq!(pick.reason, Reason::Hash);
+    let chosen = directory.choose(late, Some(prefix(2)), &all);
+    assert_eq!(chosen.map(|pick| pick.reason), Some(Reason::Hash));
 }
 
 // Events of many prefixes must not use up the memory, and the latest ones count most.
@@ -137,12 +128,8 @@
     let mut directory = Directory::new(100);
     for number in 0..10_000u32 {
         let now = Time::from_ms(u64::from(number / 7));
-        directory.record(
-            now,
-            Server(number % 3),
-            u64::from(number / 3),
-            Change::Stored(prefix(number)),
-        );
+        let (server, sequence) = (Server(number % 3), u64::from(number / 3));
+        directory.record(now, server, sequence, Change::Stored(prefix(number)));
         assert!(directory.len() <= 100);
     }
     assert!(directory.len() > 80);
--- a/crates/schedule/tests/claim.rs
+++ b/crates/schedule/tests/claim.rs
@@ -16,22 +16,32 @@
     (guard, ending)
 }
 
-fn refused(reason: Reason, settlement: Option<Settlement>) -> Ending {
+fn ended(cause: Cause, verdict: Verdict, settlement: Option<Settlement>) -> Ending {
     Ending {
-        cause: Cause::Refused(reason),
-        verdict: Verdict::NotRun,
+        cause,
+        verdict,
         settlement,
     }
 }
 
+fn released(reason: Reason) -> Ending {
+    ended(
+        Cause::Refused(reason),
+        Verdict::NotRun,
+        Some(Settlement::Released),
+    )
+}
+
 // A frozen host that wakes up would send a request whose key may have been handed on.
 #[test]
 fn old_claim_is_not_sent() {
     let last = START.plus_ms(DEADLINE_MS - 1);
     let (mut guard, _) = claimed(Reply::Won);
     assert_eq!(guard.clone().send(last), Ok(true));
-    let expected = refused(Reason::ClaimExpired, Some(Settlement::Released));
-    assert_eq!(guard.send(last.plus_ms(1)), Err(expected));
+    assert_eq!(
+        guard.send(last.plus_ms(1)),
+        Err(released(Reason::ClaimExpired))
+    );
     assert_eq!(guard.send(START), Ok(false));
 }
 
@@ -41,41 +51,21 @@
     let mut guard = Guard::default();
     guard.claim(START);
     guard.claim(START.plus_ms(5_000));
-    let end = START.plus_ms(DEADLINE_MS);
-    let expected = refused(Reason::ClaimExpired, Some(Settlement::Released));
-    assert_eq!(guard.on_reply(end, Reply::Won), Some(expected));
+    let ending = guard.on_reply(START.plus_ms(DEADLINE_MS), Reply::Won);
+    assert_eq!(ending, Some(released(Reason::ClaimExpired)));
 }
 
 // A caller that is told the wrong verdict repeats a request that ran, or gives up one that did not.
-#[test_case(Reply::Held, Cause::Duplicate, Verdict::MayHaveRun, None)]
-#[test_case(Reply::Complete, Cause::Duplicate, Verdict::Complete, None)]
+#[test_case(Reply::Held, ended(Cause::Duplicate, Verdict::MayHaveRun, None))]
+#[test_case(Reply::Complete, ended(Cause::Duplicate, Verdict::Complete, None))]
 #[test_case(
     Reply::KeyReused,
-    Cause::Refused(Reason::KeyReused),
-    Verdict::NotRun,
-    None
+    ended(Cause::Refused(Reason::KeyReused), Verdict::NotRun, None)
 )]
-#[test_case(
-    Reply::Unavailable,
-    Cause::Refused(Reason::ClaimUnavailable),
-    Verdict::NotRun,
-    Some(Settlement::Released)
-)]
-fn refused_claim_ends_the_request(
-    reply: Reply,
-    cause: Cause,
-    verdict: Verdict,
-    settlement: Option<Settlement>,
-) {
+#[test_case(Reply::Unavailable, released(Reason::ClaimUnavailable))]
+fn refused_claim_ends_the_request(reply: Reply, expected: Ending) {
     let (mut guard, ending) = claimed(reply);
-    assert_eq!(
-        ending,
-        Some(Ending {
-            cause,
-            verdict,
-            settlement
-        })
-    );
+    assert_eq!(ending, Some(expected));
     assert_eq!(guard.send(START.plus_ms(30)), Ok(false));
 }
 
@@ -83,44 +73,31 @@
 #[test]
 fn claim_that_is_won_late_is_released() {
     let (mut guard, _) = claimed(Reply::Unavailable);
-    let ending = guard
-        .on_reply(START.plus_ms(60_000), Reply::Won)
-        .expect("releases");
-    assert_eq!(ending.settlement, Some(Settlement::Released));
+    let ending = guard.on_reply(START.plus_ms(60_000), Reply::Won);
+    assert_eq!(ending, Some(released(Reason::ClaimUnavailable)));
     assert_eq!(guard.send(START.plus_ms(60_000)), Ok(false));
 }
 
 // A failure after the send must leave the claim in place, or the request runs twice.
 #[test]
 fn failure_is_settled_by_progress() {
+    let gone = |guard: &mut Guard| guard.on_failure(Reason::CallerGone);
     let mut guard = Guard::default();
-    assert_eq!(
-        guard.on_failure(Reason::CallerGone),
-        Some(refused(Reason::CallerGone, None))
-    );
+    let unclaimed = ended(Cause::Refused(Reason::CallerGone), Verdict::NotRun, None);
+    assert_eq!(gone(&mut guard), Some(unclaimed));
     assert!(!guard.claim(START));
     let (mut guard, _) = claimed(Reply::Won);
-    let released = refused(Reason::QueueDeadline, Some(Settlement::Released));
-    assert_eq!(
-        guard.clone().on_failure(Reason::QueueDeadline),
-        Some(released)
-    );
+    assert_eq!(gone(&mut guard.clone()), Some(released(Reason::CallerGone)));
     assert_eq!(guard.send(START.plus_ms(30)), Ok(true));
-    let interrupted = Ending {
-        cause: Cause::Interrupted,
-        verdict: Verdict::MayHaveRun,
-        settlement: None,
-    };
-    assert_eq!(
-        guard.clone().on_failure(Reason::CallerGone),
-        Some(interrupted)
-    );
-    let ending = guard.on_answer().expect("was sent");
-    assert_eq!(
-        (ending.verdict, ending.settlement),
-        (Verdict::Complete, Some(Settlement::Complete))
+    let interrupted = ended(Cause::Interrupted, Verdict::MayHaveRun, None);
+    assert_eq!(gone(&mut guard.clone()), Some(interrupted));
+    let complete = ended(
+        Cause::Answered,
+        Verdict::Complete,
+        Some(Settlement::Complete),
     );
-    assert_eq!(guard.on_failure(Reason::CallerGone), None);
+    assert_eq!(guard.on_answer(), Some(complete));
+    assert_eq!(gone(&mut guard), None);
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/schedule/tests/limit.rs
+++ b/crates/schedule/tests/limit.rs
@@ -7,14 +7,14 @@
 use test_case::test_case;
 
 const REPORT_MS: u64 = 500;
+/// Steps until the first token.
+const FIRST_STEPS: u64 = 5;
 
 /// One step takes `base_us + slope_us * batch`, give or take 10%; each step gives every request one token.
 #[derive(Clone, Copy)]
 struct Engine {
     base_us: u64,
     slope_us: u64,
-    /// A first token takes this many steps.
-    first_steps: u64,
 }
 
 impl Engine {
@@ -28,7 +28,7 @@
             // A request has 100 tokens.
             if sample.gaps % 100 == 0 {
                 sample.firsts += 1;
-                sample.slow_firsts += u64::from(us * self.first_steps > SLOW_FIRST_MS * 1_000);
+                sample.slow_firsts += u64::from(us * FIRST_STEPS > SLOW_FIRST_MS * 1_000);
             }
         }
         sample
@@ -40,20 +40,25 @@
     }
 }
 
+/// Slots at each report, and the gaps of all.
 struct Run {
-    /// Slots at each report.
     slots: Vec<u32>,
-    total: Sample,
+    gaps: u64,
+    slow_gaps: u64,
 }
 
 impl Run {
     fn slow_percent(&self) -> f64 {
-        100.0 * self.total.slow_gaps as f64 / self.total.gaps as f64
+        100.0 * self.slow_gaps as f64 / self.gaps as f64
     }
 
     fn mean(&self) -> f64 {
         self.slots.iter().sum::<u32>() as f64 / self.slots.len() as f64
     }
+
+    fn last(&self) -> u32 {
+        *self.slots.last().expect("has run")
+    }
 }
 
 /// Runs the engine with as many requests as the limit and `demand` allow; reports arrive `lag_ms` late.
@@ -62,15 +67,17 @@
     println!("seed {seed}");
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut late: Vec<(u64, Sample, u32)> = Vec::new();
+    let (slots, gaps, slow_gaps) = (Vec::new(), 0, 0);
     let mut run = Run {
-        slots: Vec::new(),
-        total: Sample::default(),
+        slots,
+        gaps,
+        slow_gaps,
     };
     for at in (from_ms..from_ms + ms).step_by(REPORT_MS as usize) {
         let batch = limit.slots().min(demand);
         let sample = engine.sample(batch, &mut rng);
-        run.total.gaps += sample.gaps;
-        run.total.slow_gaps += sample.slow_gaps;
+        run.gaps += sample.gaps;
+        run.slow_gaps += sample.slow_gaps;
         run.slots.push(limit.slots());
         late.push((at + lag_ms, sample, batch));
         let now = Time::from_ms(at);
@@ -86,7 +93,6 @@
 const ENGINE: Engine = Engine {
     base_us: 10_000,
     slope_us: 1_500,
-    first_steps: 5,
 };
 
 // A limit that swings or settles far off wastes capacity or breaks the latency target.
@@ -94,27 +100,23 @@
 #[test_case(ENGINE, 100, 0 ; "from above")]
 #[test_case(ENGINE, 4, 1_500 ; "from below with late reports")]
 #[test_case(ENGINE, 100, 1_500 ; "from above with late reports")]
-#[test_case(Engine { base_us: 40_000, slope_us: 4_000, first_steps: 5 }, 16, 1_500 ; "one slot is best")]
-#[test_case(Engine { base_us: 10_000, slope_us: 300, first_steps: 5 }, 64, 1_500 ; "large batch")]
+#[test_case(Engine { base_us: 40_000, slope_us: 4_000 }, 16, 1_500 ; "one slot is best")]
+#[test_case(Engine { base_us: 10_000, slope_us: 300 }, 64, 1_500 ; "large batch")]
 fn converges(engine: Engine, configured: u32, lag_ms: u64) {
     let mut limit = Limit::new(configured, Settings::default(), Time::ZERO);
     let first = run(&mut limit, engine, 1_000, lag_ms, 0, 240_000);
     let run = run(&mut limit, engine, 1_000, lag_ms, 240_000, 1_800_000);
+    let (best, mean, slow) = (engine.best(), run.mean(), run.slow_percent());
     println!(
-        "best {}, from {configured}, lag {lag_ms} ms: after 4 min {}, then {:.1} on average, {:.1}% slow (before {:.1}%)",
-        engine.best(),
-        run.slots[0],
-        run.mean(),
-        run.slow_percent(),
-        first.slow_percent()
+        "best {best}, from {configured}, {lag_ms} ms late: after 4 min {}",
+        run.slots[0]
     );
-    let best = f64::from(engine.best());
-    assert!(run.slow_percent() <= 5.0, "{}% slow", run.slow_percent());
-    assert!(
-        (run.mean() - best).abs() <= (0.04 * best).max(1.0),
-        "{} instead of {best}",
-        run.mean()
+    println!(
+        "then {mean:.1}, {slow:.1}% slow; {:.1}% slow before",
+        first.slow_percent()
     );
+    assert!(slow <= 5.0);
+    assert!((mean - f64::from(best)).abs() <= (0.04 * f64::from(best)).max(1.0));
 }
 
 // A server that became slower must be relieved within seconds, and one that became faster must be used again.
@@ -128,10 +130,10 @@
     };
     let during = run(&mut limit, slower, 1_000, 1_500, 300_000, 60_000);
     println!("best {}: {:?}", slower.best(), during.slots);
-    assert!(*during.slots.last().expect("ran") <= slower.best() + 1);
+    assert!(during.last() <= slower.best() + 1);
     let after = run(&mut limit, ENGINE, 1_000, 1_500, 360_000, 600_000);
-    println!("best {}: {:?}", ENGINE.best(), after.slots.last());
-    assert!(*after.slots.last().expect("ran") + 2 >= ENGINE.best());
+    println!("best {}: {}", ENGINE.best(), after.last());
+    assert!(after.last() + 2 >= ENGINE.best());
 }
 
 // Without demand nothing is learned; a limit that grows meanwhile would flood the server at the next burst.
