--- a/crates/member/src/detector.rs
+++ b/crates/member/src/detector.rs
@@ -36,9 +36,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::{self, Entry, Suspicion, Table};
-use crate::message::{self, Body, Datagram, Envelope, Group, Summary, Update};
+use crate::message::{self, Body, Datagram, Difference, Envelope, Summary, Update};
 use crate::probe::{Probe, Relay, Round};
-use crate::view::{self, GROUPS, Member, State};
+use crate::view::{self, Group, Member, State};
 
 /// Bytes of a datagram besides its updates and records: sender, incarnation, state, body and lengths.
 const HEADER_BYTES: usize = 40;
@@ -174,8 +174,8 @@
     probes: Vec<Probe>,
     relays: Vec<Relay>,
     next_nonce: u32,
-    /// Group whose digest goes out with the next ping.
-    next_group: u32,
+    /// Group whose digest went out with the latest ping.
+    group: Group,
     next_period: Time,
     next_rejoin: Time,
     last_call: Time,
@@ -212,7 +212,10 @@
             probes: Vec::new(),
             relays: Vec::new(),
             next_nonce: 0,
-            next_group: rng.random_range(0..GROUPS),
+            group: Group {
+                index: rng.random_range(0..u32::MAX),
+                count: 1,
+            },
             next_period: now.plus_ms(phase),
             next_rejoin: now,
             last_call: now,
@@ -548,8 +551,8 @@
             Body::Ack { nonce, difference } => {
                 self.end_answered_probe(nonce);
                 self.pass_on(nonce, output);
-                if let Some(group) = difference {
-                    self.correct(now, from, source, group, output);
+                if let Some(theirs) = difference {
+                    self.correct(now, from, source, theirs, output);
                 }
             }
             Body::PingRequest { nonce, target } => {
@@ -609,16 +612,16 @@
     }
 
     /// This host's records of the group, if its digest is another one.
-    fn difference(&mut self, summary: Summary) -> Option<Group> {
-        let group = summary.group % GROUPS;
-        if view::digest(self.group(group)) == summary.digest {
+    fn difference(&mut self, summary: Summary) -> Option<Difference> {
+        let group = summary.group;
+        if view::digest(self.in_group(group)) == summary.digest {
             return None;
         }
-        let mut records: Vec<Update> = self.group(group).map(Update::record).collect();
+        let mut records: Vec<Update> = self.in_group(group).map(Update::record).collect();
         // If not all fit, another part is sent the next time.
         let start = self.rng.random_range(0..records.len().max(1));
         records.rotate_left(start);
-        Some(Group {
+        Some(Difference {
             group,
             records: gossip::fit(records.into_iter(), DIFFERENCE_BYTES),
         })
@@ -630,7 +633,7 @@
         now: Time,
         from: id::Host,
         source: SocketAddr,
-        theirs: Group,
+        theirs: Difference,
         output: &mut Output,
     ) {
         let is_news = |mine: &&Member| {
@@ -639,9 +642,8 @@
                 record.host == mine.host && (record.incarnation, record.state) >= rank_of(mine)
             })
         };
-        let group = theirs.group % GROUPS;
         let news: Vec<Update> = self
-            .group(group)
+            .in_group(theirs.group)
             .filter(is_news)
             .map(Update::record)
             .collect();
@@ -662,9 +664,9 @@
         }
     }
 
-    fn group(&self, group: u32) -> impl Iterator<Item = &Member> {
+    fn in_group(&self, group: Group) -> impl Iterator<Item = &Member> {
         let all = self.table.members().chain(std::iter::once(&self.me));
-        all.filter(move |member| view::group(member.host) == group)
+        all.filter(move |member| group.contains(member.host))
     }
 
     fn ping(&mut self, to: SocketAddr, host: id::Host, output: &mut Output) -> u32 {
@@ -676,9 +678,9 @@
     }
 
     fn ping_body(&mut self, nonce: u32) -> Body {
-        let group = self.next_group;
-        self.next_group = (group + 1) % GROUPS;
-        let digest = view::digest(self.group(group));
+        let group = self.group.next(self.size());
+        self.group = group;
+        let digest = view::digest(self.in_group(group));
         Body::Ping {
             nonce,
             summary: Summary { group, digest },
@@ -840,9 +842,9 @@
 fn body_bytes(body: &Body) -> usize {
     let records = match body {
         Body::Ack {
-            difference: Some(group),
+            difference: Some(difference),
             ..
-        } => &group.records,
+        } => &difference.records,
         Body::View { records } | Body::Records { records } => records,
         _ => return 0,
     };
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -5,7 +5,7 @@
 use primrose_base::id;
 use serde::{Deserialize, Serialize};
 
-use crate::view::{Member, Place, State};
+use crate::view::{Group, Member, Place, State};
 
 /// Largest datagram that is sent, in bytes of postcard. With 32 bytes of authentication and 28 bytes of IP and UDP
 /// headers it stays under 1,200 bytes, which no usual path fragments.
@@ -41,7 +41,7 @@
         /// The nonce of the ping.
         nonce: u32,
         /// The answering host's view of the group, if the digests differ.
-        difference: Option<Group>,
+        difference: Option<Difference>,
     },
     /// Asks the receiver to ping `target` and to pass the answer on.
     PingRequest {
@@ -72,17 +72,17 @@
 /// Digest of the view of one group of members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
-    /// The group, below [`crate::view::GROUPS`].
-    pub group: u32,
+    /// The group.
+    pub group: Group,
     /// See [`crate::view::digest`].
     pub digest: u32,
 }
 
 /// View of one group of members.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Group {
+pub struct Difference {
     /// The group.
-    pub group: u32,
+    pub group: Group,
     /// Its records, as many as fit.
     pub records: Vec<Update>,
 }
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -56,14 +56,36 @@
     }
 }
 
-/// Number of groups that members are divided into when two hosts compare their views.
+/// Members of a [`Group`] on average. Their records of about 28 bytes fit into one datagram.
+const GROUP_SIZE: usize = 21;
+
+/// A part of the members, for which two hosts compare their views: those whose id leaves the remainder `index` when it
+/// is divided by `count`.
 ///
-/// At 670 members a group has 21 records of about 28 bytes, which fit into one datagram.
-pub const GROUPS: u32 = 32;
+/// The sender of a comparison chooses `count` by the size of the fleet, so that a small one is compared as a whole and
+/// a view that lacks something is corrected within a few pings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// Below `count`.
+    pub index: u32,
+    /// Number of groups; 0 is taken for 1.
+    pub count: u32,
+}
 
-/// The group that a host belongs to.
-pub const fn group(host: id::Host) -> u32 {
-    host.0 % GROUPS
+impl Group {
+    /// The group after this one in a fleet of `members` hosts.
+    pub fn next(self, members: usize) -> Group {
+        let count = members.div_ceil(GROUP_SIZE).max(1) as u32;
+        Group {
+            index: self.index.wrapping_add(1) % count,
+            count,
+        }
+    }
+
+    /// Whether the host belongs to the group.
+    pub fn contains(self, host: id::Host) -> bool {
+        host.0 % self.count.max(1) == self.index
+    }
 }
 
 /// Digest of the members that are present; independent of their order and of suspicions.
