schedule: Test the fleet under load and faults, report idle slots at once

Adds a harness that drives real borrowers and lenders in virtual time, and tests of fairness, work conservation, faults and the slot protocol.

Cause found by idle_slot_is_handed_to_another_domain: an owner recalls idle slots only if it knows of them, and a host reported a slot that became idle with the next regular exchange only. A request in another domain waited up to 500 ms. Ruled out: asking all hosts that have slots whenever demand appears, which costs one message per host and demand near saturation.

--- a/crates/schedule/src/borrower.rs
+++ b/crates/schedule/src/borrower.rs
@@ -116,6 +116,8 @@
     keep: Option<u32>,
     leaving: bool,
     idle_since: Time,
+    /// Idle slots by the last report.
+    reported_idle: u32,
     changed: u64,
 }
 
@@ -547,6 +549,7 @@
             self.dispatch(now, pool, &mut choose, &mut actions);
         }
         self.return_slots(now);
+        self.mark_idle();
         self.mark_demand();
         self.send(now, &mut actions);
         actions
@@ -751,6 +754,19 @@
             .retain(|s| s.pool.is_some() || s.held() > 0 || s.running > 0 || s.granted > 0);
     }
 
+    /// Reports at once if the owner believes that nothing is idle here; it recalls idle slots only if it knows of them.
+    fn mark_idle(&mut self) {
+        for link in &mut self.links {
+            for pool in &self.pools {
+                let slots = self.slots.iter();
+                let slots = slots.filter(|s| s.pool == Some(pool.pool) && s.domain == link.domain);
+                let is_known = slots.clone().any(|s| s.reported_idle > 0);
+                let is_idle = slots.clone().any(|s| s.idle() > 0);
+                link.urgent |= is_idle && !is_known;
+            }
+        }
+    }
+
     /// Asks for slots at once if the owners know of less than half of the requests that wait.
     fn mark_demand(&mut self) {
         for at in 0..self.pools.len() {
@@ -824,6 +840,9 @@
         let link = &mut self.links[at];
         link.sent_at = Some(now);
         link.urgent = false;
+        for slot in self.slots.iter_mut().filter(|s| s.domain == link.domain) {
+            slot.reported_idle = slot.idle();
+        }
         let link = &self.links[at];
         let pools = self.pools.iter().filter_map(|pool| {
             let usage = pool.usage(now, self.origin, link.confirmed);
@@ -916,6 +935,7 @@
                 keep: None,
                 leaving: false,
                 idle_since: now,
+                reported_idle: 0,
                 changed: 0,
             };
             self.slots.insert(at, slot);
@@ -965,6 +985,12 @@
         self.flights.len()
     }
 
+    /// The account of a request in flight.
+    pub fn account_in_flight(&self, request: u64) -> Option<id::Account> {
+        let at = self.flights.binary_search_by_key(&request, |f| f.id);
+        at.ok().map(|at| self.flights[at].account)
+    }
+
     /// What operators can read.
     pub fn snapshot(&self) -> snapshot::Snapshot {
         let pools = self.pools.iter().map(|pool| {
--- /dev/null
+++ b/crates/schedule/tests/fleet/mod.rs
@@ -0,0 +1,776 @@
+//! A fleet in virtual time: real borrowers and lenders, fake engines and a network that loses, repeats and reorders.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use primrose_base::clock::Time;
+use primrose_base::id;
+use primrose_base::name::Name;
+use primrose_schedule::borrower::{self, Action, Borrower};
+use primrose_schedule::ledger::{Origin, Share};
+use primrose_schedule::lender::{self, Lender, Support};
+use primrose_schedule::message::{Answer, Report};
+use primrose_schedule::queue::Request;
+use primrose_schedule::settings::Settings;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub const POOL: id::Pool = id::Pool(1);
+const SAMPLE_MS: u64 = 50;
+const TOKENS_PER_FLOW: u64 = 10;
+const FIRST_TOKEN_MS: u64 = 200;
+/// Membership replaces a dead owner this long after its death.
+const DETECTION_MS: u64 = 3_000;
+
+#[derive(Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub settings: Settings,
+    pub domains: usize,
+    pub hosts_per_domain: usize,
+    pub servers: usize,
+    pub slots: u32,
+    pub shares: Vec<u64>,
+    pub loss: f64,
+    pub duplication: f64,
+    pub jitter_ms: u64,
+    /// Expected output tokens that callers state, drawn from this range whatever the answer turns out to be.
+    pub hint: std::ops::Range<u64>,
+    pub max_tokens: u64,
+}
+
+impl Plan {
+    pub fn amakusa(seed: u64) -> Plan {
+        Plan {
+            seed,
+            settings: Settings::default(),
+            domains: 3,
+            hosts_per_domain: 3,
+            servers: 20,
+            slots: 8,
+            shares: vec![4, 4, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1],
+            loss: 0.0,
+            duplication: 0.0,
+            jitter_ms: 0,
+            hint: 50..800,
+            max_tokens: 4_000,
+        }
+    }
+
+    pub fn small(seed: u64) -> Plan {
+        Plan {
+            servers: 6,
+            slots: 4,
+            max_tokens: 200,
+            shares: vec![2, 1, 1, 1],
+            ..Plan::amakusa(seed)
+        }
+    }
+}
+
+/// Keeps `depth` requests of an account waiting at one host, from `from_ms` until `until_ms`.
+#[derive(Clone, Copy)]
+pub struct Load {
+    pub account: usize,
+    pub host: usize,
+    pub depth: usize,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
+enum Event {
+    Report {
+        to: usize,
+        report: Report,
+    },
+    Answer {
+        from: usize,
+        to: usize,
+        answer: Answer,
+    },
+    Flow {
+        run: u64,
+    },
+    Handover {
+        domain: usize,
+        owner: usize,
+    },
+}
+
+struct Timed {
+    at: u64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Timed) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Timed) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Timed) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct Run {
+    id: u64,
+    host: usize,
+    account: usize,
+    server: usize,
+    input: u64,
+    output: u64,
+    tokens: u64,
+}
+
+pub struct Host {
+    pub domain: usize,
+    pub borrower: Borrower,
+    pub lender: Option<Lender>,
+    pub is_live: bool,
+    pub is_frozen: bool,
+    incarnation: u64,
+    wake: u64,
+    lender_wake: u64,
+    /// Ends that the host has not read because it is frozen: request and charge.
+    unread: Vec<(u64, u64)>,
+}
+
+/// What happened to one account.
+#[derive(Clone, Default)]
+pub struct Tally {
+    pub service: u64,
+    pub dispatched: u64,
+    pub expired: u64,
+    pub running: u64,
+    pub most_running: u64,
+    pub longest_wait_ms: u64,
+    pub backlogged_since: Option<u64>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Pair {
+    since: Option<u64>,
+    base: i64,
+    worst: u64,
+}
+
+pub struct Fleet {
+    pub plan: Plan,
+    pub now: u64,
+    pub hosts: Vec<Host>,
+    pub owners: Vec<usize>,
+    pub loads: Vec<Load>,
+    pub tallies: Vec<Tally>,
+    pub largest_charge: u64,
+    pub largest_estimate: u64,
+    pub is_cut: Vec<bool>,
+    pub leaving: Vec<bool>,
+    /// The last time each server was given a request.
+    pub started_at: Vec<u64>,
+    /// Slot milliseconds, and those used, while something waited.
+    pub capacity: u64,
+    pub used: u64,
+    /// Pairs of accounts are measured from here on.
+    pub measure_from: u64,
+    pairs: Vec<Pair>,
+    runs: Vec<Run>,
+    events: BinaryHeap<Reverse<Timed>>,
+    waiting: Vec<(u64, usize, u64, u64, u64)>,
+    order: u64,
+    next_request: u64,
+    rng: StdRng,
+}
+
+fn domain_name(domain: usize) -> Name {
+    Name::new(&format!("d{domain}")).expect("valid")
+}
+
+impl Fleet {
+    pub fn new(plan: Plan) -> Fleet {
+        println!("seed {}", plan.seed);
+        let count = plan.domains * plan.hosts_per_domain;
+        let accounts = plan.shares.len();
+        let mut fleet = Fleet {
+            now: 1,
+            hosts: Vec::new(),
+            owners: (0..plan.domains)
+                .map(|d| d * plan.hosts_per_domain)
+                .collect(),
+            loads: Vec::new(),
+            tallies: vec![Tally::default(); accounts],
+            largest_charge: 0,
+            largest_estimate: 0,
+            is_cut: vec![false; plan.domains],
+            leaving: vec![false; plan.servers],
+            started_at: vec![0; plan.servers],
+            capacity: 0,
+            used: 0,
+            measure_from: 0,
+            pairs: vec![Pair::default(); accounts * accounts],
+            runs: Vec::new(),
+            events: BinaryHeap::new(),
+            waiting: Vec::new(),
+            order: 0,
+            next_request: 1,
+            rng: StdRng::seed_from_u64(plan.seed),
+            plan,
+        };
+        for host in 0..count {
+            let new = fleet.boot(host, 1);
+            fleet.hosts.push(new);
+        }
+        for domain in 0..fleet.plan.domains {
+            fleet.appoint(domain, fleet.owners[domain]);
+        }
+        fleet
+    }
+
+    fn domain_of_server(&self, server: usize) -> usize {
+        server % self.plan.domains
+    }
+
+    fn shares(&self) -> Vec<Share> {
+        let shares = self.plan.shares.iter().enumerate();
+        let shares = shares.map(|(account, &share)| Share {
+            account: id::Account(account as u32),
+            share,
+        });
+        shares.collect()
+    }
+
+    fn boot(&self, host: usize, incarnation: u64) -> Host {
+        let now = Time::from_ms(self.now);
+        let domain = host / self.plan.hosts_per_domain;
+        let origin = Origin {
+            host: id::Host(host as u32),
+            incarnation,
+        };
+        let settings = self.plan.settings.clone();
+        let mut borrower = Borrower::new(origin, domain_name(domain), settings);
+        borrower.set_shares(&self.shares());
+        let servers = (0..self.plan.servers).map(|server| borrower::Server {
+            server: id::Server(server as u32),
+            pool: POOL,
+            domain: domain_name(self.domain_of_server(server)),
+        });
+        borrower.set_servers(now, &servers.collect::<Vec<_>>());
+        for (domain, &owner) in self.owners.iter().enumerate() {
+            let owner = Some(id::Host(owner as u32));
+            borrower.set_owner(now, &domain_name(domain), owner);
+        }
+        Host {
+            domain,
+            borrower,
+            lender: None,
+            is_live: true,
+            is_frozen: false,
+            incarnation,
+            wake: 0,
+            lender_wake: 0,
+            unread: Vec::new(),
+        }
+    }
+
+    /// Makes `owner` the owner of `domain` in the view of all hosts.
+    fn appoint(&mut self, domain: usize, owner: usize) {
+        let now = Time::from_ms(self.now);
+        let settings = self.plan.settings.clone();
+        let mut lender = Lender::new(now, 1_000_000 + self.now, settings);
+        lender.set_shares(&self.shares());
+        let hosts = self.plan.hosts_per_domain as u32;
+        lender.set_support(Support {
+            supporters: hosts,
+            hosts,
+        });
+        let servers = (0..self.plan.servers).filter(|&s| self.domain_of_server(s) == domain);
+        let servers = servers.map(|server| lender::Server {
+            server: id::Server(server as u32),
+            pool: POOL,
+            limit: self.plan.slots,
+            leaving: self.leaving[server],
+        });
+        lender.set_servers(&servers.collect::<Vec<_>>());
+        let old = self.owners[domain];
+        if old != owner
+            && let Some(lender) = &mut self.hosts[old].lender
+        {
+            lender.set_support(Support {
+                supporters: 0,
+                hosts,
+            });
+        }
+        self.hosts[owner].lender = Some(lender);
+        self.hosts[owner].lender_wake = 0;
+        self.owners[domain] = owner;
+        for host in &mut self.hosts {
+            let owner = Some(id::Host(owner as u32));
+            host.borrower.set_owner(now, &domain_name(domain), owner);
+            host.wake = 0;
+        }
+    }
+
+    /// Keeps `depth` requests of an account waiting at one host.
+    pub fn load(&mut self, account: usize, host: usize, depth: usize, at: std::ops::Range<u64>) {
+        self.loads.push(Load {
+            account,
+            host,
+            depth,
+            from_ms: at.start,
+            until_ms: at.end,
+        });
+    }
+
+    /// Eight backlogged accounts: account 0 on all hosts, account 1 on one, the others on two each.
+    pub fn load_unevenly(&mut self) {
+        for host in 0..9 {
+            self.load(0, host, 20, 0..u64::MAX);
+        }
+        self.load(1, 4, 60, 0..u64::MAX);
+        for account in 2..8 {
+            self.load(account, account, 20, 0..u64::MAX);
+            self.load(account, (account * 5 + 1) % 9, 20, 0..u64::MAX);
+        }
+    }
+
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].is_live = false;
+        self.hosts[host].lender = None;
+        self.drop_runs(|run| run.host == host);
+        self.waiting.retain(|w| w.1 != host);
+        self.replace_owner(host);
+    }
+
+    fn replace_owner(&mut self, host: usize) {
+        let domain = self.hosts[host].domain;
+        if self.owners[domain] != host {
+            return;
+        }
+        let first = domain * self.plan.hosts_per_domain;
+        let mut others = (first..first + self.plan.hosts_per_domain).filter(|&h| h != host);
+        let owner = others.next().expect("a domain has several hosts");
+        self.schedule(DETECTION_MS, Event::Handover { domain, owner });
+    }
+
+    pub fn restart(&mut self, host: usize) {
+        if self.hosts[host].is_live {
+            self.kill(host);
+        }
+        let incarnation = self.hosts[host].incarnation + 1;
+        self.hosts[host] = self.boot(host, incarnation);
+    }
+
+    pub fn freeze(&mut self, host: usize) {
+        self.hosts[host].is_frozen = true;
+        self.replace_owner(host);
+    }
+
+    pub fn thaw(&mut self, host: usize) {
+        self.hosts[host].is_frozen = false;
+        let now = Time::from_ms(self.now);
+        for (request, charge) in std::mem::take(&mut self.hosts[host].unread) {
+            self.hosts[host].borrower.finish(now, request, charge);
+        }
+    }
+
+    /// Cuts a domain off; connections to engines across the cut break.
+    pub fn cut(&mut self, domain: usize) {
+        self.is_cut[domain] = true;
+        let now = Time::from_ms(self.now);
+        let domains = self.plan.domains;
+        let hosts_per_domain = self.plan.hosts_per_domain;
+        let broken =
+            |run: &Run| (run.host / hosts_per_domain == domain) != (run.server % domains == domain);
+        for run in self.drop_runs(broken) {
+            self.hosts[run.host].borrower.cancel(now, run.id);
+            self.hosts[run.host].wake = 0;
+        }
+    }
+
+    pub fn heal(&mut self, domain: usize) {
+        self.is_cut[domain] = false;
+    }
+
+    pub fn drain(&mut self, server: usize) {
+        self.leaving[server] = true;
+        let owner = self.owners[self.domain_of_server(server)];
+        let host = &mut self.hosts[owner];
+        host.lender_wake = 0;
+        if let Some(lender) = &mut host.lender {
+            lender.set_leaving(id::Server(server as u32), true);
+        }
+    }
+
+    fn drop_runs(&mut self, broken: impl Fn(&Run) -> bool) -> Vec<Run> {
+        let dropped: Vec<Run> = self.runs.extract_if(.., |run| broken(run)).collect();
+        for run in &dropped {
+            self.tallies[run.account].running -= 1;
+        }
+        dropped
+    }
+
+    fn schedule(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        let timed = Timed {
+            at: self.now + delay,
+            order: self.order,
+            event,
+        };
+        self.events.push(Reverse(timed));
+    }
+
+    /// Sends a message with the faults of the plan. Delays are rounded up to whole ms.
+    fn send(&mut self, from: usize, to: usize, make: impl Fn() -> Event) {
+        let (a, b) = (self.hosts[from].domain, self.hosts[to].domain);
+        let is_cut = a != b && (self.is_cut[a] || self.is_cut[b]);
+        let copies = 1 + usize::from(self.rng.random_bool(self.plan.duplication));
+        for _ in 0..copies {
+            if is_cut || self.rng.random_bool(self.plan.loss) {
+                continue;
+            }
+            let jitter = self.rng.random_range(0..=self.plan.jitter_ms);
+            let delay = if a == b { 1 } else { 2 };
+            self.schedule(delay + jitter, make());
+        }
+    }
+
+    pub fn arrive(&mut self, account: usize, host: usize, wait_ms: u64) -> u64 {
+        let id = self.next_request;
+        self.next_request += 1;
+        let input = self.rng.random_range(50..2_000);
+        // Pareto with a shape of 1.1: most answers are short, and a few take most of the tokens.
+        let draw = 100.0 * self.rng.random_range(1e-6..1.0_f64).powf(-1.0 / 1.1);
+        let output = (draw as u64).min(self.plan.max_tokens);
+        let estimate = input + 2 * self.rng.random_range(self.plan.hint.clone());
+        self.largest_estimate = self.largest_estimate.max(estimate);
+        let request = Request {
+            id,
+            account: id::Account(account as u32),
+            pool: POOL,
+            estimate,
+            deadline: Time::from_ms(self.now + wait_ms),
+            affinity: id,
+        };
+        self.waiting.push((id, host, input, output, self.now));
+        let now = Time::from_ms(self.now);
+        self.hosts[host].borrower.arrive(now, request);
+        self.hosts[host].wake = 0;
+        id
+    }
+
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now < until_ms {
+            self.now = self.next_time().min(until_ms);
+            self.step();
+        }
+    }
+
+    /// When something happens next.
+    fn next_time(&self) -> u64 {
+        let up = self.hosts.iter().filter(|h| h.is_live && !h.is_frozen);
+        let wakes = up.map(|host| match host.lender {
+            Some(_) => host.wake.min(host.lender_wake),
+            None => host.wake,
+        });
+        let event = self.events.peek().map(|event| event.0.at);
+        let sample = (self.now / SAMPLE_MS + 1) * SAMPLE_MS;
+        let next = wakes.chain(event).min().unwrap_or(sample);
+        next.min(sample).max(self.now + 1)
+    }
+
+    fn step(&mut self) {
+        while self.events.peek().is_some_and(|e| e.0.at <= self.now) {
+            let event = self.events.pop().expect("peeked").0.event;
+            self.handle(event);
+        }
+        self.top_up();
+        for host in 0..self.hosts.len() {
+            let is_up = self.hosts[host].is_live && !self.hosts[host].is_frozen;
+            if is_up {
+                self.poll_borrower(host);
+                self.poll_lender(host);
+            }
+        }
+        if self.now.is_multiple_of(SAMPLE_MS) {
+            self.sample();
+        }
+    }
+
+    fn top_up(&mut self) {
+        for at in 0..self.loads.len() {
+            let load = self.loads[at];
+            let is_on = (load.from_ms..load.until_ms).contains(&self.now);
+            if !is_on || !self.hosts[load.host].is_live {
+                continue;
+            }
+            let account = id::Account(load.account as u32);
+            while self.hosts[load.host].borrower.waiting(POOL, account) < load.depth {
+                self.arrive(load.account, load.host, 600_000);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = Time::from_ms(self.now);
+        match event {
+            Event::Report { to, report } => {
+                let host = &mut self.hosts[to];
+                if host.is_live
+                    && !host.is_frozen
+                    && let Some(lender) = &mut host.lender
+                {
+                    lender.report(now, &report);
+                    host.lender_wake = 0;
+                }
+            }
+            Event::Answer { from, to, answer } => {
+                let host = &mut self.hosts[to];
+                if host.is_live && !host.is_frozen {
+                    host.borrower.answer(now, id::Host(from as u32), &answer);
+                    host.wake = 0;
+                }
+            }
+            Event::Flow { run } => self.flow(run),
+            Event::Handover { domain, owner } => self.appoint(domain, owner),
+        }
+    }
+
+    fn flow(&mut self, run: u64) {
+        let Ok(at) = self.runs.binary_search_by_key(&run, |r| r.id) else {
+            return;
+        };
+        let now = Time::from_ms(self.now);
+        let run = &mut self.runs[at];
+        let before = if run.tokens == 0 {
+            0
+        } else {
+            run.input + 2 * run.tokens
+        };
+        run.tokens = (run.tokens + TOKENS_PER_FLOW).min(run.output);
+        let charge = run.input + 2 * run.tokens;
+        let is_end = run.tokens == run.output;
+        let (id, host, account, server) = (run.id, run.host, run.account, run.server);
+        self.tallies[account].service += charge - before;
+        let host = &mut self.hosts[host];
+        match (host.is_frozen, is_end) {
+            (true, true) => host.unread.push((id, charge)),
+            (true, false) => {}
+            (false, true) => host.borrower.finish(now, id, charge),
+            (false, false) => host.borrower.flow(id, charge),
+        }
+        if is_end {
+            host.wake = 0;
+            self.runs.remove(at);
+            self.tallies[account].running -= 1;
+            self.largest_charge = self.largest_charge.max(charge);
+        } else {
+            let ms_per_token = 20 + (server as u64 % 11);
+            self.schedule(TOKENS_PER_FLOW * ms_per_token, Event::Flow { run: id });
+        }
+    }
+
+    fn poll_borrower(&mut self, at: usize) {
+        if self.hosts[at].wake > self.now {
+            return;
+        }
+        let now = Time::from_ms(self.now);
+        let host = &mut self.hosts[at];
+        let actions = host.borrower.poll(now, |request, candidates| {
+            let at = request.affinity as usize % candidates.len();
+            candidates[at].server
+        });
+        host.wake = host.borrower.next_wake(now).as_ms();
+        for action in actions {
+            match action {
+                Action::Dispatch { request, server } => self.start(at, request, server),
+                Action::Refuse { request, .. } => self.expire(request),
+                Action::Send { to, report } => {
+                    let to = to.0 as usize;
+                    self.send(at, to, || Event::Report {
+                        to,
+                        report: report.clone(),
+                    });
+                }
+            }
+        }
+    }
+
+    fn poll_lender(&mut self, at: usize) {
+        let now = Time::from_ms(self.now);
+        let host = &mut self.hosts[at];
+        let Some(lender) = host
+            .lender
+            .as_mut()
+            .filter(|_| host.lender_wake <= self.now)
+        else {
+            return;
+        };
+        let pushes = lender.poll(now);
+        host.lender_wake = lender.next_wake(now).as_ms();
+        for push in pushes {
+            let to = push.to.0 as usize;
+            self.send(at, to, || Event::Answer {
+                from: at,
+                to,
+                answer: push.answer.clone(),
+            });
+        }
+    }
+
+    fn expire(&mut self, request: u64) {
+        if let Some(at) = self.waiting.iter().position(|w| w.0 == request) {
+            self.waiting.swap_remove(at);
+        }
+    }
+
+    fn start(&mut self, host: usize, request: u64, server: id::Server) {
+        let at = self.waiting.iter().position(|w| w.0 == request);
+        let (id, _, input, output, since) = self.waiting.swap_remove(at.expect("waits"));
+        let server = server.0 as usize;
+        let account = self.account_of(host, id);
+        let tally = &mut self.tallies[account];
+        tally.dispatched += 1;
+        tally.running += 1;
+        tally.most_running = tally.most_running.max(tally.running);
+        tally.longest_wait_ms = tally.longest_wait_ms.max(self.now - since);
+        self.started_at[server] = self.now;
+        let run = Run {
+            id,
+            host,
+            account,
+            server,
+            input,
+            output,
+            tokens: 0,
+        };
+        let at = self.runs.binary_search_by_key(&id, |r| r.id);
+        self.runs.insert(at.expect_err("starts once"), run);
+        self.schedule(FIRST_TOKEN_MS, Event::Flow { run: id });
+    }
+
+    fn account_of(&self, host: usize, request: u64) -> usize {
+        let account = self.hosts[host].borrower.account_in_flight(request);
+        account.expect("in flight").0 as usize
+    }
+
+    pub fn running_on(&self, server: usize) -> u64 {
+        self.runs.iter().filter(|r| r.server == server).count() as u64
+    }
+
+    fn is_waiting(&self, account: usize) -> bool {
+        let account = id::Account(account as u32);
+        let mut live = self.hosts.iter().filter(|h| h.is_live);
+        live.any(|h| h.borrower.waiting(POOL, account) > 0)
+    }
+
+    fn sample(&mut self) {
+        let waiting: Vec<bool> = (0..self.tallies.len())
+            .map(|a| self.is_waiting(a))
+            .collect();
+        if self.now < self.measure_from {
+            return;
+        }
+        if waiting.contains(&true) {
+            for server in 0..self.plan.servers {
+                if !self.leaving[server] {
+                    self.capacity += u64::from(self.plan.slots);
+                    self.used += self.running_on(server).min(u64::from(self.plan.slots));
+                }
+            }
+        }
+        let accounts = self.tallies.len();
+        let normalised =
+            |account: usize| (self.tallies[account].service / self.plan.shares[account]) as i64;
+        for i in 0..accounts {
+            for j in 0..accounts {
+                let lead = normalised(i) - normalised(j);
+                let pair = &mut self.pairs[i * accounts + j];
+                if !waiting[i] || !waiting[j] {
+                    pair.since = None;
+                } else if pair.since.is_none() {
+                    pair.since = Some(self.now);
+                    pair.base = lead;
+                } else {
+                    pair.worst = pair.worst.max((lead - pair.base).max(0) as u64);
+                }
+            }
+        }
+    }
+
+    /// Utilisation while something waited, in parts of a thousand.
+    pub fn utilisation(&self) -> u64 {
+        self.used * 1_000 / self.capacity.max(1)
+    }
+
+    /// The bound of section 6 of the design page for the lead of account `i` over account `j`.
+    pub fn bound(&self, i: usize, j: usize) -> u64 {
+        let settings = &self.plan.settings;
+        let (share_i, share_j) = (self.plan.shares[i], self.plan.shares[j]);
+        let slots = self.plan.servers as u64 * u64::from(self.plan.slots);
+        // Two weighted tokens per output token every 20 ms, and half as much again for input tokens.
+        let rate = slots * 150;
+        let staleness_ms = settings.exchange_ms + 4 + 20 + settings.urgent_ms;
+        let unknown = rate * staleness_ms / 1_000;
+        let ahead = self.tallies[i].most_running * self.largest_charge;
+        let charged = self.tallies[j].most_running * self.largest_estimate;
+        settings.quantum + (ahead + unknown) / share_i + charged / share_j
+    }
+
+    /// Checks every pair against its bound .
+    pub fn check_gaps(&self) {
+        let accounts = self.tallies.len();
+        for i in 0..accounts {
+            for j in 0..accounts {
+                let gap = self.pairs[i * accounts + j].worst;
+                let bound = self.bound(i, j);
+                assert!(
+                    gap <= bound,
+                    "accounts {i} and {j}: gap {gap}, bound {bound}"
+                );
+            }
+        }
+    }
+
+    /// Prints what was measured.
+    pub fn report(&self) {
+        let worst = self.pairs.iter().map(|pair| pair.worst).max();
+        println!("worst gap {worst:?}, utilisation {}", self.utilisation());
+        for (account, t) in self.tallies.iter().enumerate() {
+            let (service, running) = (t.service, t.most_running);
+            println!("account {account}: service {service}, most in flight {running}");
+        }
+    }
+
+    pub fn lent(&self, server: usize) -> u32 {
+        let owner = self.owners[self.domain_of_server(server)];
+        let lender = self.hosts[owner].lender.as_ref();
+        lender.map_or(0, |l| l.lent_total(id::Server(server as u32)))
+    }
+
+    /// Checks that no server runs more requests than it has slots.
+    pub fn check_running(&self) {
+        for server in 0..self.plan.servers {
+            let running = self.running_on(server);
+            let slots = u64::from(self.plan.slots);
+            assert!(running <= slots, "server {server} runs {running}");
+        }
+    }
+
+    /// Checks the books of the live owners: no server is lent more often than it has slots.
+    pub fn check_books(&self) {
+        for server in 0..self.plan.servers {
+            let lent = self.lent(server);
+            assert!(
+                lent <= self.plan.slots,
+                "server {server}: {lent} slots lent"
+            );
+        }
+    }
+}
