--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -352,91 +352,105 @@
     }
 }
 
+impl fmt::Display for Group {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcome = format!("{:?}", self.outcome);
+        let code = self.code.as_deref().unwrap_or("-");
+        let verdict = self.verdict.map_or("-", Verdict::as_str);
+        write!(
+            f,
+            "{outcome:<12} {:>4} {code:<24} {verdict:<13} {:>9}",
+            self.status, self.count
+        )
+    }
+}
+
+impl fmt::Display for Account {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.backlogged { "backlogged" } else { "" };
+        write!(f, "{:<14} {:>5} {:>8} ", self.name, self.share, self.served)?;
+        write!(f, "{:>8} {:>8} ", self.refused, self.failed)?;
+        write!(
+            f,
+            "{:>10.1} {:>16.1} {mark}",
+            self.first_token.p95, self.service_per_s
+        )
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "seed {}, measured {:.1} s", self.seed, self.measured_s)?;
-        writeln!(
-            f,
-            "attempts {}, served {}, resent {}, unsent {}, broken streams {}",
-            self.attempts, self.served, self.resent, self.unsent, self.broken_streams
-        )?;
+        write!(f, "attempts {}, served {}, ", self.attempts, self.served)?;
+        write!(f, "resent {}, unsent {}, ", self.resent, self.unsent)?;
+        writeln!(f, "broken streams {}", self.broken_streams)?;
         for group in &self.outcomes {
-            let outcome = format!("{:?}", group.outcome);
-            let code = group.code.as_deref().unwrap_or("-");
-            let verdict = group.verdict.map_or("-", Verdict::as_str);
-            writeln!(
-                f,
-                "  {outcome:<12} {:>4} {code:<24} {verdict:<13} {:>9}",
-                group.status, group.count
-            )?;
+            writeln!(f, "  {group}")?;
         }
+        self.show_rates(f)?;
         writeln!(
             f,
-            "per second: requests {:.1}, output tokens {:.1}, weighted tokens {:.1}, token events {:.1}",
-            self.requests_per_s, self.output_per_s, self.weighted_per_s, self.events_per_s
+            "account          share   served  refused   failed  first p95  service/share/s"
         )?;
+        for account in &self.accounts {
+            writeln!(f, "  {account}")?;
+        }
+        self.show_scheduling(f)?;
+        self.show_check(f)?;
+        write!(f, "{}", if self.passes() { "PASS" } else { "FAIL" })
+    }
+}
+
+impl Report {
+    fn show_rates(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "per second: requests {:.1}, ", self.requests_per_s)?;
+        write!(f, "output tokens {:.1}, ", self.output_per_s)?;
+        write!(f, "weighted tokens {:.1}, ", self.weighted_per_s)?;
+        writeln!(f, "token events {:.1}", self.events_per_s)?;
         writeln!(
             f,
-            "time in ms       count       p50       p95       p99       max"
+            "time in ms        count       p50       p95       p99       max"
         )?;
         writeln!(f, "  first token {}", self.first_token)?;
         writeln!(f, "  token gap   {}", self.token_gap)?;
         writeln!(f, "  model       {}", self.answer)?;
-        writeln!(f, "  plain       {}", self.plain)?;
-        writeln!(
-            f,
-            "account          share   served  refused   failed  first p95  service/share/s"
-        )?;
-        for account in &self.accounts {
-            let Account {
-                name,
-                share,
-                served,
-                refused,
-                failed,
-                first_token,
-                service_per_s,
-                backlogged,
-                ..
-            } = account;
-            let mark = if *backlogged { "backlogged" } else { "" };
-            let first = first_token.p95;
-            writeln!(
-                f,
-                "  {name:<14} {share:>5} {served:>8} {refused:>8} {failed:>8} {first:>10.1} {service_per_s:>16.1} {mark}"
-            )?;
-        }
+        writeln!(f, "  plain       {}", self.plain)
+    }
+
+    fn show_scheduling(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let gap = &self.fairness;
-        let bound = self
-            .gap_bound
-            .map_or("none".to_owned(), |bound| format!("{bound:.0}"));
-        writeln!(
-            f,
-            "fairness gap {:.0} ({} ahead of {}), bound {bound}",
-            gap.gap, gap.ahead, gap.behind
-        )?;
+        write!(f, "fairness gap {:.0} ", gap.gap)?;
+        if gap.gap > 0.0 {
+            write!(f, "({} ahead of {}) ", gap.ahead, gap.behind)?;
+        }
+        match self.gap_bound {
+            Some(bound) => writeln!(f, "of at most {bound:.0}")?,
+            None => writeln!(f, "without a bound")?,
+        }
         let percent = |share: Option<f64>| {
             share.map_or("-".to_owned(), |share| format!("{:.1}%", share * 100.0))
         };
-        writeln!(
+        write!(
             f,
-            "utilisation: of slots {}, of direct saturation {}",
-            percent(self.slot_utilisation),
-            percent(self.utilisation)
+            "utilisation: of slots {}, ",
+            percent(self.slot_utilisation)
         )?;
+        writeln!(f, "of direct saturation {}", percent(self.utilisation))
+    }
+
+    fn show_check(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let check = &self.check;
-        writeln!(
+        write!(
             f,
-            "check: {} attempts, {} executions, {} violations, {} logs unread",
-            check.attempts,
-            check.executions,
-            check.violations.len(),
-            check.unread.len()
+            "check: {} attempts, {} executions, ",
+            check.attempts, check.executions
         )?;
+        write!(f, "{} violations, ", check.violations.len())?;
+        writeln!(f, "{} logs unread", check.unread.len())?;
         for violation in check.violations.iter().take(SHOWN_VIOLATIONS) {
             writeln!(f, "  {:?} {}", violation.rule, violation.nonce)?;
         }
-        write!(f, "{}", if self.passes() { "PASS" } else { "FAIL" })
+        Ok(())
     }
 }
 
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -1,6 +1,6 @@
 //! Drives the accounts and collects the history.
 
-use std::sync::atomic::{AtomicI64, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -270,37 +270,20 @@
     }
 }
 
+/// Makes one attempt and records it.
 async fn attempt(shared: &Shared, call: &Call, target: usize, number: u32) -> Outcome {
-    let settings = &shared.settings;
-    let account = &settings.accounts[call.account];
+    let delay = Duration::from_millis(shared.settings.delay_ms);
     let start = Instant::now();
-    let delay = Duration::from_millis(settings.delay_ms);
     pause(delay).await;
-    let counted = AtomicU64::new(0);
-    let progress = |tokens| {
-        let first = counted.fetch_add(1, Ordering::Relaxed) == 0;
-        shared.count(call.account, if first { call.prompt } else { 0 }, tokens);
-    };
     let mut received = Received::default();
-    let address = settings.targets_of(call.kind)[target];
-    let exchange = client::exchange(
-        &shared.pool,
-        address,
-        &account.key,
-        call,
-        &mut received,
-        &progress,
-    );
-    let outcome = match call.abandon_ms.filter(|_| number == 0) {
-        Some(ms) => tokio::time::timeout(Duration::from_secs_f64(ms / 1_000.0), exchange)
-            .await
-            .unwrap_or(Outcome::Abandoned),
-        None => tokio::time::timeout(Duration::from_secs_f64(settings.timeout_s), exchange)
-            .await
-            .unwrap_or(Outcome::TimedOut),
-    };
+    let outcome = send(shared, call, target, number, &mut received).await;
     pause(delay).await;
-    let first = received.first.map(|first| shared.micros(first + delay));
+    if shared.is_measured(shared.micros(Instant::now())) {
+        let mut gaps = lock(&shared.gaps);
+        for gap in received.gaps_us.drain(..) {
+            gaps.saturating_record(gap);
+        }
+    }
     let attempt = Attempt {
         account: call.account,
         target,
@@ -310,7 +293,7 @@
         non_idempotent: call.non_idempotent,
         key: call.key.clone(),
         start_us: shared.micros(start),
-        first_us: first,
+        first_us: received.first.map(|first| shared.micros(first + delay)),
         end_us: shared.micros(Instant::now()),
         outcome,
         status: received.status,
@@ -321,16 +304,40 @@
         prompt_tokens: call.prompt,
         output_tokens: received.tokens,
     };
-    if shared.is_measured(attempt.end_us) {
-        let mut gaps = lock(&shared.gaps);
-        for gap in received.gaps_us {
-            gaps.saturating_record(gap);
-        }
-    }
     lock(&shared.history).push(attempt);
     outcome
 }
 
+/// Exchanges request and answer until the answer ends or the caller gives up.
+async fn send(
+    shared: &Shared,
+    call: &Call,
+    target: usize,
+    number: u32,
+    received: &mut Received,
+) -> Outcome {
+    let settings = &shared.settings;
+    let first = AtomicBool::new(true);
+    let progress = |tokens| {
+        let prompt = if first.swap(false, Ordering::Relaxed) {
+            call.prompt
+        } else {
+            0
+        };
+        shared.count(call.account, prompt, tokens);
+    };
+    let address = settings.targets_of(call.kind)[target];
+    let key = &settings.accounts[call.account].key;
+    let exchange = client::exchange(&shared.pool, address, key, call, received, &progress);
+    let (limit_s, otherwise) = match call.abandon_ms.filter(|_| number == 0) {
+        Some(ms) => (ms / 1_000.0, Outcome::Abandoned),
+        None => (settings.timeout_s, Outcome::TimedOut),
+    };
+    tokio::time::timeout(Duration::from_secs_f64(limit_s), exchange)
+        .await
+        .unwrap_or(otherwise)
+}
+
 async fn pause(duration: Duration) {
     if !duration.is_zero() {
         tokio::time::sleep(duration).await;
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -237,6 +237,13 @@
     tokio::join!(reader, writer);
 }
 
+/// Where a datagram leaves the relay.
+#[derive(Clone)]
+struct Exit {
+    socket: Arc<UdpSocket>,
+    to: SocketAddr,
+}
+
 /// A sender of datagrams and the socket that stands for it towards the target.
 struct Peer {
     address: SocketAddr,
@@ -262,12 +269,11 @@
                     continue;
                 };
                 let own = Arc::new(own);
-                tasks.spawn(answers(
-                    Arc::clone(&own),
-                    Arc::clone(&socket),
-                    from,
-                    Arc::clone(&state),
-                ));
+                let back = Exit {
+                    socket: Arc::clone(&socket),
+                    to: from,
+                };
+                tasks.spawn(answers(Arc::clone(&own), back, Arc::clone(&state)));
                 let peer = Peer {
                     address: from,
                     socket: own,
@@ -276,8 +282,11 @@
                 at
             }
         };
-        let way = (Arc::clone(&peers[at].socket), target);
-        forward(&mut tasks, &state, way, &buffer[..length]);
+        let exit = Exit {
+            socket: Arc::clone(&peers[at].socket),
+            to: target,
+        };
+        forward(&mut tasks, &state, exit, &buffer[..length]);
     }
 }
 
@@ -290,29 +299,19 @@
 }
 
 /// Sends the datagrams of the target back to one sender.
-async fn answers(own: Arc<UdpSocket>, socket: Arc<UdpSocket>, to: SocketAddr, state: Arc<State>) {
+async fn answers(own: Arc<UdpSocket>, exit: Exit, state: Arc<State>) {
     let mut tasks = JoinSet::new();
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         while tasks.try_join_next().is_some() {}
         match own.recv_from(&mut buffer).await {
-            Ok((length, _)) => forward(
-                &mut tasks,
-                &state,
-                (Arc::clone(&socket), to),
-                &buffer[..length],
-            ),
+            Ok((length, _)) => forward(&mut tasks, &state, exit.clone(), &buffer[..length]),
             Err(_) => failure_pause().await,
         }
     }
 }
 
-fn forward(
-    tasks: &mut JoinSet<()>,
-    state: &Arc<State>,
-    way: (Arc<UdpSocket>, SocketAddr),
-    data: &[u8],
-) {
+fn forward(tasks: &mut JoinSet<()>, state: &Arc<State>, exit: Exit, data: &[u8]) {
     let link = *state.borrow();
     if link.cut {
         state.send_modify(|link| link.lost += 1);
@@ -327,7 +326,7 @@
             return;
         }
         // A datagram that cannot be sent is lost.
-        let _ = way.0.send_to(&data, way.1).await;
+        let _ = exit.socket.send_to(&data, exit.to).await;
     });
 }
 
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -53,15 +53,22 @@
 struct Chance {
     random: StdRng,
     faults: Faults,
-    /// Request id and nonce of the request before.
-    previous: (String, String),
+    /// The request before.
+    previous: Identity,
+}
+
+/// What tells requests apart.
+#[derive(Clone, Debug)]
+struct Identity {
+    request_id: String,
+    nonce: String,
 }
 
 /// The faults of one answer.
 #[derive(Debug)]
 struct Plan {
-    /// Request id and nonce that the answer carries.
-    identity: (String, String),
+    /// The request whose id and text the answer carries.
+    identity: Identity,
     /// Share of the answer after which it is cut.
     cut: Option<f64>,
     /// Whether a cut stream ends like a complete body, without `[DONE]`.
@@ -136,7 +143,10 @@
         let chance = Chance {
             random: StdRng::seed_from_u64(settings.seed),
             faults: settings.faults,
-            previous: ("no-request".to_owned(), String::new()),
+            previous: Identity {
+                request_id: "no-request".to_owned(),
+                nonce: String::new(),
+            },
         };
         Service {
             settings,
@@ -243,9 +253,9 @@
         if plan.stall.is_some() {
             pause(plan.stall_ms).await;
         }
-        let (id, nonce) = &plan.identity;
+        let Identity { request_id, nonce } = &plan.identity;
         let text = json!({"nonce": nonce, "method": head.method.as_str(), "path": target});
-        identified(whole(text.to_string(), plan.cut), id)
+        identified(whole(text.to_string(), plan.cut), request_id)
     }
 
     async fn complete(&self, headers: &HeaderMap, body: &[u8]) -> Answer {
@@ -259,7 +269,7 @@
         let nonce = answer::nonce(&prompt).unwrap_or_default();
         let execution = execution(headers, nonce, answer::tokens(&prompt), total);
         let plan = self.plan(&execution);
-        let id = plan.identity.0.clone();
+        let id = plan.identity.request_id.clone();
         let prefixes = batch::prefixes(&prompt);
         let delivery = self.run(execution, prefixes, plan, request.model);
         let answer = if request.stream {
@@ -302,7 +312,10 @@
     fn plan(&self, execution: &Execution) -> Plan {
         let mut chance = lock(&self.chance);
         let faults = chance.faults;
-        let own = (execution.request_id.clone(), execution.nonce.clone());
+        let own = Identity {
+            request_id: execution.request_id.clone(),
+            nonce: execution.nonce.clone(),
+        };
         let previous = std::mem::replace(&mut chance.previous, own.clone());
         let swapped = chance.draw(faults.swap);
         Plan {
@@ -414,7 +427,7 @@
             sent: resumption.offset,
             total: execution.requested_tokens,
         };
-        let id = delivery.plan.identity.0.clone();
+        let id = delivery.plan.identity.request_id.clone();
         identified(events(delivery), &id)
     }
 
@@ -489,10 +502,10 @@
         if self.plan.stall.is_some() {
             pause(self.plan.stall_ms).await;
         }
-        let (id, nonce) = &self.plan.identity;
+        let Identity { request_id, nonce } = &self.plan.identity;
         let message = json!({"role": "assistant", "content": answer::whole(nonce, self.total)});
         let text = json!({
-            "id": id,
+            "id": request_id,
             "object": "chat.completion",
             "model": self.model,
             "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
@@ -536,13 +549,13 @@
         let mut content = String::new();
         answer::append(
             &mut content,
-            &self.plan.identity.1,
+            &self.plan.identity.nonce,
             self.sent,
             self.sent + count,
         );
         self.sent += count;
         // The text consists of spaces and hexadecimal digits, which need no escape; the id and the model may need it.
-        let id = json!(self.plan.identity.0);
+        let id = json!(self.plan.identity.request_id);
         let model = json!(self.model);
         Bytes::from(format!(
             "data: {{\"id\":{id},\"object\":\"chat.completion.chunk\",\"model\":{model},\"choices\":[{{\"index\":0,\
@@ -552,7 +565,7 @@
 
     fn last(&self) -> Bytes {
         let chunk = json!({
-            "id": self.plan.identity.0,
+            "id": self.plan.identity.request_id,
             "object": "chat.completion.chunk",
             "model": self.model,
             "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
