Check answers against the probed host and test the size of datagrams

An answer is now matched by nonce and host, and a process starts at a random nonce, so that a late answer to an earlier process does not count.

--- a/crates/member/src/detector.rs
+++ b/crates/member/src/detector.rs
@@ -54,6 +54,9 @@
 /// Most probes under way on behalf of other hosts; more requests are dropped.
 const MAX_RELAYS: usize = 64;
 
+/// Bound of the first nonce of a process; small, because the encoding of a number grows with it.
+const MAX_FIRST_NONCE: u32 = 1 << 16;
+
 /// Members that are told at once about a departure; the others learn it from them.
 const TOLD_AT_LEAVE: usize = 5;
 
@@ -211,7 +214,8 @@
             round: Round::default(),
             probes: Vec::new(),
             relays: Vec::new(),
-            next_nonce: 0,
+            // An answer to a ping of an earlier process must not count for this one.
+            next_nonce: rng.random_range(0..MAX_FIRST_NONCE),
             group: Group {
                 index: rng.random_range(0..u32::MAX),
                 count: 1,
@@ -277,7 +281,10 @@
         self.end_failed_probes(now, &mut output);
         self.relays.retain(|relay| relay.until > now);
         if now >= self.next_period {
-            self.next_period = self.next_period.plus_ms(self.settings.period_ms).max(now);
+            // After a late call the period is shortened by half at most, so that probes have time to be answered.
+            let period_ms = self.settings.period_ms;
+            let earliest = now.plus_ms(period_ms / 2);
+            self.next_period = self.next_period.plus_ms(period_ms).max(earliest);
             self.bytes_left = self.settings.period_update_bytes;
             self.start_probes(now, &mut output);
         }
@@ -405,8 +412,11 @@
         }
     }
 
-    fn end_answered_probe(&mut self, nonce: u32) {
-        let Some(at) = self.probes.iter().position(|probe| probe.nonce == nonce) else {
+    /// Ends a probe that was answered by `from`, or through a helper.
+    fn end_answered_probe(&mut self, from: Option<id::Host>, nonce: u32) {
+        let is_it =
+            |probe: &Probe| probe.nonce == nonce && from.is_none_or(|host| host == probe.host);
+        let Some(at) = self.probes.iter().position(is_it) else {
             return;
         };
         let probe = self.probes.swap_remove(at);
@@ -549,8 +559,8 @@
                 self.send(source, from, None, Body::Ack { nonce, difference }, output);
             }
             Body::Ack { nonce, difference } => {
-                self.end_answered_probe(nonce);
-                self.pass_on(nonce, output);
+                self.end_answered_probe(Some(from), nonce);
+                self.pass_on(from, nonce, output);
                 if let Some(theirs) = difference {
                     self.correct(now, from, source, theirs, output);
                 }
@@ -558,7 +568,7 @@
             Body::PingRequest { nonce, target } => {
                 self.help(now, source, nonce, target, output);
             }
-            Body::RelayedAck { nonce } => self.end_answered_probe(nonce),
+            Body::RelayedAck { nonce } => self.end_answered_probe(None, nonce),
             Body::Join => self.send_view(source, from, output),
             Body::View { records } => {
                 self.merge_all(now, records, Source::View, output);
@@ -594,8 +604,9 @@
         });
     }
 
-    fn pass_on(&mut self, nonce: u32, output: &mut Output) {
-        let Some(at) = self.relays.iter().position(|relay| relay.nonce == nonce) else {
+    fn pass_on(&mut self, from: id::Host, nonce: u32, output: &mut Output) {
+        let is_it = |relay: &Relay| relay.nonce == nonce && relay.target == from;
+        let Some(at) = self.relays.iter().position(is_it) else {
             return;
         };
         let relay = self.relays.swap_remove(at);
--- a/crates/member/tests/member/detector.rs
+++ b/crates/member/tests/member/detector.rs
@@ -1,8 +1,12 @@
 //! Tests of the failure detector.
 
+use std::net::{Ipv6Addr, SocketAddr};
+
 use primrose_base::id;
+use primrose_base::name::Name;
 use primrose_member::detector::{Event, Listing};
-use primrose_member::view::State;
+use primrose_member::message::{Body, Update};
+use primrose_member::view::{Place, State};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -11,18 +15,15 @@
 
 fn started(size: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::start(size, seed);
-    let ms = fleet.run_until(90_000, Fleet::all_alive);
-    println!("complete views after {ms} ms");
+    fleet.run_until(90_000, Fleet::all_alive);
     fleet.run(10_000);
     fleet
 }
 
 fn listing(hosts: std::ops::Range<u32>, leaving: Option<u32>) -> Vec<Listing> {
-    let entry = |host| Listing {
-        host: id::Host(host),
-        leaving: Some(host) == leaving,
-    };
-    hosts.map(entry).collect()
+    let entry = |(host, leaving)| Listing { host, leaving };
+    let pairs = hosts.map(|host| (id::Host(host), Some(host) == leaving));
+    pairs.map(entry).collect()
 }
 
 // A crash that stays unnoticed, or is noticed later than the module's formula says.
@@ -111,7 +112,6 @@
     let ms = fleet.run_until(10_000, Fleet::all_alive);
     println!("alive everywhere {ms} ms after the freeze");
     fleet.run(20_000);
-    assert!(fleet.hosts[5].detector.me().incarnation > before);
     let events = &fleet.hosts[5].events[seen..];
     assert!(matches!(events[0], Event::Frozen { incarnation, .. } if incarnation > before));
     let suspects = |event: &Event| matches!(event, Event::Changed { member, .. } if member.state == State::Suspect);
@@ -142,8 +142,7 @@
         fleet.hosts[1].mode = Mode::Down;
         fleet.run(3_000);
         fleet.hosts[7].mode = Mode::Down;
-        let ms = fleet.run_until(30_000, |fleet| fleet.agrees(&[1, 7], State::Dead));
-        println!("known {ms} ms after the second failure");
+        fleet.run_until(30_000, |fleet| fleet.agrees(&[1, 7], State::Dead));
         assert_eq!(fleet.false_deaths, []);
     }
 }
@@ -242,6 +241,28 @@
     }
 }
 
+// A datagram that is fragmented is lost more often, and some paths drop all fragments.
+#[test]
+fn datagrams_with_the_longest_records_fit() {
+    let mut fleet = Fleet::start(3, 21);
+    let address = SocketAddr::from((Ipv6Addr::from(u128::MAX), u16::MAX));
+    let domain = Name::new(&"z".repeat(63)).expect("valid");
+    let place = Some(Place { address, domain });
+    let record = |host: u32| Update {
+        host: id::Host(u32::MAX - host),
+        incarnation: u64::MAX - 1,
+        state: State::Alive,
+        place: place.clone(),
+    };
+    for host in 0..100 {
+        let records = vec![record(host)];
+        fleet.deliver(0, 1, Body::Records { records });
+    }
+    // Every datagram is measured in `carry_out`.
+    fleet.run(5_000);
+    assert_eq!(fleet.hosts[2].detector.members().count(), 102);
+}
+
 proptest! {
     #![proptest_config(config(32, 1))]
 
--- a/crates/member/tests/member/fleet.rs
+++ b/crates/member/tests/member/fleet.rs
@@ -74,11 +74,11 @@
 
 pub(crate) fn candidates(hosts: std::ops::Range<usize>) -> Vec<Candidate> {
     let name = |host| Name::new(&format!("host-{host}")).expect("valid");
-    let candidate = |host| Candidate {
-        host: id::Host(host as u32),
-        name: name(host),
-    };
-    hosts.map(candidate).collect()
+    let pair = |host| (id::Host(host as u32), name(host));
+    hosts
+        .map(pair)
+        .map(|(host, name)| Candidate { host, name })
+        .collect()
 }
 
 pub(crate) fn ownership(host: usize, size: usize, now: Time) -> Ownership {
@@ -133,16 +133,14 @@
     }
 
     fn detector(&mut self, host: usize, now: Time, set_back_ms: u64) -> Detector {
+        let (address, domain) = (address(host), domain());
         let me = Member {
             host: id::Host(host as u32),
             incarnation: 1_790_000_000_000 + self.now - set_back_ms,
             state: State::Alive,
-            place: Place {
-                address: address(host),
-                domain: domain(),
-            },
+            place: Place { address, domain },
         };
-        let (seeds, seed) = ((0..3).map(address).collect(), self.rng.random());
+        let (seeds, seed) = ((0..3).map(self::address).collect(), self.rng.random());
         Detector::new(me, seeds, Settings::default(), now, seed)
     }
 
@@ -150,39 +148,39 @@
         Time::from_ms(self.now * self.hosts[host].rate / 1_000)
     }
 
-    pub(crate) fn has_left(&self, host: usize) -> bool {
-        self.hosts[host].detector.me().state == State::Left
+    pub(crate) fn runs(&self, host: usize) -> bool {
+        let host = self.hosts.get(host);
+        host.is_some_and(|host| host.mode == Mode::Running)
     }
 
-    pub(crate) fn runs(&self, host: usize) -> bool {
-        self.hosts[host].mode == Mode::Running
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.hosts.len()).filter(|&host| self.runs(host))
     }
 
     /// Gives every host the complete view, as a seed would.
     pub(crate) fn acquaint(&mut self) {
-        let members: Vec<Member> = self
-            .hosts
-            .iter()
-            .map(|host| host.detector.me().clone())
-            .collect();
-        for part in members.chunks(20) {
-            let records: Vec<Update> = part.iter().map(Update::record).collect();
-            for host in 0..members.len() {
-                let from = &members[(host + 1) % members.len()];
-                let datagram = Datagram {
-                    from: from.host,
-                    incarnation: from.incarnation,
-                    state: State::Alive,
-                    body: Body::View {
-                        records: records.clone(),
-                    },
-                    updates: Vec::new(),
-                };
-                self.receive(host, from.host.0 as usize, Message::Datagram(datagram));
+        let me = |host: &Host| Update::record(host.detector.me());
+        let all: Vec<Update> = self.hosts.iter().map(me).collect();
+        for records in all.chunks(20) {
+            for to in 0..self.hosts.len() {
+                let records = records.to_vec();
+                self.deliver((to + 1) % self.hosts.len(), to, Body::View { records });
             }
         }
     }
 
+    pub(crate) fn deliver(&mut self, from: usize, to: usize, body: Body) {
+        let me = self.hosts[from].detector.me();
+        let datagram = Datagram {
+            from: me.host,
+            incarnation: me.incarnation,
+            state: me.state,
+            body,
+            updates: Vec::new(),
+        };
+        self.receive(to, from, Message::Datagram(datagram));
+    }
+
     /// Starts a new process of the host that knows nothing, with its wall clock set back.
     pub(crate) fn restart(&mut self, host: usize, set_back_ms: u64) {
         let now = self.clock(host);
@@ -219,14 +217,14 @@
         let now = self.clock(host);
         let output = self.hosts[host].detector.tick(now);
         self.carry_out(host, output);
-        if self.has_owner {
-            let live = self.hosts[host].detector.live(&domain());
-            self.hosts[host].ownership.observe(live);
+        if !self.has_owner {
+            return;
         }
+        let live = self.hosts[host].detector.live(&domain());
+        self.hosts[host].ownership.observe(live);
         // Hosts ask in different ticks.
-        if self.has_owner
-            && (self.now / TICK_MS + host as u64).is_multiple_of(ASK_INTERVAL_MS / TICK_MS)
-        {
+        let tick = self.now / TICK_MS + host as u64;
+        if tick.is_multiple_of(ASK_INTERVAL_MS / TICK_MS) {
             let ask = self.hosts[host].ownership.ask(now);
             self.broadcast(host, ask.map(Message::Ask));
         }
@@ -248,7 +246,7 @@
             assert!(encoded.len() <= MAX_BYTES, "{:?}", envelope.datagram);
             self.hosts[host].sent_bytes += encoded.len() as u64 + OVERHEAD_BYTES;
             self.hosts[host].sent_count += 1;
-            let to = usize::from(envelope.to.port() - FIRST_PORT);
+            let to = usize::from(envelope.to.port()) - usize::from(FIRST_PORT);
             self.send(host, to, Message::Datagram(envelope.datagram));
         }
         for event in output.events {
@@ -277,9 +275,8 @@
     }
 
     fn check_death(&mut self, host: usize, member: &Member) {
-        let declared = member.host.0 as usize;
-        let other = &self.hosts[declared];
-        let reachable = other.mode == Mode::Running && other.side == self.hosts[host].side;
+        let (side, declared) = (self.hosts[host].side, member.host.0 as usize);
+        let reachable = self.runs(declared) && self.hosts[declared].side == side;
         if member.state == State::Dead && reachable {
             self.false_deaths.push((host, declared, self.now));
         }
@@ -293,11 +290,9 @@
             }
             let (key, (from, to, message)) = entry.remove_entry();
             if self.hosts[to].mode == Mode::Frozen {
-                self.in_flight
-                    .insert((self.now + TICK_MS, key.1), (from, to, message));
-            } else if self.hosts[to].mode == Mode::Running
-                && self.hosts[from].side == self.hosts[to].side
-            {
+                let later = (self.now + TICK_MS, key.1);
+                self.in_flight.insert(later, (from, to, message));
+            } else if self.runs(to) && self.hosts[from].side == self.hosts[to].side {
                 self.receive(to, from, message);
             }
         }
@@ -308,9 +303,8 @@
         let ownership = &mut self.hosts[host].ownership;
         match message {
             Message::Datagram(datagram) => {
-                let output = self.hosts[host]
-                    .detector
-                    .receive(now, address(from), datagram);
+                let detector = &mut self.hosts[host].detector;
+                let output = detector.receive(now, address(from), datagram);
                 self.carry_out(host, output);
             }
             Message::Ask(ask) => {
@@ -337,10 +331,8 @@
     }
 
     pub(crate) fn shares(&self) -> Vec<(usize, Share)> {
-        let running = (0..self.hosts.len()).filter(|&host| self.runs(host));
-        running
-            .filter_map(|host| Some((host, self.share(host)?)))
-            .collect()
+        let share = |host| Some((host, self.share(host)?));
+        self.running().filter_map(share).collect()
     }
 
     /// The only owner, if it has a majority and all running hosts support it.
@@ -350,8 +342,7 @@
         };
         let expected = Some(id::Host(owner as u32));
         let supports = |host: usize| self.hosts[host].ownership.owner(self.clock(host)) == expected;
-        let mut running = (0..self.hosts.len()).filter(|&host| self.runs(host));
-        (share.is_full() && running.all(supports)).then_some(owner)
+        (share.is_full() && self.running().all(supports)).then_some(owner)
     }
 
     pub(crate) fn state(&self, viewer: usize, host: usize) -> Option<State> {
@@ -361,17 +352,11 @@
 
     /// Whether every running host sees `hosts` in `state` and all others alive.
     pub(crate) fn agrees(&self, hosts: &[usize], state: State) -> bool {
-        let expected = |other| {
-            if hosts.contains(&other) {
-                state
-            } else {
-                State::Alive
-            }
-        };
+        let expected = |other| [State::Alive, state][usize::from(hosts.contains(&other))];
         let sees = |one, other| one == other || self.state(one, other) == Some(expected(other));
-        let mut viewers =
-            (0..self.hosts.len()).filter(|&one| self.hosts[one].mode == Mode::Running);
-        viewers.all(|one| (0..self.hosts.len()).all(|other| sees(one, other)))
+        let all = 0..self.hosts.len();
+        self.running()
+            .all(|one| all.clone().all(|other| sees(one, other)))
     }
 
     pub(crate) fn all_alive(&self) -> bool {
@@ -381,17 +366,18 @@
     /// Prints the cost per running host in the last `ms`, starts to count anew, and returns the most bytes per second
     /// of any host.
     pub(crate) fn report_cost(&mut self, label: &str, ms: u64) -> u64 {
-        let running = || self.hosts.iter().filter(|host| host.mode == Mode::Running);
-        let (size, scale) = (
-            self.hosts.len(),
-            1_000.0 / ms as f64 / running().count() as f64,
-        );
-        let bytes = running().map(|host| host.sent_bytes).sum::<u64>() as f64 * scale;
-        let count = running().map(|host| host.sent_count).sum::<u64>() as f64 * scale;
-        let max = running().map(|host| host.sent_bytes).max().unwrap_or(0) * 1_000 / ms;
-        println!(
-            "{size} hosts, {label}: {bytes:.0} bytes/s ({max} at most), {count:.2} datagrams/s"
-        );
+        let running: Vec<&Host> = self.running().map(|host| &self.hosts[host]).collect();
+        let scale = 1_000.0 / ms as f64 / running.len() as f64;
+        let bytes = running.iter().map(|host| host.sent_bytes).sum::<u64>() as f64 * scale;
+        let count = running.iter().map(|host| host.sent_count).sum::<u64>() as f64 * scale;
+        let max = running
+            .iter()
+            .map(|host| host.sent_bytes)
+            .max()
+            .unwrap_or(0)
+            * 1_000
+            / ms;
+        println!("{label}: {bytes:.0} bytes/s ({max} at most), {count:.2} datagrams/s per host");
         for host in &mut self.hosts {
             (host.sent_bytes, host.sent_count) = (0, 0);
         }
--- a/crates/member/tests/member/ownership.rs
+++ b/crates/member/tests/member/ownership.rs
@@ -20,24 +20,23 @@
         let mut domain = Fleet::start_domain(3, seed);
         domain.run(seed * 41);
         domain.hosts[0].mode = Mode::Down;
-        let ms = domain.run_until(5_000, |domain| domain.sole_owner() == Some(1));
+        let ms = domain.run_until(2_500, |domain| domain.sole_owner() == Some(1));
         println!("owner again after {ms} ms");
-        assert!(ms <= 2_500 + 20, "{ms} ms");
     }
 }
 
 // The second host fails too, and the others may still hold it for live. Their views differ for a while, so the owner
 // need not be the one with the lowest name.
-#[test_case(1)]
-#[test_case(2)]
-#[test_case(3)]
-fn two_dead_hosts_are_passed_over(seed: u64) {
-    let mut domain = Fleet::start_domain(5, seed);
-    domain.hosts[0].mode = Mode::Down;
-    domain.hosts[1].mode = Mode::Down;
-    let ms = domain.run_until(10_000, |domain| domain.sole_owner().is_some());
-    println!("owner again after {ms} ms");
-    assert!(ms <= 2_500 + 1_000 + 500 + 20, "{ms} ms");
+#[test]
+fn two_dead_hosts_are_passed_over() {
+    for seed in 1..20 {
+        let mut domain = Fleet::start_domain(5, seed);
+        domain.hosts[0].mode = Mode::Down;
+        domain.hosts[1].mode = Mode::Down;
+        let limit_ms = 2_500 + 1_000 + 500;
+        let ms = domain.run_until(limit_ms, |domain| domain.sole_owner().is_some());
+        println!("owner again after {ms} ms");
+    }
 }
 
 // Both sides of a split together must not lend more than all slots and the minority's share, nor go on after it.
@@ -50,8 +49,7 @@
     assert_eq!(domain.shares(), [(0, minority), (1, majority)]);
     assert_eq!((minority.slots(7), majority.slots(7)), (2, 7));
     domain.hosts[0].side = 0;
-    let ms = domain.run_until(2_000, |domain| domain.sole_owner() == Some(1));
-    println!("one owner {ms} ms after the split");
+    domain.run_until(2_000, |domain| domain.sole_owner() == Some(1));
     domain.run(20_000);
     assert_eq!(domain.sole_owner(), Some(1));
 }
@@ -62,9 +60,7 @@
     let mut domain = Fleet::start_domain(3, 3);
     domain.leave(0);
     assert_eq!(domain.shares(), []);
-    let ms = domain.run_until(1_000, |domain| domain.sole_owner() == Some(1));
-    println!("next owner after {ms} ms");
-    assert!(ms <= 500 + 10, "{ms} ms");
+    domain.run_until(500, |domain| domain.sole_owner() == Some(1));
     domain.run(5_000);
     assert_eq!(domain.sole_owner(), Some(1));
 }
--- a/crates/schedule/tests/admission.rs
+++ b/crates/schedule/tests/admission.rs
@@ -22,7 +22,8 @@
     expected_wait_ms: None,
 };
 
-// A wrong reason sends operators and callers after the wrong cause.
+// A wrong reason sends operators and callers after the wrong cause. Accounts that fill the host's queue must not shut
+// out one that has nothing waiting.
 #[test_case(QUIET, Ok(()) ; "quiet")]
 #[test_case(Load { draining: true, ready: false, ..QUIET }, Err(Reason::Draining) ; "draining")]
 #[test_case(Load { ready: false, servers: None, ..QUIET }, Err(Reason::NotReady) ; "no configuration")]
@@ -32,23 +33,14 @@
 #[test_case(Load { account_waiting: 3, host_waiting: 9, ..QUIET }, Ok(()) ; "below both limits")]
 #[test_case(Load { account_waiting: 4, host_waiting: 10, ..QUIET }, Err(Reason::AccountQueueFull) ; "account")]
 #[test_case(Load { account_waiting: 3, host_waiting: 10, ..QUIET }, Err(Reason::HostQueueFull) ; "host")]
+#[test_case(Load { host_waiting: 11, ..QUIET }, Ok(()) ; "reserve")]
+#[test_case(Load { host_waiting: 12, ..QUIET }, Err(Reason::HostQueueFull) ; "no reserve left")]
 #[test_case(Load { expected_wait_ms: Some(1_000), ..QUIET }, Ok(()) ; "just in time")]
 #[test_case(Load { expected_wait_ms: Some(1_001), ..QUIET }, Err(Reason::Overload) ; "overload")]
 fn gives_the_reason(load: Load, expected: Result<(), Reason>) {
     assert_eq!(check(&LIMITS, &load), expected);
 }
 
-// Accounts that fill the host's queue must not shut out one that has nothing waiting.
-#[test]
-fn small_account_gets_in_beside_floods() {
-    let load = |host_waiting| Load {
-        host_waiting,
-        ..QUIET
-    };
-    assert_eq!(check(&LIMITS, &load(11)), Ok(()));
-    assert_eq!(check(&LIMITS, &load(12)), Err(Reason::HostQueueFull));
-}
-
 // A request that waits without end holds memory and a connection; draining must not drop one that could still run.
 #[test]
 fn waiting_requests_end_at_the_deadline() {
--- a/crates/schedule/tests/claim.rs
+++ b/crates/schedule/tests/claim.rs
@@ -141,9 +141,7 @@
             now = now.plus_ms(wait_ms);
             let ending = match step {
                 Step::Claim => {
-                    if guard.claim(now) && claimed.is_none() {
-                        claimed = Some(now);
-                    }
+                    claimed = claimed.or(guard.claim(now).then_some(now));
                     None
                 }
                 Step::Reply(reply) => {
@@ -151,25 +149,23 @@
                     guard.on_reply(now, reply)
                 }
                 Step::Check => guard.check(now).err(),
-                Step::Send => match guard.send(now) {
-                    Ok(true) => {
+                Step::Send => {
+                    let sent = guard.send(now);
+                    if sent == Ok(true) {
                         sends += 1;
                         let asked = claimed.expect("sent without a claim");
                         prop_assert!(won && now.since(asked) < DEADLINE_MS);
-                        None
                     }
-                    Ok(false) => None,
-                    Err(ending) => Some(ending),
-                },
+                    sent.err()
+                }
                 Step::Answer => guard.on_answer(),
                 Step::Failure => guard.on_failure(Reason::CallerGone),
             };
             prop_assert!(sends <= 1);
-            if let Some(ending) = ending.filter(|_| sends > 0) {
-                prop_assert_ne!(ending.verdict, Verdict::NotRun);
-                prop_assert_ne!(ending.settlement, Some(Settlement::Released));
-            } else if let Some(ending) = ending {
-                prop_assert_ne!(ending.settlement, Some(Settlement::Complete));
+            if let Some(ending) = ending {
+                prop_assert!(sends == 0 || ending.verdict != Verdict::NotRun);
+                let wrong = [Settlement::Complete, Settlement::Released][sends];
+                prop_assert_ne!(ending.settlement, Some(wrong));
             }
         }
     }
--- a/crates/schedule/tests/limit.rs
+++ b/crates/schedule/tests/limit.rs
@@ -40,8 +40,9 @@
     }
 }
 
-/// Slots at each report, and the gaps of all.
+#[derive(Default)]
 struct Run {
+    /// Slots at each report.
     slots: Vec<u32>,
     gaps: u64,
     slow_gaps: u64,
@@ -52,10 +53,6 @@
         100.0 * self.slow_gaps as f64 / self.gaps as f64
     }
 
-    fn mean(&self) -> f64 {
-        self.slots.iter().sum::<u32>() as f64 / self.slots.len() as f64
-    }
-
     fn last(&self) -> u32 {
         *self.slots.last().expect("has run")
     }
@@ -67,12 +64,7 @@
     println!("seed {seed}");
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut late: Vec<(u64, Sample, u32)> = Vec::new();
-    let (slots, gaps, slow_gaps) = (Vec::new(), 0, 0);
-    let mut run = Run {
-        slots,
-        gaps,
-        slow_gaps,
-    };
+    let mut run = Run::default();
     for at in (from_ms..from_ms + ms).step_by(REPORT_MS as usize) {
         let batch = limit.slots().min(demand);
         let sample = engine.sample(batch, &mut rng);
@@ -106,7 +98,8 @@
     let mut limit = Limit::new(configured, Settings::default(), Time::ZERO);
     let first = run(&mut limit, engine, 1_000, lag_ms, 0, 240_000);
     let run = run(&mut limit, engine, 1_000, lag_ms, 240_000, 1_800_000);
-    let (best, mean, slow) = (engine.best(), run.mean(), run.slow_percent());
+    let mean = run.slots.iter().sum::<u32>() as f64 / run.slots.len() as f64;
+    let (best, slow) = (engine.best(), run.slow_percent());
     println!(
         "best {best}, from {configured}, {lag_ms} ms late: after 4 min {}",
         run.slots[0]
@@ -150,12 +143,9 @@
 #[test_case(Sample { gaps: 1_000, slow_gaps: 40, firsts: 40, slow_firsts: 0 }, 5 ; "between half the target and the target")]
 #[test_case(Sample { gaps: 3, slow_gaps: 3, firsts: 0, slow_firsts: 0 }, 5 ; "too few samples")]
 fn stays_within_bounds(sample: Sample, expected: u32) {
-    let settings = Settings {
-        floor: 2,
-        ceiling: 9,
-        ..Settings::default()
-    };
-    let mut limit = Limit::new(5, settings, Time::ZERO);
+    let (mut settings, slots) = (Settings::default(), 5);
+    (settings.floor, settings.ceiling) = (2, 9);
+    let mut limit = Limit::new(slots, settings, Time::ZERO);
     for at in (0..120_000).step_by(2_000).map(Time::from_ms) {
         limit.record(at, &sample, limit.slots());
         limit.evaluate(at);
