--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -1,8 +1,8 @@
 //! The task that records claims of idempotency keys in the log.
 
 use primrose_base::id;
-use primrose_base::verdict::Verdict;
-use primrose_proxy::gate::{Claim, ClaimEvent, Claimed};
+use primrose_proxy::gate::{Claim, ClaimEvent};
+use primrose_schedule::claim::{Reply as Claimed, Settlement};
 use primrose_schedule::ledger::Origin;
 use primrose_state::claim::{
     Attempt, Claim as ClaimCommand, Outcome as End, Reply as ClaimReply, Settle,
@@ -54,8 +54,8 @@
                 let counters = Arc::clone(&inputs.counters);
                 tokio::spawn(make_claim(submitter, counters, origin, claim, reply));
             }
-            ClaimEvent::Settle { claim, verdict } => {
-                tokio::spawn(settle(submitter, origin, claim, verdict));
+            ClaimEvent::Settle { claim, settlement } => {
+                tokio::spawn(settle(submitter, origin, claim, settlement));
             }
         }
     }
@@ -77,37 +77,36 @@
     });
     let outcome = submitter.submit(command.clone(), CLAIM_TIMEOUT_MS).await;
     let claimed = claimed(&outcome);
-    if claimed == Claimed::Granted {
+    if claimed == Claimed::Won {
         counters.count("claim_granted");
     }
     let is_received = reply.send(claimed).is_ok();
-    let is_abandoned = !is_received && claimed == Claimed::Granted;
+    let is_abandoned = !is_received && claimed == Claimed::Won;
     if outcome == Outcome::Unknown || is_abandoned {
         // The request will not run, but its claim may be in the log or reach it late: once the claim is known to be
         // there, it is released, so that the caller's next attempt can run.
         submitter.submit(command, SETTLE_TIMEOUT_MS).await;
-        settle(submitter, origin, claim, Verdict::NotRun).await;
+        settle(submitter, origin, claim, Settlement::Released).await;
     }
 }
 
 fn claimed(outcome: &Outcome) -> Claimed {
     match outcome {
         Outcome::Applied(Reply::Claim(reply)) => match reply {
-            ClaimReply::Won => Claimed::Granted,
+            ClaimReply::Won => Claimed::Won,
             ClaimReply::Held => Claimed::Held,
             ClaimReply::Complete => Claimed::Complete,
-            ClaimReply::KeyReused => Claimed::Reused,
+            ClaimReply::KeyReused => Claimed::KeyReused,
             ClaimReply::Released | ClaimReply::Full => Claimed::Unavailable,
         },
         Outcome::Applied(_) | Outcome::Unavailable | Outcome::Unknown => Claimed::Unavailable,
     }
 }
 
-async fn settle(submitter: Submitter, origin: Origin, claim: Claim, verdict: Verdict) {
-    let outcome = match verdict {
-        Verdict::Complete => End::Complete,
-        Verdict::NotRun => End::Released,
-        Verdict::MayHaveRun => return,
+async fn settle(submitter: Submitter, origin: Origin, claim: Claim, settlement: Settlement) {
+    let outcome = match settlement {
+        Settlement::Complete => End::Complete,
+        Settlement::Released => End::Released,
     };
     let command = Command::Settle(Settle {
         account: claim.account,
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -11,7 +11,7 @@
 
 /// Names of all counters, ascending, so that they can be searched.
 pub const ALL: [&str; COUNT] = [
-    "account_waiting_limit",
+    "account_queue_full",
     "answer_cut_short",
     "answer_timeout",
     "answer_unbounded",
@@ -19,18 +19,19 @@
     "backend_unreachable",
     "body_too_large",
     "body_unreadable",
+    "caller_gone",
     "change_accepted",
     "change_refused",
     "change_unknown",
     "claim_expired",
     "claim_granted",
     "claim_unavailable",
-    "deadline_exceeded",
     "dispatched",
     "draining",
     "duplicate_request",
     "freeze_detected",
-    "host_waiting_limit",
+    "host_queue_full",
+    "interrupted",
     "key_reused",
     "leader_changed",
     "malformed_body",
@@ -39,25 +40,32 @@
     "missing_key",
     "missing_model",
     "no_configuration",
+    "no_retry_attempts",
+    "no_retry_budget",
+    "no_retry_complete",
+    "no_retry_delivered",
+    "no_retry_non_idempotent",
     "no_server",
+    "not_ready",
     "operator_refused",
     "order_sent",
-    "overloaded",
+    "overload",
     "partitioned",
     "peer_datagram_refused",
     "peer_refused",
-    "retry_budget",
-    "retry_may_have_run",
+    "queue_deadline",
+    "retry_idempotent",
     "retry_not_run",
     "served",
     "unknown_key",
     "unknown_model",
     "unknown_path",
+    "unknown_pool",
     "unknown_service",
     "wrong_answer",
 ];
 
-const COUNT: usize = 44;
+const COUNT: usize = 52;
 
 /// The name under which `cadence` sends the counters.
 const PREFIX: &str = "primrose";
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod owners;
 mod pace;
+mod refusals;
 
 use std::sync::Arc;
 
@@ -14,18 +15,21 @@
 use primrose_base::name::Name;
 use primrose_config::{Configuration, Kind, Server as ServerItem, State as Life};
 use primrose_member::ownership::{ASK_INTERVAL_MS, Candidate as DomainHost, Ownership};
+use primrose_member::view::State as Presence;
 use primrose_proxy::failure::Failure;
 use primrose_proxy::gate::{Call, End, Event, Slot, Usage};
+use primrose_schedule::admission;
 use primrose_schedule::borrower::{self, Action, Borrower, Candidate};
+use primrose_schedule::choice;
 use primrose_schedule::estimate::Estimator;
 use primrose_schedule::ledger::{Origin, Share};
 use primrose_schedule::lender::{self, Lender, Support};
 use primrose_schedule::message::Answer;
 use primrose_schedule::queue::Request;
+use primrose_schedule::retry::{self, Budget};
 use primrose_schedule::settings::Settings as Tuning;
 use primrose_schedule::snapshot::Snapshot;
-use primrose_wire::peer::Packet;
-use salvo::http::StatusCode;
+use primrose_wire::peer::{Pace, Packet};
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
@@ -41,6 +45,9 @@
 /// Events that are taken at once before decisions are made; more wait for the next round.
 const BATCH: usize = 256;
 
+/// Time for membership to find the other hosts, and for an owner to be chosen, after a start.
+const STARTUP_MS: u64 = 5_000;
+
 /// What the task needs.
 pub struct Inputs {
     /// This host and the start time of its process in wall-clock ms.
@@ -98,6 +105,9 @@
         owners: Owners::default(),
         calls: Calls::default(),
         estimator: Estimator::default(),
+        budget: Budget::new(),
+        prefixes: choice::Directory::default(),
+        started: now,
         paces: Paces::default(),
         configuration: Arc::default(),
         view: Arc::default(),
@@ -119,6 +129,9 @@
     owners: Owners,
     calls: Calls,
     estimator: Estimator,
+    budget: Budget,
+    prefixes: choice::Directory,
+    started: Time,
     paces: Paces,
     configuration: Arc<Configuration>,
     view: Arc<View>,
@@ -219,7 +232,7 @@
 // Requests.
 impl Scheduler {
     fn arrive(&mut self, call: Call, reply: Reply, now: Time) {
-        if let Some(failure) = self.refusal(&call) {
+        if let Err(failure) = self.admit(&call, now) {
             // The caller may have left; then nobody needs the answer.
             let _ = reply.send(Err(failure));
             return;
@@ -237,34 +250,73 @@
     }
 
     /// Admission control.
-    fn refusal(&self, call: &Call) -> Option<Failure> {
-        if *self.inputs.draining.borrow() {
-            return Some(Failure::draining());
-        }
-        let waiting = self.borrower.waiting_total();
-        if waiting >= self.inputs.limits.waiting_per_host as usize {
-            let message =
-                format!("{waiting} requests wait on this host; send the request again later");
-            return Some(Failure::refuse(
-                "host_waiting_limit",
-                StatusCode::SERVICE_UNAVAILABLE,
-                message,
-            ));
+    fn admit(&mut self, call: &Call, now: Time) -> Result<(), Failure> {
+        match &call.retry {
+            Some(failure) => self.admit_retry(call.account, failure, now)?,
+            None => self.budget.count_request(now, call.account),
         }
         let account = self.configuration.accounts.by_id(call.account);
         let limit = account.map_or(0, |account| self.configuration.waiting_limit(account));
-        let waiting = self.borrower.waiting(call.pool, call.account);
-        if waiting >= limit as usize {
-            let message = format!(
-                "{waiting} requests of this account wait on this host; its limit is {limit}"
-            );
-            return Some(Failure::refuse(
-                "account_waiting_limit",
-                StatusCode::TOO_MANY_REQUESTS,
-                message,
-            ));
+        let limits = admission::Limits {
+            account_waiting: limit as usize,
+            host_waiting: self.inputs.limits.waiting_per_host as usize,
+            deadline_ms: self.inputs.limits.queue_timeout_ms,
+            ..admission::Limits::default()
+        };
+        let load = self.load(call, now);
+        admission::check(&limits, &load).map_err(refusals::of_admission)
+    }
+
+    fn admit_retry(
+        &mut self,
+        account: id::Account,
+        failure: &retry::Failure,
+        now: Time,
+    ) -> Result<(), Failure> {
+        match self.budget.decide(now, account, failure) {
+            Ok(ground) => {
+                self.inputs.counters.count(ground.code());
+                Ok(())
+            }
+            Err(refusal) => {
+                self.inputs.counters.count(refusal.code());
+                Err(refusals::of_retry(refusal))
+            }
         }
-        None
+    }
+
+    fn load(&self, call: &Call, now: Time) -> admission::Load {
+        let pool = self.configuration.pools.by_id(call.pool);
+        admission::Load {
+            draining: *self.inputs.draining.borrow(),
+            ready: true,
+            account_waiting: self.borrower.waiting(call.pool, call.account),
+            host_waiting: self.borrower.waiting_total(),
+            servers: pool.map(|pool| self.configuration.active_servers(pool.name.as_str()).len()),
+            reaches_slots: pool.is_some_and(|pool| self.reaches(&pool.name, now)),
+            expected_wait_ms: None,
+        }
+    }
+
+    /// Whether a host of a failure domain with servers of the pool can be reached.
+    fn reaches(&self, pool: &Name, now: Time) -> bool {
+        // Until membership has found the other hosts, a request waits instead of being refused.
+        if now.since(self.started) < STARTUP_MS {
+            return true;
+        }
+        let servers = self.configuration.active_servers(pool.as_str());
+        let mut hosts = servers
+            .iter()
+            .flat_map(|server| self.view.live(&server.domain));
+        hosts.any(|host| self.is_reachable(host))
+    }
+
+    fn is_reachable(&self, host: id::Host) -> bool {
+        host == self.inputs.origin.host
+            || self
+                .view
+                .member(host)
+                .is_some_and(|member| member.state == Presence::Alive)
     }
 
     fn estimate(&self, call: &Call) -> u64 {
@@ -333,7 +385,7 @@
             .map(|server| server.address);
         let answer = match address {
             Some(address) => Ok(Slot { server, address }),
-            None => Err(no_server()),
+            None => Err(refusals::of_admission(admission::Reason::NoServer)),
         };
         // A caller that left has dropped its ticket, and the end of the request is on its way.
         let _ = reply.send(answer);
@@ -346,14 +398,11 @@
         let Stage::Waiting { reply } = entry.stage else {
             return;
         };
-        let failure = match reason {
-            borrower::Reason::Expired => Failure::refuse(
-                "deadline_exceeded",
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the request waited for a slot until its deadline",
-            ),
-            borrower::Reason::NoServer => no_server(),
+        let reason = match reason {
+            borrower::Reason::Expired => admission::Reason::QueueDeadline,
+            borrower::Reason::NoServer => admission::Reason::NoServer,
         };
+        let failure = refusals::of_admission(reason);
         let _ = reply.send(Err(failure));
     }
 
@@ -375,11 +424,6 @@
     }
 }
 
-fn no_server() -> Failure {
-    let message = "no backend server is configured for this pool";
-    Failure::refuse("no_server", StatusCode::SERVICE_UNAVAILABLE, message)
-}
-
 // Configuration and membership.
 impl Scheduler {
     fn configure(&mut self, now: Time) {
@@ -489,16 +533,19 @@
 impl Scheduler {
     fn follow_owners(&mut self, now: Time) {
         for domain in self.domains() {
-            let owner = if domain == self.inputs.domain {
-                self.ownership.owner(now)
-            } else {
-                let candidates = self.candidates(&domain);
-                self.owners.update(&domain, &candidates, now)
-            };
+            let owner = self.owner(&domain, now);
             self.borrower.set_owner(now, &domain, owner);
         }
     }
 
+    fn owner(&mut self, domain: &Name, now: Time) -> Option<id::Host> {
+        if *domain == self.inputs.domain {
+            return self.ownership.owner(now);
+        }
+        let candidates = self.candidates(domain);
+        self.owners.update(domain, &candidates, now)
+    }
+
     fn ask(&mut self, now: Time) {
         if now < self.next_ask {
             return;
@@ -587,7 +634,7 @@
             Packet::Support { from, answer } => self.ownership.on_answer(now, from, &answer),
             Packet::Release(release) => self.ownership.on_release(now, &release),
             Packet::Pace { servers, .. } => {
-                self.paces.merge(&servers, now);
+                self.merge_paces(&servers, now);
                 self.set_servers(now);
             }
             Packet::Member(_) | Packet::Step { .. } => {}
@@ -612,37 +659,56 @@
     }
 
     fn send_paces(&mut self, now: Time) {
-        let Some(servers) = self.paces.due(now) else {
+        let Some(paces) = self.paces.due(now) else {
             return;
         };
         for domain in self.domains() {
-            let of_domain = |pace: &&primrose_wire::peer::Pace| {
+            let of_domain = |pace: &&Pace| {
                 let server = self.configuration.servers.by_id(pace.server);
                 server.is_some_and(|server| server.domain == domain)
             };
-            let servers: Vec<_> = servers.iter().filter(of_domain).copied().collect();
-            let owner = if domain == self.inputs.domain {
-                self.ownership.owner(now)
-            } else {
-                self.owners.update(&domain, &self.candidates(&domain), now)
-            };
-            if let Some(owner) = owner.filter(|_| !servers.is_empty()) {
-                self.send(
+            let servers: Vec<Pace> = paces.iter().filter(of_domain).copied().collect();
+            match self.owner(&domain, now) {
+                _ if servers.is_empty() => {}
+                Some(owner) if owner == self.inputs.origin.host => self.merge_paces(&servers, now),
+                Some(owner) => self.send(
                     owner,
                     &Packet::Pace {
                         from: self.inputs.origin.host,
                         servers,
                     },
-                );
+                ),
+                None => {}
             }
         }
     }
 
+    /// Takes in how servers of this failure domain served one host.
+    fn merge_paces(&mut self, servers: &[Pace], now: Time) {
+        let Some(lender) = &self.lender else {
+            return;
+        };
+        for pace in servers {
+            let configured = self
+                .configuration
+                .servers
+                .by_id(pace.server)
+                .map_or(1, |server| server.slots);
+            let busy = lender.lent_total(pace.server);
+            self.paces.merge(pace, configured, busy, now);
+        }
+    }
+
     /// Carries out the decisions of the borrower; returns whether the lender has got something to decide.
     fn borrow(&mut self, now: Time) -> bool {
-        let calls = &self.calls;
-        let choose =
-            |request: &Request, candidates: &[Candidate]| choose(calls, request, candidates);
+        let chooser = Chooser {
+            calls: &self.calls,
+            prefixes: &self.prefixes,
+            configuration: &self.configuration,
+        };
+        let choose = |request: &Request, candidates: &[Candidate]| {
+            choose(&chooser, request, candidates, now)
+        };
         let mut has_reported = false;
         for action in self.borrower.poll(now, choose) {
             match action {
@@ -685,10 +751,49 @@
     }
 }
 
-/// Chooses among the servers with an idle slot: not the one that has just failed the request, then the least loaded.
-fn choose(calls: &Calls, request: &Request, candidates: &[Candidate]) -> id::Server {
-    let avoid = calls.get(request.id).and_then(|entry| entry.call.avoid);
-    let rank = |candidate: &&Candidate| (Some(candidate.server) == avoid, candidate.running);
-    let chosen = candidates.iter().min_by_key(rank);
-    chosen.map_or(id::Server(0), |candidate| candidate.server)
+/// Chooses among the servers with an idle slot: by prompt prefix, but not the one that has just failed the request.
+fn choose(
+    chooser: &Chooser<'_>,
+    request: &Request,
+    candidates: &[Candidate],
+    now: Time,
+) -> id::Server {
+    let avoid = chooser
+        .calls
+        .get(request.id)
+        .and_then(|entry| entry.call.avoid);
+    let is_alternative = |candidate: &&Candidate| Some(candidate.server) != avoid;
+    let mut offered: Vec<_> = candidates
+        .iter()
+        .filter(is_alternative)
+        .map(|other| chooser.offer(other))
+        .collect();
+    if offered.is_empty() {
+        offered = candidates
+            .iter()
+            .map(|candidate| chooser.offer(candidate))
+            .collect();
+    }
+    let prefix = (request.affinity != 0).then_some(choice::Prefix(request.affinity));
+    let pick = chooser.prefixes.choose(now, prefix, &offered);
+    pick.map_or(id::Server(0), |pick| pick.server)
+}
+
+/// What the choice of a server looks at.
+struct Chooser<'a> {
+    calls: &'a Calls,
+    prefixes: &'a choice::Directory,
+    configuration: &'a Configuration,
+}
+
+impl Chooser<'_> {
+    fn offer(&self, candidate: &Candidate) -> choice::Candidate {
+        let server = self.configuration.servers.by_id(candidate.server);
+        choice::Candidate {
+            server: candidate.server,
+            idle: candidate.idle,
+            busy: candidate.running,
+            slots: server.map_or(1, |server| server.slots),
+        }
+    }
 }
--- a/crates/daemon/src/scheduler/pace.rs
+++ b/crates/daemon/src/scheduler/pace.rs
@@ -1,24 +1,24 @@
-//! How backend servers serve the requests of this host, and which of them are paused.
+//! How backend servers serve requests: the figures that hosts send to owners, and what owners derive from them.
 
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::verdict::Verdict;
 use primrose_proxy::gate::End;
 use primrose_schedule::health::Health;
+use primrose_schedule::limit::{self, Limit, SLOW_FIRST_MS, Sample};
 use primrose_wire::peer::Pace;
 
 /// Interval between two packets to the owners.
 const INTERVAL_MS: u64 = 1_000;
 
-/// 95 in 100 first tokens must come within this.
-const FIRST_TOKEN_TARGET_MS: u64 = 880;
-
 /// Figures of all servers that this host uses.
 #[derive(Debug, Default)]
 pub(super) struct Paces {
     /// Since the last packet, sorted by server.
     servers: Vec<Pace>,
     health: Health,
+    /// Slot limits of the servers of the own failure domain, sorted by server.
+    engines: Vec<Engine>,
     next_send: Time,
     /// A server was paused or came back since the last look.
     has_changed: bool,
@@ -26,13 +26,22 @@
     next_change: Option<Time>,
 }
 
+/// The slot limit of one server.
+#[derive(Debug)]
+struct Engine {
+    server: id::Server,
+    /// The slots of the configuration that the limit started from.
+    configured: u32,
+    limit: Limit,
+}
+
 impl Paces {
     /// Records the end of a request.
     pub(super) fn record(&mut self, server: id::Server, end: &End, now: Time) {
         let pace = self.pace(server);
         if let Some(first_token_ms) = end.usage.first_token_ms {
             pace.first_tokens += 1;
-            pace.late_first_tokens += u32::from(first_token_ms > FIRST_TOKEN_TARGET_MS);
+            pace.late_first_tokens += u32::from(first_token_ms > SLOW_FIRST_MS);
         }
         pace.gaps += end.usage.gaps;
         pace.late_gaps += end.usage.late_gaps;
@@ -48,19 +57,31 @@
         }
     }
 
-    /// Takes in the figures of another host.
-    pub(super) fn merge(&mut self, servers: &[Pace], now: Time) {
-        for pace in servers {
-            if pace.failures > 0 {
-                self.failed(pace.server, now);
-            } else if pace.first_tokens > 0 {
-                self.served(pace.server);
-            }
+    /// Takes in the figures of one host about a server of the own failure domain. `configured` are the slots to start
+    /// with, `busy` the slots that are lent now.
+    pub(super) fn merge(&mut self, pace: &Pace, configured: u32, busy: u32, now: Time) {
+        if pace.failures > 0 {
+            self.failed(pace.server, now);
+        } else if pace.first_tokens > 0 {
+            self.served(pace.server);
         }
+        let sample = Sample {
+            gaps: u64::from(pace.gaps),
+            slow_gaps: u64::from(pace.late_gaps),
+            firsts: u64::from(pace.first_tokens),
+            slow_firsts: u64::from(pace.late_first_tokens),
+        };
+        let engine = self.engine(pace.server, configured, now);
+        engine.limit.record(now, &sample, busy);
+        self.has_changed |= engine.limit.evaluate(now).is_some();
     }
 
-    /// How many of `slots` slots of the server may be lent.
-    pub(super) fn limit(&self, server: id::Server, slots: u32, now: Time) -> u32 {
+    /// How many slots of the server may be lent, if `configured` are configured.
+    pub(super) fn limit(&self, server: id::Server, configured: u32, now: Time) -> u32 {
+        let position = self
+            .engines
+            .binary_search_by_key(&server, |engine| engine.server);
+        let slots = position.map_or(configured, |at| self.engines[at].limit.slots());
         self.health.limit(server, slots, now)
     }
 
@@ -104,6 +125,29 @@
         self.has_changed |= self.health.served(server);
     }
 
+    /// The limit of a server; it starts again when the configured slots change.
+    fn engine(&mut self, server: id::Server, configured: u32, now: Time) -> &mut Engine {
+        let fresh = || Engine {
+            server,
+            configured,
+            limit: Limit::new(configured, limit::Settings::default(), now),
+        };
+        let at = match self
+            .engines
+            .binary_search_by_key(&server, |engine| engine.server)
+        {
+            Ok(at) => at,
+            Err(at) => {
+                self.engines.insert(at, fresh());
+                at
+            }
+        };
+        if self.engines[at].configured != configured {
+            self.engines[at] = fresh();
+        }
+        &mut self.engines[at]
+    }
+
     fn pace(&mut self, server: id::Server) -> &mut Pace {
         let at = self
             .servers
--- /dev/null
+++ b/crates/daemon/src/scheduler/refusals.rs
@@ -0,0 +1,46 @@
+//! Refusals of the decisions as answers to callers.
+
+use primrose_proxy::failure::Failure;
+use primrose_schedule::admission::Reason;
+use primrose_schedule::retry::Refusal;
+use salvo::http::StatusCode;
+
+/// The answer to a request that admission control or the queue refuses.
+pub(super) fn of_admission(reason: Reason) -> Failure {
+    let message = match reason {
+        Reason::Draining => return Failure::draining(),
+        Reason::NotReady => "this host has no configuration yet",
+        Reason::UnknownPool => "the model or service is not configured",
+        Reason::NoServer => "no backend server is in use for this model or service",
+        Reason::Partitioned => {
+            "no failure domain with backend servers for this request can be reached"
+        }
+        Reason::AccountQueueFull => {
+            "too many requests of this account wait; send the request again later"
+        }
+        Reason::HostQueueFull => {
+            "too many requests wait on this host; send the request again later"
+        }
+        Reason::Overload => "the request would wait longer than its deadline",
+        Reason::QueueDeadline => "the request waited for a slot until its deadline",
+        Reason::ClaimUnavailable
+        | Reason::ClaimExpired
+        | Reason::KeyReused
+        | Reason::CallerGone => "the request was given up before it was sent",
+    };
+    Failure::refuse(reason.code(), status(reason), message)
+}
+
+fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::UnknownPool => StatusCode::NOT_FOUND,
+        Reason::AccountQueueFull => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// The answer to a retry that is refused; the caller sees the failure that came before it.
+pub(super) fn of_retry(refusal: Refusal) -> Failure {
+    let message = "the request failed and is not sent again";
+    Failure::refuse(refusal.code(), StatusCode::BAD_GATEWAY, message)
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -10,22 +10,22 @@
 use hyper::{Method, Request, Response};
 use primrose_base::clock::Time;
 use primrose_base::verdict::Verdict;
+use primrose_schedule::admission::Reason;
+use primrose_schedule::claim::{Cause, Ending, Guard};
+use primrose_schedule::retry;
 use salvo::http::StatusCode;
 
 use crate::failure::Failure;
 use crate::gate::{Call, Claim, End, Gate, Slot, Ticket, Usage};
 use crate::head::Head;
 use crate::meter::{Format, Meter};
-use crate::relay::{Relay, Settlement};
+use crate::relay::Relay;
 use crate::server::Settings;
 use crate::upstream::{self, Upstream};
 
 /// The header that ties an answer to its request.
 pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
-/// Attempts per request, the first included; the retry budget of the account usually ends earlier.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Headers that belong to one connection (RFC 9110, section 7.6.1) or to the router and are not passed on.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::AUTHORIZATION,
@@ -55,36 +55,99 @@
     pub(crate) hold: Option<Hold>,
 }
 
-/// A granted claim; dropping it before the request is sent releases the key.
+impl Job {
+    /// Whether the claim of the request allows no further attempt.
+    fn is_spent(&self) -> bool {
+        self.hold.as_ref().is_some_and(|hold| !hold.can_send())
+    }
+}
+
+/// A granted claim; dropping it settles the claim as [`Guard`] decides.
 pub(crate) struct Hold {
     gate: Gate,
     claim: Claim,
-    /// The request must not be sent after this time: a host that was frozen must not act on an old claim.
-    deadline: Time,
-    /// Once true, the claim is never released.
-    sent: bool,
+    guard: Guard,
 }
 
 impl Hold {
-    pub(crate) fn new(gate: Gate, claim: Claim, deadline: Time) -> Hold {
-        Hold {
-            gate,
-            claim,
-            deadline,
-            sent: false,
+    pub(crate) fn new(gate: Gate, claim: Claim, guard: Guard) -> Hold {
+        Hold { gate, claim, guard }
+    }
+
+    /// Records that the answer has arrived whole.
+    pub(crate) fn complete(&mut self) {
+        let ending = self.guard.on_answer();
+        self.settle(ending);
+    }
+
+    fn settle(&self, ending: Option<Ending>) {
+        if let Some(settlement) = ending.and_then(|ending| ending.settlement) {
+            self.gate.settle(self.claim.clone(), settlement);
         }
     }
 
-    pub(crate) fn deadline(&self) -> Time {
-        self.deadline
+    /// Takes [`Hold::send`] back: no connection could be opened.
+    fn unsend(&mut self) {
+        self.guard.on_unsent();
+    }
+
+    fn can_send(&self) -> bool {
+        self.guard.clone().check(Time::now()) == Ok(true)
+    }
+
+    /// Marks the request as sent.
+    fn send(&mut self) -> Result<(), Failure> {
+        match self.guard.send(Time::now()) {
+            Ok(true) => Ok(()),
+            // A connection that could not be opened: the request is sent once more under the same claim.
+            Ok(false) => Err(Failure::broken(
+                "interrupted",
+                "the request was sent before and may have run",
+            )),
+            Err(ending) => {
+                self.settle(Some(ending));
+                Err(claim_failure(&ending))
+            }
+        }
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        if !self.sent {
-            self.gate.settle(self.claim.clone(), Verdict::NotRun);
-        }
+        let ending = self.guard.on_failure(Reason::CallerGone);
+        self.settle(ending);
+    }
+}
+
+/// What the caller is told about the end of a request with a claim.
+pub(crate) fn claim_failure(ending: &Ending) -> Failure {
+    let (status, message) = match (ending.cause, ending.verdict) {
+        (Cause::Refused(Reason::KeyReused), _) => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "this idempotency key was used with another request",
+        ),
+        (Cause::Refused(Reason::ClaimExpired), _) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the claim on the idempotency key is too old to send the request; send it again",
+        ),
+        (Cause::Refused(_), _) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the idempotency key could not be recorded safely, so the request was not run",
+        ),
+        (_, Verdict::Complete) => (
+            StatusCode::CONFLICT,
+            "the request with this idempotency key has completed",
+        ),
+        (..) => (
+            StatusCode::CONFLICT,
+            "a request with this idempotency key was sent before and may have run",
+        ),
+    };
+    Failure {
+        code: ending.cause.code(),
+        status,
+        message: message.to_owned(),
+        verdict: ending.verdict,
     }
 }
 
@@ -105,7 +168,7 @@
 }
 
 impl Runner {
-    /// Runs `job`, with retries where the verdict allows them.
+    /// Runs `job`, with retries where the verdict and the retry budget allow them.
     ///
     /// # Errors
     ///
@@ -113,27 +176,33 @@
     /// attempts.
     pub(crate) async fn run(&self, mut job: Job) -> Result<Answer, Failure> {
         let mut worst: Option<Failure> = None;
-        for number in 0..MAX_ATTEMPTS {
-            job.call.attempt = number;
+        let mut attempts = 0;
+        loop {
             let (slot, ticket) = match self.gate.arrive(job.call.clone()).await {
                 Ok(granted) => granted,
                 Err(refusal) => return Err(worst.unwrap_or(refusal)),
             };
+            attempts += 1;
             let failure = match self.attempt(&mut job, slot, ticket).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            let repeatable = job.head.is_whole() && failure.verdict.allows_retry(job.idempotent);
+            let verdict = failure.verdict;
             let failure = worse(worst.take(), failure);
-            if !repeatable {
+            if !job.head.is_whole() || job.is_spent() {
                 return Err(failure);
             }
-            (self.count)(retry_counter(failure.verdict));
             job.call.id = self.gate.next_id();
             job.call.avoid = Some(slot.server);
+            // The task that owns the queue applies the rules and counts the outcome.
+            job.call.retry = Some(retry::Failure {
+                verdict,
+                idempotent: job.idempotent,
+                delivered_bytes: 0,
+                attempts,
+            });
             worst = Some(failure);
         }
-        Err(worst.unwrap_or_else(Failure::draining))
     }
 
     async fn attempt(&self, job: &mut Job, slot: Slot, ticket: Ticket) -> Result<Answer, Failure> {
@@ -141,7 +210,9 @@
             Ok(request) => request,
             Err(failure) => return Err(unsent(ticket, failure)),
         };
-        if let Err(failure) = mark_sent(job) {
+        if let Some(hold) = &mut job.hold
+            && let Err(failure) = hold.send()
+        {
             return Err(unsent(ticket, failure));
         }
         let sent_at = Time::now();
@@ -151,8 +222,10 @@
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
                 let verdict = upstream::verdict(&error);
-                if verdict == Verdict::NotRun {
-                    mark_unsent(job);
+                if verdict == Verdict::NotRun
+                    && let Some(hold) = &mut job.hold
+                {
+                    hold.unsend();
                 }
                 return Err(failed(
                     ticket,
@@ -227,13 +300,10 @@
             }
         };
         let meter = Meter::new(format, job.call.input_tokens, sent_at);
-        let settlement = job.hold.as_ref().map(|hold| Settlement {
-            gate: hold.gate.clone(),
-            claim: hold.claim.clone(),
-        });
+        let hold = job.hold.take();
         let count = Arc::clone(&self.count);
         let on_cut_short = Box::new(move || count("answer_cut_short"));
-        let relay = Relay::new(body, first, meter, ticket, settlement, on_cut_short);
+        let relay = Relay::new(body, first, meter, ticket, hold, on_cut_short);
         Ok(Answer {
             status: head.status,
             headers: passed_headers(head.headers),
@@ -249,34 +319,6 @@
     }
 }
 
-fn retry_counter(verdict: Verdict) -> &'static str {
-    match verdict {
-        Verdict::NotRun => "retry_not_run",
-        Verdict::MayHaveRun | Verdict::Complete => "retry_may_have_run",
-    }
-}
-
-fn mark_sent(job: &mut Job) -> Result<(), Failure> {
-    let Some(hold) = &mut job.hold else {
-        return Ok(());
-    };
-    if Time::now() >= hold.deadline {
-        return Err(Failure::refuse(
-            "claim_expired",
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the claim on the idempotency key is too old to send the request; send it again",
-        ));
-    }
-    hold.sent = true;
-    Ok(())
-}
-
-fn mark_unsent(job: &mut Job) {
-    if let Some(hold) = &mut job.hold {
-        hold.sent = false;
-    }
-}
-
 fn unsent(ticket: Ticket, failure: Failure) -> Failure {
     ticket.end(End {
         verdict: Verdict::NotRun,
--- a/crates/proxy/src/gate.rs
+++ b/crates/proxy/src/gate.rs
@@ -7,6 +7,8 @@
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::verdict::Verdict;
+use primrose_schedule::claim::{self, Settlement};
+use primrose_schedule::retry;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::failure::Failure;
@@ -28,8 +30,8 @@
     pub affinity: u64,
     /// The queue refuses the request at this time.
     pub deadline: Time,
-    /// 0 for the first attempt; later ones are charged to the retry budget of the account.
-    pub attempt: u32,
+    /// What failed before, if this is a retry; retries are charged to the retry budget of the account.
+    pub retry: Option<retry::Failure>,
     /// A server that has just failed this request and is avoided if another one has a slot.
     pub avoid: Option<id::Server>,
 }
@@ -108,21 +110,6 @@
     pub digest: [u8; 32],
 }
 
-/// The answer to a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Claimed {
-    /// This host holds the claim and may send until its deadline.
-    Granted,
-    /// Another request holds the claim; it may have run.
-    Held,
-    /// The request with this key has completed.
-    Complete,
-    /// The key was used with another request.
-    Reused,
-    /// No majority answered in time; the claim may or may not exist.
-    Unavailable,
-}
-
 /// A message to the task that makes claims.
 #[derive(Debug)]
 pub enum ClaimEvent {
@@ -131,14 +118,14 @@
         /// The claim.
         claim: Claim,
         /// Receives the answer.
-        reply: oneshot::Sender<Claimed>,
+        reply: oneshot::Sender<claim::Reply>,
     },
-    /// Records the outcome of a granted claim: complete, or not run (the key may be claimed again).
+    /// Records the outcome of a granted claim.
     Settle {
         /// The claim.
         claim: Claim,
-        /// `Complete` or `NotRun`; a claim that may have run stays held.
-        verdict: Verdict,
+        /// The outcome.
+        settlement: Settlement,
     },
 }
 
@@ -194,22 +181,22 @@
     }
 
     /// Claims a key and waits for the answer.
-    pub(crate) async fn claim(&self, claim: Claim) -> Claimed {
+    pub(crate) async fn claim(&self, claim: Claim) -> claim::Reply {
         let (reply, answer) = oneshot::channel();
         if self
             .claims
             .send(ClaimEvent::Claim { claim, reply })
             .is_err()
         {
-            return Claimed::Unavailable;
+            return claim::Reply::Unavailable;
         }
-        answer.await.unwrap_or(Claimed::Unavailable)
+        answer.await.unwrap_or(claim::Reply::Unavailable)
     }
 
     /// Records the outcome of a granted claim.
-    pub(crate) fn settle(&self, claim: Claim, verdict: Verdict) {
+    pub(crate) fn settle(&self, claim: Claim, settlement: Settlement) {
         // A closed channel means that the daemon ends; the claim then stays held, which is safe.
-        let _ = self.claims.send(ClaimEvent::Settle { claim, verdict });
+        let _ = self.claims.send(ClaimEvent::Settle { claim, settlement });
     }
 }
 
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -6,8 +6,8 @@
 use foldhash::fast::FixedState;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use primrose_base::clock::Time;
-use primrose_base::verdict::Verdict;
 use primrose_config::{Account, Configuration, KeyHash, Kind, Pool};
+use primrose_schedule::claim::{DEADLINE_MS, Guard};
 use salvo::http::{Method, StatusCode};
 use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
@@ -15,9 +15,9 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
-use crate::attempt::{Answer, Count, Hold, Job, Runner, passed_headers};
+use crate::attempt::{Answer, Count, Hold, Job, Runner, claim_failure, passed_headers};
 use crate::failure::Failure;
-use crate::gate::{Call, Claim, Claimed};
+use crate::gate::{Call, Claim};
 use crate::head::{Fields, Head};
 
 /// A caller marks a request that must not run twice with the value `true`.
@@ -195,8 +195,9 @@
             _ => None,
         };
         let mut deadline = Time::now().plus_ms(self.runner.settings.queue_timeout_ms);
-        if let Some(hold) = &hold {
-            deadline = deadline.min(hold.deadline());
+        if hold.is_some() {
+            // A claim that is older must not be acted on, so waiting longer is of no use.
+            deadline = deadline.min(Time::now().plus_ms(DEADLINE_MS));
         }
         let call = Call {
             id: self.runner.gate.next_id(),
@@ -206,7 +207,7 @@
             max_output_tokens,
             affinity: affinity(&head),
             deadline,
-            attempt: 0,
+            retry: None,
             avoid: None,
         };
         let job = Job {
@@ -266,12 +267,12 @@
             key: key.into(),
             digest: digest(method, path, &head.bytes),
         };
-        // Counted from before the claim is sent, so that it ends no later here than at the voters.
-        let deadline = Time::now().plus_ms(self.runner.settings.claim_deadline_ms);
-        let claimed = self.runner.gate.claim(claim.clone()).await;
-        match refusal_of(claimed) {
-            Some(failure) => Err(failure),
-            None => Ok(Hold::new(self.runner.gate.clone(), claim, deadline)),
+        let mut guard = Guard::default();
+        guard.claim(Time::now());
+        let reply = self.runner.gate.claim(claim.clone()).await;
+        match guard.on_reply(Time::now(), reply) {
+            Some(ending) => Err(claim_failure(&ending)),
+            None => Ok(Hold::new(self.runner.gate.clone(), claim, guard)),
         }
     }
 
@@ -292,43 +293,6 @@
     }
 }
 
-fn refusal_of(claimed: Claimed) -> Option<Failure> {
-    let (code, verdict, message) = match claimed {
-        Claimed::Granted => return None,
-        Claimed::Held => (
-            "duplicate_request",
-            Verdict::MayHaveRun,
-            "a request with this idempotency key was sent before and may have run",
-        ),
-        Claimed::Complete => (
-            "duplicate_request",
-            Verdict::Complete,
-            "the request with this idempotency key has completed",
-        ),
-        Claimed::Reused => (
-            "key_reused",
-            Verdict::NotRun,
-            "this idempotency key was used with another request",
-        ),
-        Claimed::Unavailable => (
-            "claim_unavailable",
-            Verdict::NotRun,
-            "the idempotency key could not be recorded safely, so the request was not run",
-        ),
-    };
-    let status = match claimed {
-        Claimed::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
-        Claimed::Reused => StatusCode::UNPROCESSABLE_ENTITY,
-        _ => StatusCode::CONFLICT,
-    };
-    Some(Failure {
-        code,
-        status,
-        message: message.to_owned(),
-        verdict,
-    })
-}
-
 fn bearer_key(headers: &HeaderMap) -> Result<&str, Failure> {
     let value = headers
         .get(header::AUTHORIZATION)
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -1,13 +1,11 @@
 //! Counts the tokens of an answer while it passes, and tells whether it is complete.
 
 use primrose_base::clock::Time;
+use primrose_schedule::limit::SLOW_GAP_MS;
 use serde::Deserialize;
 
 use crate::gate::Usage;
 
-/// Gaps between tokens above this are late; 95 in 100 must be below it.
-pub(crate) const TOKEN_GAP_TARGET_MS: u64 = 50;
-
 /// The longest line of an event stream that is examined, in bytes; longer lines pass but count as one token.
 const MAX_LINE_BYTES: usize = 64 << 10;
 
@@ -139,7 +137,7 @@
             self.usage.first_token_ms = Some(now.since(self.sent_at));
         } else {
             self.usage.gaps += 1;
-            self.usage.late_gaps += u32::from(now.since(self.last_token_at) > TOKEN_GAP_TARGET_MS);
+            self.usage.late_gaps += u32::from(now.since(self.last_token_at) > SLOW_GAP_MS);
         }
         self.last_token_at = now;
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,7 +11,8 @@
 use primrose_base::verdict::Verdict;
 use tokio::time::{Instant, Sleep};
 
-use crate::gate::{Claim, End, Gate, Ticket};
+use crate::attempt::Hold;
+use crate::gate::{End, Ticket};
 use crate::meter::Meter;
 
 /// Token flow is reported to the scheduler at most this often per request.
@@ -25,12 +26,6 @@
 #[error("the backend server cut the answer short")]
 pub(crate) struct CutShort;
 
-/// A claim that is settled when the answer is complete.
-pub(crate) struct Settlement {
-    pub(crate) gate: Gate,
-    pub(crate) claim: Claim,
-}
-
 /// The body of an answer on its way to the caller.
 ///
 /// Dropping it before the end (the caller left) closes the backend connection, which cancels the request there.
@@ -41,7 +36,7 @@
     meter: Meter,
     /// `None` after the end has been reported.
     ticket: Option<Ticket>,
-    settlement: Option<Settlement>,
+    hold: Option<Hold>,
     flow_reported_at: Time,
     /// Ends the answer if the backend server sends nothing for [`STALL_TIMEOUT`].
     stall: Pin<Box<Sleep>>,
@@ -55,7 +50,7 @@
         first: Option<Bytes>,
         meter: Meter,
         ticket: Ticket,
-        settlement: Option<Settlement>,
+        hold: Option<Hold>,
         on_cut_short: Box<dyn Fn() + Send>,
     ) -> Relay {
         Relay {
@@ -63,7 +58,7 @@
             first,
             meter,
             ticket: Some(ticket),
-            settlement,
+            hold,
             flow_reported_at: Time::now(),
             stall: Box::pin(tokio::time::sleep(STALL_TIMEOUT)),
             on_cut_short,
@@ -99,8 +94,8 @@
             server_failed: !whole,
         });
         if whole {
-            if let Some(settlement) = self.settlement.take() {
-                settlement.gate.settle(settlement.claim, Verdict::Complete);
+            if let Some(hold) = &mut self.hold {
+                hold.complete();
             }
             return None;
         }
--- a/crates/schedule/src/claim.rs
+++ b/crates/schedule/src/claim.rs
@@ -83,8 +83,8 @@
     Claiming { asked: Time },
     /// The claim is held, and the request may be sent before this time.
     Held { until: Time },
-    /// Bytes may have left.
-    Sent,
+    /// Bytes may have left; the claim counted until this time.
+    Sent { until: Time },
     /// The caller was told; nothing changes any more, except that a claim that is won late is released.
     Settled { sent: bool },
 }
@@ -164,12 +164,19 @@
     /// As [`Guard::check`].
     pub fn send(&mut self, now: Time) -> Result<bool, Ending> {
         let allowed = self.check(now)?;
-        if allowed {
-            self.state = State::Sent;
+        if let State::Held { until } = self.state {
+            self.state = State::Sent { until };
         }
         Ok(allowed)
     }
 
+    /// Takes [`Guard::send`] back, because no connection could be opened and no byte has left.
+    pub fn on_unsent(&mut self) {
+        if let State::Sent { until } = self.state {
+            self.state = State::Held { until };
+        }
+    }
+
     /// Ends a request whose answer arrived whole. `None` if it was not sent or has ended.
     pub fn on_answer(&mut self) -> Option<Ending> {
         let ending = Ending {
@@ -177,7 +184,7 @@
             verdict: Verdict::Complete,
             settlement: Some(Settlement::Complete),
         };
-        (self.state == State::Sent).then(|| self.end(ending))
+        matches!(self.state, State::Sent { .. }).then(|| self.end(ending))
     }
 
     /// Ends a request for any other reason, for example because the caller or the backend server is gone. `reason`
@@ -190,7 +197,7 @@
                 not_run(reason, Some(Settlement::Released))
             }
             // The claim stays, so that a second request with the key learns that this one may have run.
-            State::Sent => Ending {
+            State::Sent { .. } => Ending {
                 cause: Cause::Interrupted,
                 verdict: Verdict::MayHaveRun,
                 settlement: None,
@@ -201,7 +208,7 @@
     }
 
     fn end(&mut self, ending: Ending) -> Ending {
-        let sent = self.state == State::Sent;
+        let sent = matches!(self.state, State::Sent { .. });
         self.state = State::Settled { sent };
         ending
     }
