--- a/crates/schedule/tests/faults.rs
+++ b/crates/schedule/tests/faults.rs
@@ -36,7 +36,19 @@
 #[test_case(3 ; "an owner")]
 fn host_restarts_empty(host: usize) {
     let mut fleet = uneven(12);
+    fleet.run_until(40_000);
     fleet.restart(host);
+    fleet.run_until(45_000);
+    for pool in fleet.hosts[host].borrower.snapshot().pools {
+        for account in pool.accounts {
+            let tally = &fleet.tallies[account.account.0 as usize];
+            let missing = tally.service.saturating_sub(account.service);
+            // A view is at most two exchanges old, and the old process did not report the end of its requests; 2 s of
+            // the account's service and one request cover both. What the old process charged in 40 s is more.
+            let allowed = 2 * tally.service / 45 + 2_000;
+            assert!(missing <= allowed, "{account:?} misses {missing}");
+        }
+    }
     fleet.run_until(60_000);
     check(&fleet);
 }
--- a/crates/schedule/tests/protocol.rs
+++ b/crates/schedule/tests/protocol.rs
@@ -4,6 +4,15 @@
 mod fleet;
 
 use fleet::{Fleet, Plan};
+use primrose_base::clock::Time;
+use primrose_base::id;
+use primrose_base::name::Name;
+use primrose_schedule::borrower::{self, Action, Borrower};
+use primrose_schedule::ledger::Origin;
+use primrose_schedule::lender::{self, Lender, Support};
+use primrose_schedule::message::{Answer, Grant, Lease, Report, Row, Usage};
+use primrose_schedule::queue::Request;
+use primrose_schedule::settings::Settings;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
 
@@ -88,3 +97,135 @@
     });
     result.expect("holds for all inputs");
 }
+
+/// A report that asks for slots for one account.
+fn demand(host: u32, account: u32, charge: u64, waiting: u32) -> Report {
+    let row = Row {
+        account: id::Account(account),
+        charge,
+        in_flight: 0,
+        waiting,
+        estimate: 1_000,
+        age_s: 0,
+    };
+    Report {
+        host: id::Host(host),
+        incarnation: 1,
+        number: 1,
+        lender: 0,
+        lease: Lease::None,
+        sent: Time::from_ms(1),
+        seen: 0,
+        sums: None,
+        pools: vec![Usage {
+            pool: fleet::POOL,
+            virtual_time: 0,
+            accounts: vec![row],
+            offsets: Vec::new(),
+        }],
+        slots: Vec::new(),
+        retired: Vec::new(),
+    }
+}
+
+/// What an owner with 6 free slots grants to hosts 0, 1 and 2 on these reports.
+fn granted(reports: &[Report]) -> [u32; 3] {
+    let mut lender = Lender::new(Time::ZERO, 1, Settings::default());
+    lender.set_support(Support {
+        supporters: 1,
+        hosts: 1,
+    });
+    lender.set_servers(&[lender::Server {
+        server: id::Server(0),
+        pool: fleet::POOL,
+        limit: 0,
+        leaving: false,
+    }]);
+    let now = Time::from_ms(1_000);
+    for report in reports {
+        lender.report(now, report);
+    }
+    lender.poll(now);
+    // The pacing of grants to new hosts is over by now.
+    lender.set_limit(id::Server(0), 6);
+    let mut granted = [0; 3];
+    for push in lender.poll(now.plus_ms(1_100)) {
+        granted[push.to.0 as usize] = push.answer.grants[0].granted;
+    }
+    granted
+}
+
+// Guards against one light account drawing every free slot until the next exchange. Account 0 waits at two hosts and
+// lies 1,500 behind account 1; each grant advances it by 1,000 at both hosts, so that the grants alternate in the end.
+#[test]
+fn grants_advance_the_account_at_all_hosts() {
+    let light = [demand(0, 0, 0, 10), demand(1, 0, 0, 10)];
+    let [first, second, other] = granted(&[&light[..], &[demand(2, 1, 1_500, 10)]].concat());
+    assert_eq!((first + second, other), (4, 2));
+}
+
+// Guards against more grants than requests that wait, which would keep slots from the other hosts.
+#[test]
+fn one_waiting_request_gets_one_slot() {
+    assert_eq!(granted(&[demand(0, 0, 0, 1)]), [1, 0, 0]);
+}
+
+// Guards against an answer that was overtaken and makes a leaving server usable again, or grants slots once more.
+#[test]
+fn overtaken_and_repeated_answers_change_nothing() {
+    let now = Time::from_ms(1_000);
+    let name = Name::new("d0").expect("valid");
+    let origin = Origin {
+        host: id::Host(0),
+        incarnation: 1,
+    };
+    let mut borrower = Borrower::new(origin, name.clone(), Settings::default());
+    let server = id::Server(0);
+    borrower.set_servers(
+        now,
+        &[borrower::Server {
+            server,
+            pool: fleet::POOL,
+            domain: name.clone(),
+        }],
+    );
+    borrower.set_owner(now, &name, Some(id::Host(9)));
+    let answer = |number, granted, leaving: bool| Answer {
+        to: 1,
+        incarnation: 1,
+        number,
+        epoch: 1,
+        renewed: Some(now),
+        seen: 0,
+        has_sums: false,
+        pools: Vec::new(),
+        grants: vec![Grant {
+            server,
+            granted,
+            keep: leaving.then_some(0),
+            leaving,
+        }],
+        retired: Vec::new(),
+    };
+    for answer in [
+        answer(1, 1, false),
+        answer(3, 2, true),
+        answer(3, 2, true),
+        answer(2, 2, false),
+    ] {
+        borrower.answer(now, id::Host(9), &answer);
+    }
+    let request = Request {
+        id: 1,
+        account: id::Account(0),
+        pool: fleet::POOL,
+        estimate: 1,
+        deadline: now.plus_ms(1_000),
+        affinity: 0,
+    };
+    borrower.arrive(now, request);
+    let actions = borrower.poll(now, |_, candidates| candidates[0].server);
+    let starts = actions.iter().any(|a| matches!(a, Action::Dispatch { .. }));
+    assert!(!starts, "the server is leaving: {actions:?}");
+    assert_eq!(borrower.snapshot().pools[0].servers[0].lent, 0);
+}
