--- a/crates/consensus/examples/measure.rs
+++ b/crates/consensus/examples/measure.rs
@@ -1,4 +1,5 @@
-//! Measures restart time, fsyncs per proposal, memory per entry, and the time without a leader after a leader stopped.
+//! Measures restart time, fsyncs per proposal, memory per entry, the time without a leader after a leader stopped, and the size of
+//! heartbeats.
 //!
 //!     cargo run --release -p primrose-consensus --example measure -- FOLDER
 //!
@@ -15,7 +16,7 @@
 use primrose_consensus::disk::{self, Disk};
 use primrose_consensus::entry::{Entry, Payload, Position};
 use primrose_consensus::membership::{Id, Member, Membership};
-use primrose_consensus::message::Message;
+use primrose_consensus::message::{Body, Message, Outcome, Stamp};
 use primrose_consensus::node::{self, Node, Role};
 use primrose_consensus::replica::Replica;
 
@@ -300,6 +301,43 @@
     Ok(())
 }
 
+/// The encoded size of a heartbeat and of its answer, late in the life of a process.
+fn measure_heartbeat() -> Result<()> {
+    let stamp = Stamp {
+        round: 1_000_000,
+        sent: Time::from_ms(1_000_000_000),
+    };
+    let previous = Position {
+        term: 100,
+        index: 1_000_000,
+    };
+    let bodies = [
+        Body::Append {
+            stamp,
+            previous,
+            entries: Vec::new(),
+            commit: previous.index,
+        },
+        Body::AppendReply {
+            stamp,
+            outcome: Outcome::Matched(previous.index),
+        },
+    ];
+    let mut sizes = Vec::new();
+    for body in bodies {
+        let (from, to, term) = (Id(u64::MAX), Id(u64::MAX), previous.term);
+        let message = Message {
+            from,
+            to,
+            term,
+            body,
+        };
+        sizes.push(postcard::to_stdvec(&message)?.len());
+    }
+    println!("heartbeat {} bytes, answer {} bytes", sizes[0], sizes[1]);
+    Ok(())
+}
+
 fn resident_bytes() -> Result<u64> {
     let text = fs::read_to_string("/proc/self/statm")?;
     let pages: u64 = text.split(' ').nth(1).ok_or("no field")?.parse()?;
@@ -311,6 +349,7 @@
     let folder = tempfile::tempdir_in(parent)?;
     measure_memory(200_000)?;
     measure_failover(2000)?;
+    measure_heartbeat()?;
     for count in [1_000, 10_000, 100_000, 300_000] {
         measure_restart(&folder.path().join(format!("restart-{count}")), count)?;
     }
--- a/crates/consensus/tests/basic.rs
+++ b/crates/consensus/tests/basic.rs
@@ -71,3 +71,10 @@
     replica.flush().expect("flushes");
     assert_eq!(*applied.lock().expect("not poisoned"), [1, 2]);
 }
+
+// The daemon moves a replica to a blocking thread for each flush.
+#[test]
+fn a_replica_can_change_threads() {
+    fn check<T: Send + 'static>() {}
+    check::<Replica>();
+}
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -56,6 +56,15 @@
     }
 }
 
+fn empty(id: u64) -> Recovered {
+    Recovered {
+        id: Id(id),
+        hard: Hard::default(),
+        snapshot: None,
+        entries: Vec::new(),
+    }
+}
+
 fn node(id: u64, voters: u64) -> Node {
     let options = Options::default();
     Node::new(recovered(id, voters, &[]), options, at(1), id)
@@ -331,17 +340,7 @@
 fn a_lost_disk_gets_a_new_id() {
     let ([mut leader, mut second, third], now) = trio();
     drop(third);
-    let mut fresh = Node::new(
-        Recovered {
-            id: Id(4),
-            hard: Hard::default(),
-            snapshot: None,
-            entries: Vec::new(),
-        },
-        Options::default(),
-        now,
-        4,
-    );
+    let mut fresh = Node::new(empty(4), Options::default(), now, 4);
     let add = Change::AddLearner {
         id: Id(4),
         host: host(),
@@ -437,6 +436,37 @@
         .expect("room again");
 }
 
+// A leader that takes snapshots faster than a slow link carries one must not start again with each.
+#[test]
+fn a_snapshot_arrives_although_newer_ones_are_taken() {
+    let options = Options {
+        max_message_bytes: 100,
+        keep_entries: 0,
+        ..Options::default()
+    };
+    let mut leader = Node::new(recovered(1, 1, &[]), options.clone(), at(1), 1);
+    let mut now = run(&mut [&mut leader], at(1), 1100);
+    let add = Change::AddLearner {
+        id: Id(4),
+        host: host(),
+    };
+    leader.change(now, &add).expect("fits");
+    let mut learner = Node::new(empty(4), options, now, 4);
+    for _ in 0..40 {
+        now = now.plus_ms(20);
+        leader.tick(now);
+        learner.tick(now);
+        leader.propose(now, vec![1]).expect("leads");
+        let chunks = flush(&mut leader);
+        let applied = leader.applied();
+        leader.snapshot(applied, vec![0; 1000]).expect("applied");
+        chunks.into_iter().for_each(|m| learner.step(now, m));
+        let answers = flush(&mut learner);
+        answers.into_iter().for_each(|m| leader.step(now, m));
+    }
+    assert!(learner.snapshot_position().index > 0);
+}
+
 // Options whose lease outlasts the promise not to vote are unsafe.
 #[test]
 fn unsafe_options_are_refused() {
