consensus: Let clients of the cluster tests leave a stopped leader

A variant without freeze detection, check-quorum and confirmation of reads passed: all clients waited for the stopped leader, so nobody wrote at the new one and no read could be stale. Clients now time out after 0.2 to 2 s wherever they wait and turn to other hosts.

--- a/crates/consensus/tests/support/client.rs
+++ b/crates/consensus/tests/support/client.rs
@@ -11,7 +11,11 @@
 
 use crate::cluster::{KEYS, Machine, Truth};
 
-const TIMEOUT_MS: u64 = 2000;
+const SHORTEST_TIMEOUT_MS: u64 = 200;
+const LONGEST_TIMEOUT_MS: u64 = 2000;
+/// Chance per ms that a client whose host does not take its operation turns to another one. The others wait, and ask a
+/// leader that was stopped as soon as it runs again.
+const TURN_AWAY: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Operation {
@@ -100,6 +104,21 @@
         self.clock
     }
 
+    /// Lets clients that wait too long turn to another host.
+    pub(crate) fn time_out(&mut self, rng: &mut SmallRng, now: u64) {
+        for at in 0..self.clients.len() {
+            let client = &self.clients[at];
+            let waits = match &client.pending {
+                Some(pending) => now >= pending.deadline,
+                None => now > client.next && rng.random_bool(TURN_AWAY),
+            };
+            if waits {
+                self.give_up(at);
+                self.clients[at].host = rng.random_range(0..5);
+            }
+        }
+    }
+
     /// Lets the clients whose turn it is ask this host. Returns whether any did.
     pub(crate) fn ask(
         &mut self,
@@ -111,14 +130,6 @@
     ) -> bool {
         let mut asked = false;
         for at in 0..self.clients.len() {
-            let client = &self.clients[at];
-            if client
-                .pending
-                .as_ref()
-                .is_some_and(|p| now >= p.deadline && p.host == host)
-            {
-                self.give_up(at);
-            }
             let client = &self.clients[at];
             let idle = client.pending.is_none() && client.host == host && now >= client.next;
             if idle && !self.paused {
@@ -158,7 +169,7 @@
             Ok(wait) => {
                 let host = client.host;
                 let call = self.tick();
-                let deadline = now + TIMEOUT_MS;
+                let deadline = now + rng.random_range(SHORTEST_TIMEOUT_MS..LONGEST_TIMEOUT_MS);
                 self.clients[at].pending = Some(Pending {
                     host,
                     key,
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -255,6 +255,7 @@
     /// One millisecond.
     pub(crate) fn step(&mut self) {
         self.now += 1;
+        self.clients.time_out(&mut self.rng, self.now);
         self.deliver();
         for at in 0..self.hosts.len() {
             let host = &self.hosts[at];
