--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -149,7 +149,7 @@
 
 /// A membership and the index of the entry that set it.
 #[derive(Debug)]
-struct Era {
+struct MembershipAt {
     index: u64,
     membership: Membership,
 }
@@ -183,14 +183,14 @@
     log: Log,
     /// Memberships in the order of their entries; the first one is in force at the base of the log, the last one now.
     /// Never empty.
-    eras: Vec<Era>,
+    memberships: Vec<MembershipAt>,
     snapshot: Option<Arc<Snapshot>>,
 
     role: Role,
     leader: Option<Id>,
     /// The last contact with a leader, or the start of this process: a restarted voter may have acknowledged a
     /// heartbeat just before, so it respects a lease that it no longer knows of.
-    heard: Time,
+    last_contact: Time,
     /// Since when the election timeout runs.
     waiting_since: Time,
     election_timeout_ms: u64,
@@ -247,7 +247,7 @@
         let membership = snapshot
             .as_ref()
             .map_or(Membership::default(), |s| s.membership.clone());
-        let eras = eras(base.index, membership, &recovered.entries);
+        let memberships = memberships(base.index, membership, &recovered.entries);
         let log = Log::new(base, recovered.entries);
         let last = log.last();
         let mut hard = recovered.hard;
@@ -265,12 +265,12 @@
             saved: hard,
             hard,
             log,
-            eras,
+            memberships,
             restore: snapshot.clone(),
             snapshot,
             role: Role::Follower,
             leader: None,
-            heard: now,
+            last_contact: now,
             waiting_since: now,
             election_timeout_ms: options.election_min_ms,
             options,
@@ -343,7 +343,7 @@
 
     /// The latest membership in its log, committed or not.
     pub fn membership(&self) -> &Membership {
-        &self.eras[self.eras.len() - 1].membership
+        &self.memberships[self.memberships.len() - 1].membership
     }
 
     /// The last entry in its log.
@@ -451,14 +451,14 @@
             self.resume_after_freeze();
         }
         if self.role == Role::Leader && !self.quorum_is_connected() {
-            self.follow(self.hard.term, None);
+            self.become_follower(self.hard.term, None);
         }
     }
 
     /// Others may have elected a leader during the gap, and its messages may be waiting in the sockets.
     fn resume_after_freeze(&mut self) {
         if self.role == Role::Leader {
-            self.follow(self.hard.term, None);
+            self.become_follower(self.hard.term, None);
         }
         self.restart_election_timer();
     }
@@ -492,7 +492,7 @@
         if let Payload::Members(membership) = &entry.payload {
             let index = entry.position.index;
             let membership = membership.clone();
-            self.eras.push(Era { index, membership });
+            self.memberships.push(MembershipAt { index, membership });
         }
         self.log.push(entry);
     }
@@ -505,7 +505,7 @@
             self.hard.commit
         );
         self.log.truncate(index);
-        self.eras.retain(|era| era.index < index);
+        self.memberships.retain(|entry| entry.index < index);
         if index <= self.handed {
             self.truncate = Some(self.truncate.map_or(index, |t| t.min(index)));
             self.handed = index - 1;
@@ -523,29 +523,36 @@
             return;
         }
         self.log.compact(index);
-        let before = self.eras.iter().filter(|era| era.index <= index).count();
-        self.eras.drain(..before.saturating_sub(1));
+        let before = self
+            .memberships
+            .iter()
+            .filter(|entry| entry.index <= index)
+            .count();
+        self.memberships.drain(..before.saturating_sub(1));
     }
 
     fn membership_at(&self, index: u64) -> &Membership {
-        let after = self.eras.iter().position(|era| era.index > index);
-        let at = after.unwrap_or(self.eras.len()).saturating_sub(1);
-        &self.eras[at].membership
+        let after = self
+            .memberships
+            .iter()
+            .position(|entry| entry.index > index);
+        let at = after.unwrap_or(self.memberships.len()).saturating_sub(1);
+        &self.memberships[at].membership
     }
 }
 
-fn eras(base: u64, membership: Membership, entries: &[Entry]) -> Vec<Era> {
-    let mut eras = vec![Era {
+fn memberships(base: u64, membership: Membership, entries: &[Entry]) -> Vec<MembershipAt> {
+    let mut memberships = vec![MembershipAt {
         index: base,
         membership,
     }];
     for entry in entries {
         if let Payload::Members(membership) = &entry.payload {
-            eras.push(Era {
+            memberships.push(MembershipAt {
                 index: entry.position.index,
                 membership: membership.clone(),
             });
         }
     }
-    eras
+    memberships
 }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -10,7 +10,7 @@
 
 impl Node {
     /// Becomes a follower in `term`, which is at least the current one.
-    pub(super) fn follow(&mut self, term: u64, leader: Option<Id>) {
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<Id>) {
         if term > self.hard.term {
             self.hard.term = term;
             self.hard.voted_for = None;
@@ -36,7 +36,8 @@
 
     /// Whether a leader may hold a lease to which this replica contributed.
     fn leader_is_alive(&self) -> bool {
-        self.role == Role::Leader || self.now.since(self.heard) < self.options.election_min_ms
+        self.role == Role::Leader
+            || self.now.since(self.last_contact) < self.options.election_min_ms
     }
 
     pub(super) fn tick_election(&mut self) {
@@ -92,12 +93,12 @@
         }
         match self.role {
             Role::PreCandidate => self.start_election(),
-            Role::Candidate => self.lead(),
+            Role::Candidate => self.become_leader(),
             Role::Follower | Role::Leader => {}
         }
     }
 
-    fn lead(&mut self) {
+    fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.by_transfer = false;
@@ -115,7 +116,7 @@
 
     /// Starts to replicate to members that are new, and stops for those that left.
     pub(super) fn add_peers(&mut self) {
-        let membership = &self.eras[self.eras.len() - 1].membership;
+        let membership = &self.memberships[self.memberships.len() - 1].membership;
         self.peers
             .retain(|peer| membership.member(peer.id).is_some());
         let next = self.log.last().index + 1;
@@ -148,18 +149,18 @@
                 if self.leader_is_alive() && !transfer {
                     return false;
                 }
-                self.follow(message.term, None);
+                self.become_follower(message.term, None);
                 true
             }
             Body::Append { .. } | Body::Chunk { .. } => {
-                self.follow(message.term, Some(message.from));
+                self.become_follower(message.term, Some(message.from));
                 true
             }
             Body::VoteReply { .. }
             | Body::AppendReply { .. }
             | Body::ChunkReply { .. }
             | Body::Transfer => {
-                self.follow(message.term, None);
+                self.become_follower(message.term, None);
                 true
             }
         }
@@ -228,7 +229,9 @@
                     self.start_election();
                 }
             }
-            Body::Append { .. } | Body::Chunk { .. } => self.hear(from, message.body),
+            Body::Append { .. } | Body::Chunk { .. } => {
+                self.handle_leader_message(from, message.body)
+            }
             Body::AppendReply { stamp, outcome } => self.handle_reply(from, stamp, outcome),
             Body::ChunkReply {
                 stamp,
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -41,7 +41,7 @@
         self.check_leader()?;
         // Two changes in progress, or one on top of a change of an earlier leader that may still be replaced, could
         // produce two majorities without a common voter.
-        let latest = self.eras[self.eras.len() - 1].index;
+        let latest = self.memberships[self.memberships.len() - 1].index;
         if latest > self.hard.commit || !self.term_is_committed() {
             return Err(Error::Pending);
         }
@@ -305,7 +305,7 @@
         if self.matched(to) == Some(self.log.last().index) {
             // The lease ends here, before the receiver asks others not to respect it.
             self.send(to, Body::Transfer);
-            self.follow(self.hard.term, None);
+            self.become_follower(self.hard.term, None);
         }
     }
 
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -9,14 +9,14 @@
 
 impl Node {
     /// Handles a message of the leader of the current term.
-    pub(super) fn hear(&mut self, from: Id, body: Body) {
+    pub(super) fn handle_leader_message(&mut self, from: Id, body: Body) {
         assert!(
             self.role != Role::Leader,
             "replica {from} also claims to lead term {}",
             self.hard.term
         );
-        self.follow(self.hard.term, Some(from));
-        self.heard = self.now;
+        self.become_follower(self.hard.term, Some(from));
+        self.last_contact = self.now;
         self.restart_election_timer();
         match body {
             Body::Append {
@@ -137,8 +137,8 @@
             self.handed = self.handed.max(position.index);
         } else {
             self.log.reset(position);
-            self.eras.clear();
-            self.eras.push(super::Era {
+            self.memberships.clear();
+            self.memberships.push(super::MembershipAt {
                 index: position.index,
                 membership: snapshot.membership.clone(),
             });
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -268,7 +268,7 @@
         }
         self.check_leases();
         if self.now.is_multiple_of(50) {
-            self.administrate();
+            self.repair_membership();
         }
     }
 
@@ -426,7 +426,7 @@
     }
 
     /// What a daemon's repair loop does: add hosts that have a disk, remove ids whose disk is gone.
-    fn administrate(&mut self) {
+    fn repair_membership(&mut self) {
         self.renew_removed_hosts();
         let Some(at) = self.leader() else { return };
         if self.now < self.hosts[at].frozen_until {
@@ -516,7 +516,7 @@
                 "seed {seed}: state"
             );
         }
-        // A replica that claims to have caught up must not be behind an earlier life.
+        // A replica that claims to have caught up must not be behind an earlier run.
         if node.has_caught_up() {
             let applied = node.applied();
             assert!(applied >= host.shown, "seed {seed}: went back");
@@ -569,7 +569,7 @@
         }
     }
 
-    /// Ends all faults and checks that the fleet comes back to life with everything that was committed.
+    /// Ends all faults and checks that the fleet recovers with everything that was committed.
     pub(crate) fn settle(&mut self) {
         self.heal();
         for host in &mut self.hosts {
