--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -255,6 +255,7 @@
     /// One millisecond.
     pub(crate) fn step(&mut self) {
         self.now += 1;
+        self.clients.time_out(&mut self.rng, self.now);
         self.deliver();
         for at in 0..self.hosts.len() {
             let host = &self.hosts[at];
@@ -267,7 +268,7 @@
         }
         self.check_leases();
         if self.now.is_multiple_of(50) {
-            self.administrate();
+            self.repair_membership();
         }
     }
 
@@ -425,7 +426,7 @@
     }
 
     /// What a daemon's repair loop does: add hosts that have a disk, remove ids whose disk is gone.
-    fn administrate(&mut self) {
+    fn repair_membership(&mut self) {
         self.renew_removed_hosts();
         let Some(at) = self.leader() else { return };
         if self.now < self.hosts[at].frozen_until {
@@ -515,7 +516,7 @@
                 "seed {seed}: state"
             );
         }
-        // A replica that claims to have caught up must not be behind an earlier life.
+        // A replica that claims to have caught up must not be behind an earlier run.
         if node.has_caught_up() {
             let applied = node.applied();
             assert!(applied >= host.shown, "seed {seed}: went back");
@@ -568,7 +569,7 @@
         }
     }
 
-    /// Ends all faults and checks that the fleet comes back to life with everything that was committed.
+    /// Ends all faults and checks that the fleet recovers with everything that was committed.
     pub(crate) fn settle(&mut self) {
         self.heal();
         for host in &mut self.hosts {
