--- a/crates/member/tests/member/detector.rs
+++ b/crates/member/tests/member/detector.rs
@@ -63,22 +63,23 @@
     }
 }
 
-// Both sides hold each other for dead and would stay apart if nobody probed the dead.
-#[test_case(9)]
-#[test_case(60)]
-fn sides_of_a_partition_find_each_other_again(size: usize) {
+// Both sides hold each other for dead and would stay apart if nobody probed the dead, least of all without the seeds.
+#[test_case(9, &[])]
+#[test_case(60, &[])]
+#[test_case(12, &[0, 1, 2])]
+fn sides_of_a_partition_find_each_other_again(size: usize, down: &[usize]) {
     let mut fleet = started(size, 11);
+    down.iter()
+        .for_each(|&host| fleet.hosts[host].mode = Mode::Down);
     for host in 0..size {
         fleet.hosts[host].side = usize::from(host % 3 == 2);
     }
     fleet.run(120_000);
-    assert_eq!(fleet.state(0, 2), Some(State::Dead));
-    assert_eq!(fleet.state(2, 0), Some(State::Dead));
-    assert_eq!(fleet.state(2, 5), Some(State::Alive));
-    for host in &mut fleet.hosts {
-        host.side = 0;
-    }
-    let ms = fleet.run_until(60_000, Fleet::all_alive);
+    assert_eq!(fleet.state(3, 5), Some(State::Dead));
+    assert_eq!(fleet.state(5, 3), Some(State::Dead));
+    assert_eq!(fleet.state(5, 8), Some(State::Alive));
+    fleet.hosts.iter_mut().for_each(|host| host.side = 0);
+    let ms = fleet.run_until(60_000, |fleet| fleet.agrees(down, State::Dead));
     println!("views complete {ms} ms after the partition");
     // What one side believed of the other's members must not make these hold each other for dead.
     assert_eq!(fleet.false_deaths, []);
