Revert "schedule: Try sums in regular exchanges only"

Conclusion: urgent replies are rare, so the sums in them cost little, and they keep the views of the hosts fresh.

Also looked at: the time of the worst gap. All gaps above 5,500 arise in the first 3 s, between account 1, which waits at one host only, and accounts that wait at several hosts: the pacing grants one slot per host and 50 ms. After that the worst gap is 5,493. The pacing is kept, since the gap is 7% of its bound.

--- a/crates/schedule/src/borrower.rs
+++ b/crates/schedule/src/borrower.rs
@@ -828,7 +828,6 @@
     fn report(&mut self, now: Time, at: usize) -> Report {
         self.number += 1;
         let link = &mut self.links[at];
-        let is_regular = now >= link.next_exchange || link.confirmed == 0;
         if now >= link.next_exchange {
             link.next_exchange = now.plus_ms(self.settings.exchange_ms);
             for account in self.pools.iter_mut().flat_map(|p| &mut p.accounts) {
@@ -869,7 +868,7 @@
             lease,
             sent: now,
             seen: link.seen,
-            sums: (is_regular && self.wants_sums(now, at)).then_some(link.sums_seen),
+            sums: self.wants_sums(now, at).then_some(link.sums_seen),
             pools: pools.collect(),
             slots: slots.map(Slot::row).collect(),
             retired,
--- a/crates/schedule/src/lender.rs
+++ b/crates/schedule/src/lender.rs
@@ -605,7 +605,6 @@
             pushes.push(push);
             let host = &mut self.hosts[at];
             host.reply_due = false;
-            host.sums = None;
             host.urgent = false;
             host.answered_at = Some(now);
         }
