schedule: Count slots and find floors once per poll of the owner

Cause: the owner looked up every pair of host and server for every grant, and searched all demands for every answer. At the target size that is 140,000 pairs per grant. One pass over the loans and one over the demands per poll replace it; hosts look at idle slots only.

Not measured at the target size.

--- a/crates/schedule/src/borrower.rs
+++ b/crates/schedule/src/borrower.rs
@@ -756,13 +756,17 @@
 
     /// Reports at once if the owner believes that nothing is idle here; it recalls idle slots only if it knows of them.
     fn mark_idle(&mut self) {
-        for link in &mut self.links {
-            for pool in &self.pools {
-                let slots = self.slots.iter();
-                let slots = slots.filter(|s| s.pool == Some(pool.pool) && s.domain == link.domain);
-                let is_known = slots.clone().any(|s| s.reported_idle > 0);
-                let is_idle = slots.clone().any(|s| s.idle() > 0);
-                link.urgent |= is_idle && !is_known;
+        for slot in self.slots.iter().filter(|slot| slot.idle() > 0) {
+            let mut same = self.slots.iter();
+            let is_known = same.any(|other| {
+                other.reported_idle > 0 && other.pool == slot.pool && other.domain == slot.domain
+            });
+            if is_known {
+                continue;
+            }
+            let link = self.links.binary_search_by(|l| l.domain.cmp(&slot.domain));
+            if let Ok(link) = link {
+                self.links[link].urgent = true;
             }
         }
     }
--- a/crates/schedule/src/lender.rs
+++ b/crates/schedule/src/lender.rs
@@ -137,6 +137,35 @@
     urgent: bool,
 }
 
+/// What is taken of one server over all hosts, in slots.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    lent: u32,
+    /// Lent, or taken by requests in flight without a slot.
+    taken: u32,
+    /// Some slots are being recalled.
+    is_recalled: bool,
+}
+
+/// The least `v` that waits in a pool, and the least at any other host than that one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Front {
+    /// Where the least `v` waits; `None` if nothing waits.
+    host: Option<id::Host>,
+    v: u64,
+    other: Option<u64>,
+}
+
+impl Front {
+    /// The least `v` that waits elsewhere than at `host`.
+    fn floor(&self, host: id::Host) -> Option<u64> {
+        match self.host {
+            Some(first) if first != host => Some(self.v),
+            _ => self.other,
+        }
+    }
+}
+
 /// An origin that no longer reports.
 #[derive(Clone, Copy, Debug)]
 struct Silent {
@@ -419,9 +448,10 @@
     /// Makes all decisions that are due and returns the answers to send.
     pub fn poll(&mut self, now: Time) -> Vec<Push> {
         self.expire(now);
-        self.recall();
+        let mut uses = self.uses();
+        self.recall(&uses);
         for pool in 0..self.pools.len() {
-            self.grant(now, pool);
+            self.grant(now, pool, &mut uses);
         }
         self.answer(now)
     }
@@ -429,7 +459,7 @@
     /// The time at which [`Lender::poll`] has something to do if no report comes first.
     pub fn next_wake(&self, now: Time) -> Time {
         let mut wake = now.plus_ms(self.settings.exchange_ms);
-        let waits = self.pools.iter().any(|pool| pool.least(None).is_some());
+        let waits = self.pools.iter().any(|pool| pool.least().is_some());
         for host in &self.hosts {
             if let Some(end) = host.lease_end {
                 wake = wake.min(end);
@@ -462,12 +492,31 @@
         }
     }
 
+    /// What is taken of each server, in the order of `servers`. One pass over the loans, because there are many more
+    /// pairs of hosts and servers than loans.
+    fn uses(&self) -> Vec<Use> {
+        let mut uses = vec![Use::default(); self.servers.len()];
+        for loan in self.hosts.iter().flat_map(|host| &host.loans) {
+            let at = self
+                .servers
+                .binary_search_by_key(&loan.server, |s| s.server);
+            if let Ok(at) = at {
+                uses[at].lent += loan.lent();
+                uses[at].taken += loan.taken();
+                uses[at].is_recalled |= loan.keep.is_some();
+            }
+        }
+        uses
+    }
+
     /// Recalls slots above the capacity of their server.
-    fn recall(&mut self) {
-        for at in 0..self.servers.len() {
+    fn recall(&mut self, uses: &[Use]) {
+        for (at, taken) in uses.iter().enumerate() {
             let server = self.servers[at];
-            let mut excess = self.lent(server.server);
-            excess = excess.saturating_sub(self.capacity(&server));
+            let excess = taken.lent.saturating_sub(self.capacity(&server));
+            if excess == 0 && !server.leaving && !taken.is_recalled {
+                continue;
+            }
             let mut kept: Vec<u32> = self
                 .hosts
                 .iter()
@@ -476,7 +525,7 @@
             let is_recalled = excess > 0 || server.leaving;
             for _ in 0..excess {
                 if let Some(most) = kept.iter_mut().max() {
-                    *most -= 1;
+                    *most = most.saturating_sub(1);
                 }
             }
             let number = self.number + 1;
@@ -500,27 +549,21 @@
         self.hosts.iter().map(|host| host.lent(server)).sum()
     }
 
-    /// Slots of a server that are neither lent nor taken by requests in flight.
-    fn free(&self, server: &Server) -> u32 {
-        let used: u32 = self.hosts.iter().map(|host| host.used(server.server)).sum();
-        self.capacity(server).saturating_sub(used)
-    }
-
     /// Grants free slots in the order of least `v`.
     ///
     /// Every grant advances `v` of the account by the estimate, for its requests at all hosts; otherwise one light
     /// request would draw every free slot until the next exchange.
-    fn grant(&mut self, now: Time, at: usize) {
+    fn grant(&mut self, now: Time, at: usize, uses: &mut [Use]) {
         loop {
             let pool = &self.pools[at];
             if now >= self.settled_at()
-                && let Some(least) = pool.least(None)
+                && let Some(least) = pool.least()
             {
                 let v = pool.ledger.v(least.account);
                 self.pools[at].ledger.advance(v);
             }
             let pool = &self.pools[at];
-            let Some(server) = self.freest(pool.pool) else {
+            let Some(server) = self.freest(pool.pool, uses) else {
                 return;
             };
             let open = pool.demands.iter().filter(|d| d.rest() > 0);
@@ -528,15 +571,22 @@
             let Some(demand) = open.min_by_key(|d| pool.rank(d)).copied() else {
                 return;
             };
-            self.lend(now, at, &demand, server);
+            uses[server].lent += 1;
+            uses[server].taken += 1;
+            self.lend(now, at, &demand, self.servers[server].server);
         }
     }
 
-    fn freest(&self, pool: id::Pool) -> Option<id::Server> {
-        let servers = self.servers.iter().filter(|s| s.pool == pool);
-        let free = servers.map(|s| (self.free(s), s.server));
-        let (free, server) = free.max()?;
-        (free > 0).then_some(server)
+    /// The position of the server of `pool` with most free slots.
+    fn freest(&self, pool: id::Pool, uses: &[Use]) -> Option<usize> {
+        let servers = self.servers.iter().zip(uses).enumerate();
+        let servers = servers.filter(|(_, (server, _))| server.pool == pool);
+        let free = servers.map(|(at, (server, taken))| {
+            let free = self.capacity(server).saturating_sub(taken.taken);
+            (free, at)
+        });
+        let (free, at) = free.max()?;
+        (free > 0).then_some(at)
     }
 
     fn may_receive(&self, now: Time, host: id::Host) -> bool {
@@ -586,12 +636,13 @@
 
     fn answer(&mut self, now: Time) -> Vec<Push> {
         let mut pushes = Vec::new();
+        let fronts: Vec<Front> = self.pools.iter().map(Pool::front).collect();
         for at in 0..self.hosts.len() {
             let host = &self.hosts[at];
             let is_paced = host
                 .answered_at
                 .is_some_and(|last| now.since(last) < self.settings.urgent_ms);
-            let is_wanted = !is_paced && self.wants_idle(host);
+            let is_wanted = !is_paced && self.wants_idle(host, &fronts);
             let is_due = host.reply_due || host.urgent || is_wanted;
             if !is_due || host.lease_end.is_none() {
                 continue;
@@ -600,7 +651,7 @@
             let push = Push {
                 to: host.host,
                 is_reply: host.reply_due,
-                answer: self.compose(&self.hosts[at]),
+                answer: self.compose(&self.hosts[at], &fronts),
             };
             pushes.push(push);
             let host = &mut self.hosts[at];
@@ -612,20 +663,22 @@
     }
 
     /// Whether the host has idle slots that an account waits for elsewhere.
-    fn wants_idle(&self, host: &Host) -> bool {
+    fn wants_idle(&self, host: &Host, fronts: &[Front]) -> bool {
         let idle = host.loans.iter().filter(|loan| loan.idle() > 0);
         let mut pools = idle.filter_map(|loan| self.pool_of(loan.server));
-        pools.any(|pool| pool.least(Some(host.host)).is_some())
+        pools.any(|pool| fronts[pool].floor(host.host).is_some())
     }
 
-    fn pool_of(&self, server: id::Server) -> Option<&Pool> {
+    /// The position of the pool of a server.
+    fn pool_of(&self, server: id::Server) -> Option<usize> {
         let at = self.servers.binary_search_by_key(&server, |s| s.server);
         let pool = self.servers[at.ok()?].pool;
-        self.pools.iter().find(|p| p.pool == pool)
+        self.pools.binary_search_by_key(&pool, |p| p.pool).ok()
     }
 
-    fn compose(&self, host: &Host) -> Answer {
-        let levels = self.pools.iter().filter_map(|pool| self.level(host, pool));
+    fn compose(&self, host: &Host, fronts: &[Front]) -> Answer {
+        let levels = self.pools.iter().zip(fronts);
+        let levels = levels.filter_map(|(pool, front)| level(host, pool, front.floor(host.host)));
         let changed = host.loans.iter().filter(|loan| loan.changed > host.seen);
         let grants = changed.map(|loan| Grant {
             server: loan.server,
@@ -647,29 +700,6 @@
         }
     }
 
-    fn level(&self, host: &Host, pool: &Pool) -> Option<Level> {
-        let sums = host
-            .sums
-            .map_or(Vec::new(), |seen| pool.sums(host.origin(), seen));
-        let lifted = pool.ledger.entries().iter();
-        let lifted = lifted.filter(|e| e.offset_changed > host.seen);
-        let offsets = lifted.map(|entry| Offset {
-            account: entry.account,
-            offset: entry.offset,
-        });
-        let offsets: Vec<Offset> = offsets.collect();
-        let floor = pool.least(Some(host.host));
-        let floor = floor.map(|demand| pool.ledger.v(demand.account));
-        let is_needed = floor.is_some() || !sums.is_empty() || !offsets.is_empty();
-        is_needed.then(|| Level {
-            pool: pool.pool,
-            virtual_time: pool.ledger.virtual_time(),
-            floor,
-            sums,
-            offsets,
-        })
-    }
-
     fn retired(&self, seen: u64) -> Vec<Retired> {
         let mut retired = Vec::new();
         for silent in self.silent.iter().filter(|s| s.changed > seen) {
@@ -754,6 +784,28 @@
     }
 }
 
+/// What a host must hear of a pool, if anything.
+fn level(host: &Host, pool: &Pool, floor: Option<u64>) -> Option<Level> {
+    let sums = host
+        .sums
+        .map_or(Vec::new(), |seen| pool.sums(host.origin(), seen));
+    let lifted = pool.ledger.entries().iter();
+    let lifted = lifted.filter(|e| e.offset_changed > host.seen);
+    let offsets = lifted.map(|entry| Offset {
+        account: entry.account,
+        offset: entry.offset,
+    });
+    let offsets: Vec<Offset> = offsets.collect();
+    let is_needed = floor.is_some() || !sums.is_empty() || !offsets.is_empty();
+    is_needed.then(|| Level {
+        pool: pool.pool,
+        virtual_time: pool.ledger.virtual_time(),
+        floor,
+        sums,
+        offsets,
+    })
+}
+
 impl Pool {
     fn demand(&mut self, account: id::Account, host: id::Host) -> &mut Demand {
         let key = (account, host);
@@ -785,13 +837,25 @@
         )
     }
 
-    /// The first of the demands that are not met by grants on their way, leaving out those at `except`.
-    fn least(&self, except: Option<id::Host>) -> Option<&Demand> {
+    /// The first of the demands that are not met by grants on their way.
+    fn least(&self) -> Option<&Demand> {
         let open = self.demands.iter().filter(|d| d.rest() > 0);
-        let open = open.filter(|d| Some(d.host) != except);
         open.min_by_key(|d| self.rank(d))
     }
 
+    fn front(&self) -> Front {
+        let Some(first) = self.least() else {
+            return Front::default();
+        };
+        let others = self.demands.iter().filter(|d| d.rest() > 0);
+        let others = others.filter(|d| d.host != first.host);
+        Front {
+            host: Some(first.host),
+            v: self.ledger.v(first.account),
+            other: others.map(|d| self.ledger.v(d.account)).min(),
+        }
+    }
+
     /// The sums that changed since the answer `seen`, over all origins but the receiver.
     fn sums(&self, receiver: Origin, seen: u64) -> Vec<Sum> {
         let entries = self.ledger.entries().iter();
@@ -872,6 +936,11 @@
         self.granted - self.returned
     }
 
+    /// Slots of the server that the host takes: lent, or running without a slot.
+    fn taken(&self) -> u32 {
+        self.lent().max(self.running)
+    }
+
     /// Slots that the host has reported as idle.
     fn idle(&self) -> u32 {
         self.confirmed.saturating_sub(self.returned + self.running)
@@ -905,12 +974,6 @@
         at.map_or(0, |at| self.loans[at].lent())
     }
 
-    /// Slots of the server that this host takes: lent, or running without a slot.
-    fn used(&self, server: id::Server) -> u32 {
-        let at = self.loans.binary_search_by_key(&server, |l| l.server);
-        at.map_or(0, |at| self.loans[at].lent().max(self.loans[at].running))
-    }
-
     fn has_idle(&self) -> bool {
         self.loans.iter().any(|loan| loan.idle() > 0)
     }
