--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -414,7 +414,12 @@
         self.publish_configuration();
     }
 
+    /// Publishes a newer configuration. After a restart nothing is published until the replica has caught up: the disk
+    /// may not tell that the newest entries were committed, and a version that was in force must not go back.
     fn publish_configuration(&self) {
+        if !self.replica.node().has_caught_up() {
+            return;
+        }
         let published = self
             .inputs
             .configuration
