--- a/crates/member/src/detector.rs
+++ b/crates/member/src/detector.rs
@@ -20,6 +20,10 @@
 //! `(1 - (1-l)^2)^2 * (1 - (1-l)^4)^3`, 2.7% at 20% loss, and a live member is declared dead only after `k` such failures
 //! in a row, during which every ping tells it that it has to refute.
 //!
+//! Cost per host, with 60 bytes of authentication and headers per datagram (test `cost_per_host_is_flat`): 152 to 168
+//! bytes/s and 2 datagrams/s sent in a quiet fleet of 9 to 670 hosts; 888 bytes/s on average and 1,237 at most in the 20 s
+//! after 61 of 670 hosts crash.
+//!
 //! Two views are reconciled in three ways. A datagram to a member that the sender does not hold for alive starts with
 //! that claim, so that the member refutes it or learns that it was left behind. Every ping carries the digest of one
 //! group of members, and a host with another digest answers with its records of the group. And every
@@ -51,6 +55,10 @@
 /// multiply the cost of the others.
 const MAX_WATCHED: usize = 3;
 
+/// With more suspicions of its own a host asks no helpers. Their pings brought each host to 2,098 bytes/s in the first
+/// 30 s after 305 of 670 hosts were cut off, even when they were left out above three suspicions; now it is 1,531.
+const MAX_HELPED: usize = 1;
+
 /// Most probes under way on behalf of other hosts; more requests are dropped.
 const MAX_RELAYS: usize = 64;
 
@@ -392,15 +400,15 @@
             probe.indirect_at = None;
             due.push(*probe);
         }
+        let many = self.own_suspicions(now).len() > MAX_HELPED;
         for probe in due {
             let Some(target) = self.member(probe.host).cloned() else {
                 continue;
             };
             let body = self.ping_body(probe.nonce);
             self.send(target.place.address, target.host, None, body, output);
-            let helpers = self
-                .table
-                .pick(self.settings.helpers, target.host, &mut self.rng);
+            let count = if many { 0 } else { self.settings.helpers };
+            let helpers = self.table.pick(count, target.host, &mut self.rng);
             for helper in helpers {
                 let body = Body::PingRequest {
                     nonce: probe.nonce,
@@ -493,6 +501,12 @@
     /// Suspected members that this host probes besides the round: first those that it has probed most often, then in
     /// an order that differs between hosts, so that not all of them probe the same ones.
     fn watched(&self, now: Time) -> Vec<id::Host> {
+        let own = self.own_suspicions(now);
+        own.into_iter().take(MAX_WATCHED).collect()
+    }
+
+    /// Members that this host suspects itself, in the order of `watched`.
+    fn own_suspicions(&self, now: Time) -> Vec<id::Host> {
         let mut own: Vec<(u32, u32, id::Host)> = Vec::new();
         for entry in self.table.iter() {
             let Some(suspicion) = entry.suspicion.filter(|one| one.own_from <= now) else {
@@ -503,7 +517,7 @@
             own.push((u32::MAX - suspicion.failures, order, host));
         }
         own.sort_unstable();
-        own.iter().take(MAX_WATCHED).map(|one| one.2).collect()
+        own.iter().map(|one| one.2).collect()
     }
 
     /// Tries to reach a member that was declared dead, or a seed that belongs to no member that is present.
--- a/crates/member/src/ownership.rs
+++ b/crates/member/src/ownership.rs
@@ -17,6 +17,10 @@
 //! within `ASK_INTERVAL_MS` and one round trip, together 2.5 s and a round trip; each further dead host with a lower
 //! name that the view still holds for live adds `SILENT_MS`.
 //!
+//! Cost: an ask has 12 and an answer 10 bytes of postcard. In a domain of 3 they may be datagrams of their own. In one
+//! of 61 hosts (the target size) 120 datagrams/s would cost the owner about 8 KB/s with headers, so that there they have
+//! to travel in the exchanges between the owner and its hosts.
+//!
 //! Limit: two hosts whose configurations differ by at most one host of the domain can't both have a majority, as
 //! majorities of `n` and `n + 1` hosts overlap. A cut-off host whose configuration is older by several such changes
 //! can. Claims and orders do not depend on ownership, so the effect is that slots are lent twice.
