schedule: Test changes of owner and limit, support, refusals

Each of these broken variants fails at least one of the new tests: an owner that is followed again is not remembered (slots are doubled), requests in flight without a slot not counted, a lease renewed without support, answers of an earlier process of the owner accepted.

Two variants are not caught, because they change nothing that lasts: a recall that stays after the limit is raised (it follows the slots lent), and recalled idle slots that wait for the hold time or a floor.

--- a/crates/schedule/tests/faults.rs
+++ b/crates/schedule/tests/faults.rs
@@ -96,6 +96,38 @@
     check(&fleet);
 }
 
+// Guards against slots that a host returned to an owner and counts again when it follows that owner once more, for
+// less and for more than the length of a lease.
+#[test_case(1_000 ; "within a lease")]
+#[test_case(5_000 ; "after a lease")]
+fn owner_changes_and_changes_back(after_ms: u64) {
+    let mut fleet = uneven(18);
+    fleet.appoint(1, 4);
+    fleet.run_until(20_000 + after_ms);
+    fleet.appoint(1, 3);
+    fleet.run_until(30_000);
+    for _ in 0..300 {
+        fleet.run_until(fleet.now + 100);
+        fleet.check_running();
+    }
+    check(&fleet);
+}
+
+// Guards against a slot limit that is lowered but not kept, or that is raised again but not used.
+#[test]
+fn slot_limit_changes() {
+    let mut fleet = uneven(19);
+    fleet.set_limit(0, 3);
+    // The longest request takes 81 s on server 0.
+    fleet.run_until(110_000);
+    assert_eq!(fleet.lent(0), 3);
+    assert!(fleet.running_on(0) <= 3);
+    fleet.set_limit(0, 8);
+    fleet.run_until(112_000);
+    assert_eq!(fleet.lent(0), 8);
+    fleet.check_gaps();
+}
+
 // Guards against a catch-up after a partition that starves the accounts of one side, and against stale views that
 // undo what was learnt meanwhile. Pairs are measured from the rejoin on: no scheduler can keep accounts level that wait
 // on one side only.
--- a/crates/schedule/tests/fleet/mod.rs
+++ b/crates/schedule/tests/fleet/mod.rs
@@ -280,10 +280,14 @@
     }
 
     /// Makes `owner` the owner of `domain` in the view of all hosts.
-    fn appoint(&mut self, domain: usize, owner: usize) {
+    ///
+    /// A host that was the owner before goes on with its old lender.
+    pub fn appoint(&mut self, domain: usize, owner: usize) {
         let now = Time::from_ms(self.now);
         let settings = self.plan.settings.clone();
-        let mut lender = Lender::new(now, 1_000_000 + self.now, settings);
+        let old = self.hosts[owner].lender.take();
+        let new = || Lender::new(now, 1_000_000 + self.now, settings);
+        let mut lender = old.unwrap_or_else(new);
         lender.set_shares(&self.shares());
         let hosts = self.plan.hosts_per_domain as u32;
         lender.set_support(Support {
@@ -408,6 +412,14 @@
         }
     }
 
+    pub fn set_limit(&mut self, server: usize, limit: u32) {
+        let host = &mut self.hosts[self.owners[server % self.plan.domains]];
+        host.lender_wake = 0;
+        if let Some(lender) = &mut host.lender {
+            lender.set_limit(id::Server(server as u32), limit);
+        }
+    }
+
     fn drop_runs(&mut self, broken: impl Fn(&Run) -> bool) -> Vec<Run> {
         let dropped: Vec<Run> = self.runs.extract_if(.., |run| broken(run)).collect();
         for run in &dropped {
--- a/crates/schedule/tests/protocol.rs
+++ b/crates/schedule/tests/protocol.rs
@@ -7,7 +7,7 @@
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::name::Name;
-use primrose_schedule::borrower::{self, Action, Borrower};
+use primrose_schedule::borrower::{self, Action, Borrower, Reason};
 use primrose_schedule::ledger::Origin;
 use primrose_schedule::lender::{self, Lender, Support};
 use primrose_schedule::message::{Answer, Grant, Lease, Report, Row, Usage};
@@ -128,6 +128,17 @@
     }
 }
 
+fn request(id: u64, deadline: Time) -> Request {
+    Request {
+        id,
+        account: id::Account(0),
+        pool: fleet::POOL,
+        estimate: 1,
+        deadline,
+        affinity: 0,
+    }
+}
+
 /// What an owner with 6 free slots grants to hosts 0, 1 and 2 on these reports.
 fn granted(reports: &[Report]) -> [u32; 3] {
     let mut lender = Lender::new(Time::ZERO, 1, Settings::default());
@@ -170,7 +181,8 @@
     assert_eq!(granted(&[demand(0, 0, 0, 1)]), [1, 0, 0]);
 }
 
-// Guards against an answer that was overtaken and makes a leaving server usable again, or grants slots once more.
+// Guards against an answer that was overtaken, or comes from an earlier process of the owner, and makes a leaving
+// server usable again or grants slots once more.
 #[test]
 fn overtaken_and_repeated_answers_change_nothing() {
     let now = Time::from_ms(1_000);
@@ -192,7 +204,7 @@
     borrower.set_owner(now, &name, Some(id::Host(9)));
     let answer = |number, granted, leaving: bool| Answer {
         to: 1,
-        incarnation: 1,
+        incarnation: 2,
         number,
         epoch: 1,
         renewed: Some(now),
@@ -212,20 +224,64 @@
         answer(3, 2, true),
         answer(3, 2, true),
         answer(2, 2, false),
+        Answer {
+            incarnation: 1,
+            ..answer(9, 5, false)
+        },
     ] {
         borrower.answer(now, id::Host(9), &answer);
     }
-    let request = Request {
-        id: 1,
-        account: id::Account(0),
-        pool: fleet::POOL,
-        estimate: 1,
-        deadline: now.plus_ms(1_000),
-        affinity: 0,
-    };
-    borrower.arrive(now, request);
+    borrower.arrive(now, request(1, now.plus_ms(1_000)));
     let actions = borrower.poll(now, |_, candidates| candidates[0].server);
     let starts = actions.iter().any(|a| matches!(a, Action::Dispatch { .. }));
     assert!(!starts, "the server is leaving: {actions:?}");
     assert_eq!(borrower.snapshot().pools[0].servers[0].lent, 0);
 }
+
+// Guards against both sides of a split domain lending all slots, and against an owner without support going on.
+#[test]
+fn support_limits_what_is_lent() {
+    let support = |supporters, hosts| Support { supporters, hosts };
+    assert_eq!(support(2, 3).capacity(8), 8);
+    assert_eq!(support(1, 3).capacity(8), 2);
+    assert_eq!(support(1, 2).capacity(8), 4);
+    assert_eq!(support(0, 3).capacity(8), 0);
+    let mut lender = Lender::new(Time::ZERO, 1, Settings::default());
+    let now = Time::from_ms(1_000);
+    lender.report(now, &demand(0, 0, 0, 1));
+    let pushes = lender.poll(now);
+    assert_eq!(pushes[0].answer.renewed, None);
+}
+
+// Guards against a request that nobody answers because it waits for ever, or that is answered twice.
+#[test]
+fn waiting_request_is_refused_once_or_cancelled() {
+    let at = Time::from_ms;
+    let name = Name::new("d0").expect("valid");
+    let mut borrower = Borrower::new(Origin::default(), name.clone(), Settings::default());
+    let refused = |borrower: &mut Borrower, now| {
+        let actions = borrower.poll(now, |_, candidates| candidates[0].server);
+        let refused = actions.into_iter().filter_map(|action| match action {
+            Action::Refuse { request, reason } => Some((request, reason)),
+            _ => None,
+        });
+        refused.collect::<Vec<_>>()
+    };
+    borrower.arrive(at(1), request(1, at(50)));
+    assert_eq!(refused(&mut borrower, at(1)), [(1, Reason::NoServer)]);
+    let server = borrower::Server {
+        server: id::Server(0),
+        pool: fleet::POOL,
+        domain: name,
+    };
+    borrower.set_servers(at(1), &[server]);
+    borrower.arrive(at(1), request(2, at(50)));
+    borrower.arrive(at(1), request(3, at(50)));
+    assert!(borrower.cancel(at(2), 3));
+    assert_eq!(refused(&mut borrower, at(49)), []);
+    assert_eq!(borrower.next_wake(at(49)), at(50));
+    assert_eq!(refused(&mut borrower, at(50)), [(2, Reason::Expired)]);
+    assert_eq!(refused(&mut borrower, at(60)), []);
+    assert!(!borrower.cancel(at(60), 2));
+    assert_eq!(borrower.waiting_total(), 0);
+}
