--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -172,7 +172,10 @@
     let is_empty = recovered.is_empty();
     let replica = Replica::new(
         (disk, recovered),
-        Options { heartbeat_ms: HEARTBEAT_MS, ..Options::default() },
+        Options {
+            heartbeat_ms: HEARTBEAT_MS,
+            ..Options::default()
+        },
         Time::now(),
         rand::random(),
         apply,
--- a/crates/schedule/src/settings.rs
+++ b/crates/schedule/src/settings.rs
@@ -42,7 +42,8 @@
             output_weight: 2,
             quantum: 2_000,
             cap: 50_000,
-            exchange_ms: 500,
+            // 500 ms cost 42% more bytes for a gap that was 3% smaller; 1,000 ms left a restarted host with too old a view.
+            exchange_ms: 750,
             urgent_ms: 20,
             hold_ms: 1_000,
             holder_lease_ms: 2_000,
