Send recorded orders to engines from the log leader

Orders were recorded in the log and never sent, and the operators' interface had no pages for them.

A task on hosts with a replica makes one Dispatcher per term in which the replica leads. The socket of an order checks the lease before every write, because a process can be stopped between the decision and the write. The legacy client of hyper-util was ruled out for this: it takes a connector only through tower-service, which is no dependency here, so the connections are made with hyper's http1 client.

Dispatcher settings have a new field answer_ms: with resend_ms alone (2 s) a load that takes longer is sent again while the engine still works on it, and each repetition takes a token of the weight store. The default keeps the old value.

No test of the daemon covers this yet.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -41,7 +41,15 @@
     "no_configuration",
     "no_server",
     "operator_refused",
+    "order_done",
+    "order_failed",
+    "order_fenced",
+    "order_lease_ended",
+    "order_lost",
+    "order_recorded",
+    "order_refused",
     "order_sent",
+    "order_unknown",
     "overloaded",
     "partitioned",
     "peer_datagram_refused",
@@ -57,7 +65,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 44;
+const COUNT: usize = 52;
 
 /// The name under which `cadence` sends the counters.
 const PREFIX: &str = "primrose";
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod node;
 pub mod operator;
+pub mod orders;
 pub mod packets;
 pub mod peers;
 pub mod replica;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -26,7 +26,7 @@
 use crate::scheduler::{self, Query};
 use crate::settings::{self, Settings};
 use crate::submit::Submitter;
-use crate::{claims, follow, form, operator, peers};
+use crate::{claims, follow, form, operator, orders, peers};
 
 /// Questions of operators that wait at most.
 const QUERY_QUEUE: usize = 16;
@@ -147,6 +147,14 @@
         configuration.clone(),
     );
     parts.keep_configuration(replica.as_ref(), &submitter, configuration_sender);
+    if let Some(replica) = &replica {
+        orders::spawn(orders::Inputs {
+            replica: replica.clone(),
+            submitter: submitter.clone(),
+            counters: Arc::clone(&counters),
+            log: log.clone(),
+        });
+    }
     let peer_inputs = peers::Inputs {
         key,
         traffic,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -9,7 +9,7 @@
 use primrose_schedule::snapshot::Snapshot;
 use primrose_state::api::{
     Account, Accounts, Counter, Counters as CountersReply, ErrorBody, ErrorReply, Host,
-    INVALID_TEXT, Role, Status, Submission, UNAVAILABLE,
+    INVALID_TEXT, OrderSubmission, Role, Status, Submission, UNAVAILABLE,
 };
 use primrose_state::{Command, Reply};
 use salvo::conn::tcp::TcpAcceptor;
@@ -21,6 +21,7 @@
 
 use crate::counters::Counters;
 use crate::membership::View;
+use crate::orders::page as orders;
 use crate::replica;
 use crate::scheduler::{Query, State};
 use crate::settings::Settings;
@@ -82,7 +83,12 @@
         .push(Router::with_path("configuration").get(page(Page::Configuration)))
         .push(Router::with_path("status").get(page(Page::Status)))
         .push(Router::with_path("accounts").get(page(Page::Accounts)))
-        .push(Router::with_path("counters").get(page(Page::Counters)));
+        .push(Router::with_path("counters").get(page(Page::Counters)))
+        .push(
+            Router::with_path("orders")
+                .get(page(Page::Orders))
+                .post(page(Page::Order)),
+        );
     Router::new()
         .push(operator)
         .push(Router::with_path("healthz").get(page(Page::Health)))
@@ -96,6 +102,8 @@
     Status,
     Accounts,
     Counters,
+    Orders,
+    Order,
     Health,
     Readiness,
 }
@@ -128,6 +136,8 @@
             Page::Status => response.render(Json(inputs.status())),
             Page::Accounts => inputs.accounts(response).await,
             Page::Counters => response.render(Json(inputs.counters())),
+            Page::Orders => inputs.orders(response),
+            Page::Order => inputs.order(request, response).await,
         }
     }
 }
@@ -212,6 +222,41 @@
         }
     }
 
+    async fn order(&self, request: &mut Request, response: &mut Response) {
+        let configuration = self.configuration.borrow().clone().unwrap_or_default();
+        let submission = match request.payload_with_max_size(orders::MAX_BYTES).await {
+            Ok(body) => orders::submit(body, &configuration, &self.submitter).await,
+            Err(error) => {
+                let message = format!("the order could not be read: {error}");
+                OrderSubmission::refused(INVALID_TEXT, message)
+            }
+        };
+        let counter = match &submission {
+            OrderSubmission::Recorded { .. } => "order_recorded",
+            OrderSubmission::Refused(_) => "order_refused",
+            OrderSubmission::Unknown { .. } => "order_unknown",
+        };
+        self.counters.count(counter);
+        let status = StatusCode::from_u16(submission.http_status());
+        response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+        response.render(Json(submission));
+    }
+
+    fn orders(&self, response: &mut Response) {
+        match &self.replica {
+            Some(replica) => response.render(Json(orders::list(&self.settings.host, replica))),
+            None => {
+                let message = "this host keeps no replica of the log; ask a voter";
+                render_error(
+                    response,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_replica",
+                    message,
+                );
+            }
+        }
+    }
+
     fn render_configuration(&self, response: &mut Response) {
         match &*self.configuration.borrow() {
             Some(configuration) => {
--- /dev/null
+++ b/crates/daemon/src/orders.rs
@@ -0,0 +1,182 @@
+//! The task that sends recorded orders to engines while this replica leads the log.
+//!
+//! [`Dispatcher`] decides what is sent; one is made for each term in which this replica leads. The lease is checked
+//! three times: by the dispatcher, before a request is handed to a connection, and before every write to the socket
+//! ([`send`]), because the process can be stopped between any two of them.
+
+pub mod page;
+mod send;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_base::clock::Time;
+use primrose_state::Command;
+use primrose_state::order::{Answer, Dispatcher, Done, Lease, Request, Settings};
+use slog::{Logger, info, warn};
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+
+use crate::counters::Counters;
+use crate::replica;
+use crate::submit::Submitter;
+use send::Sender;
+
+/// Interval between two looks at the recorded orders.
+const POLL_INTERVAL_MS: u64 = 50;
+
+/// Time for one submission of the end of an order; the dispatcher repeats it after the same time.
+const DONE_TIMEOUT_MS: u64 = 2_000;
+
+/// What the task needs.
+pub struct Inputs {
+    /// The own replica.
+    pub replica: replica::Handle,
+    /// Submits the ends of orders.
+    pub submitter: Submitter,
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Starts the task.
+pub fn spawn(inputs: Inputs) {
+    tokio::spawn(inputs.run());
+}
+
+/// The time in which this replica leads in one term.
+struct Leadership {
+    term: u64,
+    dispatcher: Dispatcher,
+    sender: Arc<Sender>,
+    /// Requests without an answer. They are aborted, and their connections closed, at the end of the term.
+    exchanges: JoinSet<Answered>,
+}
+
+struct Answered {
+    number: u64,
+    answer: Answer,
+}
+
+struct Addressed {
+    address: SocketAddr,
+    request: Request,
+}
+
+/// What is to be done at one look at the recorded orders.
+struct Work {
+    requests: Vec<Addressed>,
+    proposals: Vec<Done>,
+}
+
+impl Inputs {
+    async fn run(self) {
+        let mut interval = tokio::time::interval(Duration::from_millis(POLL_INTERVAL_MS));
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut leadership: Option<Leadership> = None;
+        loop {
+            tokio::select! {
+                _ = interval.tick() => {}
+                answered = next_answer(&mut leadership) => {
+                    if let (Some(leadership), Some(answered)) = (&mut leadership, answered) {
+                        self.take(leadership, answered);
+                    }
+                }
+            }
+            let lease = self.replica.lease();
+            leadership = leadership.filter(|current| lease.is_some_and(|l| l.term == current.term));
+            if let Some(lease) = lease {
+                let current = leadership.get_or_insert_with(|| self.begin(lease.term));
+                self.advance(current, lease);
+            }
+        }
+    }
+
+    fn begin(&self, term: u64) -> Leadership {
+        let settings = Settings {
+            answer_ms: send::LIMIT_MS,
+            ..Settings::default()
+        };
+        Leadership {
+            term,
+            dispatcher: Dispatcher::new(term, Time::now(), settings),
+            sender: Arc::new(Sender::new(
+                self.replica.clone(),
+                term,
+                Arc::clone(&self.counters),
+            )),
+            exchanges: JoinSet::new(),
+        }
+    }
+
+    fn take(&self, leadership: &mut Leadership, answered: Answered) {
+        let Answered { number, answer } = answered;
+        match &answer {
+            Answer::Done => self.counters.count("order_done"),
+            Answer::Lost => self.counters.count("order_lost"),
+            Answer::Failed(message) => {
+                self.counters.count("order_failed");
+                info!(self.log, "an engine refused an order"; "number" => number, "message" => message);
+            }
+            Answer::Stale { .. } => {
+                self.counters.count("order_fenced");
+                warn!(self.log, "an engine knows a later leader, sending no more orders in this term";
+                    "number" => number, "term" => leadership.term);
+            }
+        }
+        leadership.dispatcher.answered(Time::now(), number, answer);
+    }
+
+    /// Sends and submits what is due.
+    fn advance(&self, leadership: &mut Leadership, lease: Lease) {
+        let work = self.due(&mut leadership.dispatcher, lease);
+        for Addressed { address, request } in work.requests {
+            let sender = Arc::clone(&leadership.sender);
+            leadership.exchanges.spawn(async move {
+                Answered {
+                    number: request.number,
+                    answer: sender.send(address, &request).await,
+                }
+            });
+        }
+        for done in work.proposals {
+            // Not aborted at the end of the term: the end of an order is true under any leader.
+            let submitter = self.submitter.clone();
+            tokio::spawn(async move {
+                submitter
+                    .submit(Command::OrderDone(done), DONE_TIMEOUT_MS)
+                    .await
+            });
+        }
+    }
+
+    fn due(&self, dispatcher: &mut Dispatcher, lease: Lease) -> Work {
+        self.replica.read(|machine| {
+            let configuration = machine.configuration();
+            let output = dispatcher.poll(Time::now(), Some(lease), machine.orders(), configuration);
+            let addressed = |request: Request| {
+                let server = configuration.servers.by_id(request.server)?;
+                Some(Addressed {
+                    address: server.address,
+                    request,
+                })
+            };
+            Work {
+                requests: output.requests.into_iter().filter_map(addressed).collect(),
+                proposals: output.proposals,
+            }
+        })
+    }
+}
+
+/// The next answer, or never if no request is under way.
+async fn next_answer(leadership: &mut Option<Leadership>) -> Option<Answered> {
+    if let Some(leadership) = leadership
+        && let Some(joined) = leadership.exchanges.join_next().await
+    {
+        return joined.ok();
+    }
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/daemon/src/orders/page.rs
@@ -0,0 +1,82 @@
+//! Orders in the operators' interface.
+
+use primrose_base::name::Name;
+use primrose_config::Configuration;
+use primrose_state::api::{
+    INVALID_TEXT, Order, OrderRequest, OrderSubmission, Orders, UNAVAILABLE,
+};
+use primrose_state::order::{Draft, Order as Recorded};
+use primrose_state::{Command, Reply};
+
+use crate::replica;
+use crate::submit::{Outcome, Submitter};
+
+/// The largest submitted order in bytes; its texts have at most 256 bytes each.
+pub const MAX_BYTES: usize = 16 << 10;
+
+/// Time for a submission; an election takes less.
+const TIMEOUT_MS: u64 = 5_000;
+
+/// Submits the order in `body` to the log.
+///
+/// A server name that the configuration of this host does not have is refused without asking the log, with a code that
+/// tells the client so, because another host may already have a newer configuration.
+pub async fn submit(
+    body: &[u8],
+    configuration: &Configuration,
+    submitter: &Submitter,
+) -> OrderSubmission {
+    let request: OrderRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => {
+            return OrderSubmission::refused(INVALID_TEXT, format!("not an order: {error}"));
+        }
+    };
+    let Some(server) = configuration.servers.get(request.server.as_str()) else {
+        let message = format!(
+            "configuration version {} of this host has no server {}",
+            configuration.version, request.server
+        );
+        return OrderSubmission::refused(INVALID_TEXT, message);
+    };
+    let draft = Draft {
+        id: request.id,
+        server: server.id,
+        work: request.work,
+    };
+    match submitter.submit(Command::Order(draft), TIMEOUT_MS).await {
+        Outcome::Applied(Reply::Order(outcome)) => OrderSubmission::of(outcome),
+        Outcome::Unavailable => {
+            let message = "no voter with a majority could be reached; the order was not proposed";
+            OrderSubmission::refused(UNAVAILABLE, message)
+        }
+        Outcome::Applied(_) | Outcome::Unknown => OrderSubmission::Unknown {
+            message: "the leader of the log did not answer; submit the same order again to learn the outcome"
+                .to_owned(),
+        },
+    }
+}
+
+/// The orders that the replica of this host has recorded.
+pub fn list(host: &Name, replica: &replica::Handle) -> Orders {
+    let orders = replica.read(|machine| {
+        let configuration = machine.configuration();
+        let row = |order: &Recorded| row(order, configuration);
+        machine.orders().iter().map(row).collect()
+    });
+    Orders {
+        host: host.clone(),
+        orders,
+    }
+}
+
+fn row(order: &Recorded, configuration: &Configuration) -> Order {
+    let server = configuration.servers.by_id(order.draft.server);
+    Order {
+        number: order.number,
+        id: order.draft.id.clone(),
+        server: server.map(|server| server.name.clone()),
+        work: order.draft.work.clone(),
+        state: order.state.clone(),
+    }
+}
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -21,6 +21,7 @@
 use primrose_consensus::message::Message;
 use primrose_consensus::node::{Error as NodeError, Options, Role, Status};
 use primrose_consensus::replica::{Action, Output};
+use primrose_state::order::Lease;
 use primrose_state::{Clock, Command, Machine, Reply, SnapshotError};
 use primrose_wire::peer::{Introduction, Submitted};
 use slog::{Logger, error, info, warn};
@@ -106,6 +107,17 @@
         self.standing.borrow().clone()
     }
 
+    /// The right of this replica to act as the leader, or none if it does not lead. The lease of a leader that no
+    /// majority has answered yet has ended.
+    pub fn lease(&self) -> Option<Lease> {
+        let standing = self.standing.borrow();
+        standing.is_leader.then(|| Lease {
+            term: standing.term,
+            until: standing.lease_until.unwrap_or(Time::ZERO),
+            applied: standing.is_current,
+        })
+    }
+
     /// Reads the state machine. The closure must be short: the thread waits for it.
     pub fn read<T>(&self, read: impl FnOnce(&Machine) -> T) -> T {
         read(&lock(&self.machine))
--- a/crates/state/src/dispatch.rs
+++ b/crates/state/src/dispatch.rs
@@ -16,8 +16,11 @@
     pub lease_ms: u64,
     /// Allowance for orders of an earlier leader that are still in the network, in milliseconds.
     pub margin_ms: u64,
-    /// An order without an answer is sent again after this time, in milliseconds.
+    /// An order whose answer was lost, or whose end the log does not know, is repeated after this time, in milliseconds.
     pub resend_ms: u64,
+    /// An order without an answer is sent again after this time, in milliseconds, but not before `resend_ms`. Longer
+    /// than the sender waits for an answer, so that a long load is not started twice.
+    pub answer_ms: u64,
 }
 
 impl Default for Settings {
@@ -26,6 +29,7 @@
             lease_ms: 500,
             margin_ms: 250,
             resend_ms: 2_000,
+            answer_ms: 2_000,
         }
     }
 }
@@ -256,7 +260,7 @@
         let flight = Flight {
             server,
             number: order.number,
-            due: now.plus_ms(self.settings.resend_ms),
+            due: now.plus_ms(self.settings.answer_ms.max(self.settings.resend_ms)),
             done: None,
         };
         match self.flights.binary_search_by_key(&server, |f| f.server) {
