--- /dev/null
+++ b/crates/daemon/tests/orders.rs
@@ -0,0 +1,441 @@
+//! Orders to engines by real daemons. Every host has a loopback address of its own, made from the process id.
+
+#![allow(clippy::unwrap_used, reason = "a step that fails also fails the test")]
+
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client as Http;
+use hyper_util::rt::TokioExecutor;
+use primrose_base::name::Name;
+use primrose_config::{Action, Change, KeyHash, Settings as FleetSettings, draft};
+use primrose_daemon::{node, settings};
+use primrose_engine::record::Order;
+use primrose_engine::{Faults, Settings as EngineSettings};
+use primrose_operator::api::{INVALID_TEXT, OrderRequest, Status};
+use primrose_operator::order::{State, Work};
+use primrose_operator::{Client, Error, Key, Outcome, Timeouts};
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+
+/// Upper limit of every wait; reached only by a failure.
+const LIMIT: Duration = Duration::from_secs(90);
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+const OPERATOR_KEY: &str = "the-key-of-the-operators";
+
+struct Host {
+    name: String,
+    peer: SocketAddr,
+    operator: SocketAddr,
+    settings: PathBuf,
+}
+
+/// The settings of a fleet; no daemon runs yet.
+struct Fleet {
+    hosts: Vec<Host>,
+    _folder: TempDir,
+}
+
+/// A running `primrosed`, ended when dropped.
+struct Program(Child);
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // A stopped process ends too.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Program {
+    fn start(host: &Host) -> Program {
+        let program = Command::new(env!("CARGO_BIN_EXE_primrosed"))
+            .arg(&host.settings)
+            .stderr(Stdio::null())
+            .spawn();
+        Program(program.unwrap())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = Pid::from_raw(self.0.id() as i32).unwrap();
+        kill_process(id, signal).unwrap();
+    }
+}
+
+impl Fleet {
+    /// A fleet of `voters` hosts with a disk and `others` without.
+    fn new(voters: usize, others: usize) -> Fleet {
+        let folder = TempDir::new().unwrap();
+        let key = folder.path().join("fleet.key");
+        std::fs::write(&key, "a fleet key with more than thirty-two bytes").unwrap();
+        std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).unwrap();
+        let host = |number: usize| {
+            let ip = own_ip();
+            Host {
+                name: format!("h{number}"),
+                peer: free_address(ip),
+                operator: free_address(ip),
+                settings: folder.path().join(format!("h{number}.yaml")),
+            }
+        };
+        let hosts: Vec<Host> = (0..voters + others).map(host).collect();
+        let mut peers = String::new();
+        for (number, Host { name, peer, .. }) in hosts.iter().enumerate() {
+            let voter = number < voters;
+            writeln!(
+                peers,
+                "- {{host: {name}, failure_domain: zone, peer_address: '{peer}', voter: {voter}}}"
+            )
+            .unwrap();
+        }
+        for (number, host) in hosts.iter().enumerate() {
+            let mut text = format!(
+                "fleet: test\nhost: {}\nfailure_domain: zone\ncaller_address: '{}:0'\n\
+                 operator_address: '{}'\npeer_address: '{}'\nfleet_key_file: fleet.key\n\
+                 operator_key_sha256: [{}]\npeers:\n{peers}",
+                host.name,
+                host.peer.ip(),
+                host.operator,
+                host.peer,
+                KeyHash::of(OPERATOR_KEY),
+            );
+            if number < voters {
+                writeln!(text, "data_folder: data-{}", host.name).unwrap();
+            }
+            std::fs::write(&host.settings, text).unwrap();
+        }
+        Fleet {
+            hosts,
+            _folder: folder,
+        }
+    }
+
+    /// Starts all daemons in this process.
+    async fn spawn(&self) -> Vec<node::Handle> {
+        let mut handles = Vec::new();
+        for host in &self.hosts {
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let settings = settings::read(&host.settings).unwrap();
+            handles.push(node::spawn(settings, log).await.unwrap());
+        }
+        handles
+    }
+
+    fn client(&self, hosts: &[usize]) -> Client {
+        client(hosts.iter().map(|&host| &self.hosts[host]), OPERATOR_KEY)
+    }
+
+    /// Waits for a leader among `hosts` with a term of at least `term`; returns its index and its term.
+    async fn leader(&self, hosts: &[usize], term: u64) -> (usize, u64) {
+        let client = self.client(hosts);
+        until("a leader", async || {
+            let status: Status = client.status().await.ok()?;
+            let leader = status.leader?;
+            let at = self.hosts.iter().position(|h| h.name == leader.as_str())?;
+            (status.term >= term && hosts.contains(&at)).then_some((at, status.term))
+        })
+        .await
+    }
+}
+
+/// An address that no other test uses: the middle bytes tell the process, the last one the host.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let high = 64 + (process >> 8) % 128;
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, high as u8, process as u8, number)
+}
+
+/// A port that the kernel chose and that is free for TCP and UDP.
+fn free_address(ip: Ipv4Addr) -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn client<'a>(hosts: impl Iterator<Item = &'a Host>, key: &str) -> Client {
+    let addresses = hosts.map(|host| host.operator.to_string()).collect();
+    Client::new(addresses, Key::new(key).unwrap(), Timeouts::default())
+}
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+/// Repeats `check` until it returns something.
+async fn until<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = check().await {
+            return found;
+        }
+        assert!(start.elapsed() < LIMIT, "waited {LIMIT:?} for {what}");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn rate(per_minute: u32, burst: u32) -> Vec<Action> {
+    vec![Action::PutSettings(FleetSettings {
+        weight_loads_per_minute: per_minute,
+        weight_load_burst: burst,
+        ..FleetSettings::default()
+    })]
+}
+
+/// Applies a change to a configuration that has the hosts of the settings.
+async fn apply(client: &Client, id: &str, actions: Vec<Action>) {
+    until("a change", async || {
+        let base = client.configuration().await.ok()?.version;
+        let change = Change {
+            id: name(&format!("{id}-{base}")),
+            base,
+            actions: actions.clone(),
+        };
+        let is_accepted = base > 0 && matches!(client.submit(&change).await, Outcome::Accepted(_));
+        is_accepted.then_some(())
+    })
+    .await;
+}
+
+/// Starts engines m0, m1, ... and adds them to the fleet; `checks` tells which ones check fencing numbers.
+async fn engines(client: &Client, checks: &[bool], order_ms: u64) -> Vec<primrose_engine::Handle> {
+    let mut handles = Vec::new();
+    let mut actions = vec![Action::PutPool(draft::Pool::model(name("chat"), "plum"))];
+    for (number, &checks_fencing) in checks.iter().enumerate() {
+        let ip = own_ip();
+        let settings = EngineSettings {
+            address: (ip, 0).into(),
+            control: (ip, 0).into(),
+            order_ms,
+            check_fencing: checks_fencing,
+            ..EngineSettings::default()
+        };
+        let engine = primrose_engine::bind(settings).await.unwrap();
+        actions.push(Action::AddServer(draft::Server {
+            name: name(&format!("m{number}")),
+            pool: name("chat"),
+            address: engine.address,
+            domain: name("zone"),
+            slots: 1,
+            checks_fencing,
+        }));
+        handles.push(engine);
+    }
+    apply(client, "engines", actions).await;
+    handles
+}
+
+fn request(id: &str, server: &str, work: Work) -> OrderRequest {
+    OrderRequest {
+        id: name(id),
+        server: name(server),
+        work,
+    }
+}
+
+/// Submits an order until it is recorded; returns its number.
+async fn order(client: &Client, id: &str, server: &str, work: Work) -> u64 {
+    let request = request(id, server, work);
+    until("an order to be recorded", async || {
+        match client.order(&request).await {
+            Outcome::Accepted(number) => Some(number),
+            _ => None,
+        }
+    })
+    .await
+}
+
+async fn done(client: &Client, number: u64) {
+    until(&format!("order {number} to be done"), async || {
+        let orders = client.orders().await.ok()?.orders;
+        let order = orders.into_iter().find(|order| order.number == number)?;
+        (order.state == State::Done).then_some(())
+    })
+    .await;
+}
+
+async fn counter(client: &Client, wanted: &str) -> Option<u64> {
+    let counters = client.counters().await.ok()?.counters;
+    let found = counters.iter().find(|counter| counter.name == wanted);
+    Some(found?.value)
+}
+
+/// Sends an order to an engine as a leader of `term` would; returns the status.
+async fn send_as(engine: &primrose_engine::Handle, term: u64) -> u16 {
+    let http = Http::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let body = format!(r#"{{"number":1,"fencing":{term},"kind":"change-role","value":"old"}}"#);
+    let request = hyper::Request::post(format!("http://{}/orders", engine.control));
+    let answer = http.request(request.body(Full::from(body)).unwrap()).await;
+    answer.unwrap().status().as_u16()
+}
+
+fn fencing(orders: &[Order]) -> Vec<u64> {
+    orders.iter().map(|order| order.fencing).collect()
+}
+
+fn role(role: &str) -> Work {
+    let role = role.to_owned();
+    Work::ChangeRole { role }
+}
+
+fn load() -> Work {
+    let model = "plum".to_owned();
+    Work::LoadModel { model }
+}
+
+/// An order that is sent again while the engine works on it is carried out twice. The engine takes longer than the
+/// interval after which a lost answer is repeated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_from_any_host_reaches_the_engine_once() {
+    let fleet = Fleet::new(1, 1);
+    let _daemons = fleet.spawn().await;
+    let (voter, follower) = (fleet.client(&[0]), fleet.client(&[1]));
+    let engines = engines(&voter, &[false], 3_000).await;
+    // The follower refuses the server until it has the configuration.
+    let number = order(&follower, "o1", "m0", role("decode")).await;
+    done(&fleet.client(&[1, 0]), number).await;
+    assert_eq!(order(&follower, "o1", "m0", role("decode")).await, number);
+    let (_, term) = fleet.leader(&[0], 0).await;
+    let expected = Order {
+        fencing: term,
+        kind: "change-role".to_owned(),
+        value: "decode".to_owned(),
+        accepted: true,
+    };
+    assert_eq!(engines[0].log().orders, [expected]);
+    assert_eq!(counter(&voter, "order_sent").await, Some(1));
+
+    let refused = voter.order(&request("o2", "m9", load())).await;
+    assert!(
+        matches!(&refused, Outcome::Refused(refused) if refused.code == INVALID_TEXT),
+        "{refused:?}"
+    );
+    let stranger = client(fleet.hosts.iter(), "another-key").orders().await;
+    assert!(
+        matches!(stranger, Err(Error::Status { status: 401, .. })),
+        "{stranger:?}"
+    );
+}
+
+/// With a fencing number that does not grow with the leader, an engine cannot tell an old leader from the present one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_fencing_number_grows_with_the_leader() {
+    let fleet = Fleet::new(3, 0);
+    let mut daemons = fleet.spawn().await;
+    let all = fleet.client(&[0, 1, 2]);
+    let engines = engines(&all, &[true], 0).await;
+    let first = order(&all, "o1", "m0", role("decode")).await;
+    done(&all, first).await;
+    let old_term = *fencing(&engines[0].log().orders).last().unwrap();
+    let (old, _) = fleet.leader(&[0, 1, 2], old_term).await;
+    daemons.remove(old).drain().await;
+
+    let others: Vec<usize> = (0..3).filter(|&host| host != old).collect();
+    fleet.leader(&others, old_term + 1).await;
+    let second = order(&all, "o2", "m0", role("prefill")).await;
+    done(&all, second).await;
+    let seen = fencing(&engines[0].log().orders);
+    assert!(
+        seen.is_sorted() && *seen.last().unwrap() > old_term,
+        "{seen:?}"
+    );
+    assert_eq!(send_as(&engines[0], old_term).await, 409);
+}
+
+/// A leader that was stopped believes, when it goes on, that it still leads and that its orders are due. An engine that
+/// ignores fencing numbers would carry out its order after those of its successor.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_was_stopped_sends_nothing_outside_its_lease() {
+    let fleet = Fleet::new(3, 0);
+    let programs: Vec<Program> = fleet.hosts.iter().map(Program::start).collect();
+    let all = fleet.client(&[0, 1, 2]);
+    let engines = engines(&all, &[false], 0).await;
+    let engine = &engines[0];
+    for round in 0..3 {
+        engine.set_faults(Faults {
+            refuse: 1.0,
+            ..Faults::default()
+        });
+        engine.disconnect();
+        let mut lost = Vec::new();
+        for host in 0..3 {
+            lost.push(counter(&fleet.client(&[host]), "order_lost").await);
+        }
+        let waiting = order(&all, &format!("waiting-{round}"), "m0", role("decode")).await;
+        // Only a leader that has tried the order repeats it as soon as it goes on.
+        let (old, old_term) = until("the order to be lost", async || {
+            let (leader, term) = fleet.leader(&[0, 1, 2], 0).await;
+            let now = counter(&fleet.client(&[leader]), "order_lost").await?;
+            (Some(now) > lost[leader]).then_some((leader, term))
+        })
+        .await;
+        programs[old].signal(Signal::STOP);
+        let mark = engine.log().orders.len();
+        let others: Vec<usize> = (0..3).filter(|&host| host != old).collect();
+        fleet.leader(&others, old_term + 1).await;
+        engine.set_faults(Faults::default());
+        done(&fleet.client(&others), waiting).await;
+
+        programs[old].signal(Signal::CONT);
+        let resumed = fleet.client(&[old]);
+        // When it knows the end of a later order, it has nothing left from before.
+        let next = order(&resumed, &format!("next-{round}"), "m0", role("prefill")).await;
+        done(&resumed, next).await;
+        let seen = fencing(&engine.log().orders[mark..]);
+        assert!(seen.len() >= 2, "{seen:?}");
+        assert!(
+            seen.iter().all(|&term| term > old_term),
+            "round {round}: {seen:?}, old term {old_term}"
+        );
+    }
+}
+
+/// More loads than the weight store allows slow down every engine that loads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn loads_obey_the_rate_of_the_configuration_in_force() {
+    let fleet = Fleet::new(1, 0);
+    let _daemons = fleet.spawn().await;
+    let client = fleet.client(&[0]);
+    let engines = engines(&client, &[true; 3], 0).await;
+    let loads = || -> usize {
+        let received = engines.iter().flat_map(|engine| engine.log().orders);
+        received.filter(|order| order.kind == "load-model").count()
+    };
+    apply(&client, "none", rate(0, 1)).await;
+    let first = order(&client, "l1", "m0", load()).await;
+    let second = order(&client, "l2", "m1", load()).await;
+    // What was saved up before the change is at most the burst. The role is sent at the earliest in the same look at
+    // the orders in which the loads were passed over.
+    let after = order(&client, "r1", "m2", role("decode")).await;
+    done(&client, after).await;
+    assert!(loads() <= 1, "{} loads", loads());
+
+    apply(&client, "fast", rate(60_000, 1)).await;
+    done(&client, first).await;
+    done(&client, second).await;
+    apply(&client, "none", rate(0, 1)).await;
+    let third = order(&client, "l3", "m0", load()).await;
+    let fourth = order(&client, "l4", "m1", load()).await;
+    let after = order(&client, "r2", "m2", role("prefill")).await;
+    done(&client, after).await;
+    assert!((2..=3).contains(&loads()), "{} loads", loads());
+
+    apply(&client, "fast", rate(60_000, 1)).await;
+    done(&client, third).await;
+    done(&client, fourth).await;
+    assert_eq!(loads(), 4);
+}
