--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -1,11 +1,11 @@
 //! The task that sends recorded orders to engines while this replica leads the log.
 //!
 //! [`Dispatcher`] decides what is sent; one is made for each term in which this replica leads. The lease is checked
-//! three times: by the dispatcher, before a request is handed to a connection, and before every write to the socket
-//! ([`send`]), because the process can be stopped between any two of them.
+//! by the dispatcher and again before every write to a socket ([`send`]), because the process can be stopped in between,
+//! for example while a connection is being opened.
 
 pub mod page;
-mod send;
+pub mod send;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/daemon/src/orders/send.rs
+++ b/crates/daemon/src/orders/send.rs
@@ -27,7 +27,7 @@
 const TIMEOUT_MS: u64 = 240_000;
 
 /// After this time the dispatcher sends again; longer than [`TIMEOUT_MS`], so that an order has one request at a time.
-pub(super) const LIMIT_MS: u64 = TIMEOUT_MS + 1_000;
+pub const LIMIT_MS: u64 = TIMEOUT_MS + 1_000;
 
 /// Time to open a connection; failure domains are a few milliseconds apart.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -48,7 +48,7 @@
 const STALE_FENCING: &str = "stale_fencing";
 
 /// The connections of a leader in one term to engines.
-pub(super) struct Sender {
+pub struct Sender {
     lease: Arc<Guard>,
     counters: Arc<Counters>,
     permits: Semaphore,
@@ -95,7 +95,8 @@
 }
 
 impl Sender {
-    pub(super) fn new(replica: replica::Handle, term: u64, counters: Arc<Counters>) -> Sender {
+    /// Connections for the term `term` of `replica`; nothing is sent in another one.
+    pub fn new(replica: replica::Handle, term: u64, counters: Arc<Counters>) -> Sender {
         let guard = Guard {
             replica,
             term,
@@ -109,8 +110,8 @@
         }
     }
 
-    /// Sends an order and waits for the answer.
-    pub(super) async fn send(&self, address: SocketAddr, request: &Request) -> Answer {
+    /// Sends an order and waits for the answer. Without a lease the order counts as lost and no byte of it leaves.
+    pub async fn send(&self, address: SocketAddr, request: &Request) -> Answer {
         let exchange = self.exchange(address, request);
         match tokio::time::timeout(Duration::from_millis(TIMEOUT_MS), exchange).await {
             Ok(Ok(answer)) => answer,
@@ -133,7 +134,6 @@
             None => self.connect(address).await?,
         };
         connection.ready().await.map_err(io::Error::other)?;
-        self.lease.check()?;
         self.counters.count("order_sent");
         let response = connection.send_request(http).await;
         let response = response.map_err(io::Error::other)?;
