--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -48,7 +48,15 @@
     "no_server",
     "not_ready",
     "operator_refused",
+    "order_done",
+    "order_failed",
+    "order_fenced",
+    "order_lease_ended",
+    "order_lost",
+    "order_recorded",
+    "order_refused",
     "order_sent",
+    "order_unknown",
     "overload",
     "partitioned",
     "peer_datagram_refused",
@@ -65,7 +73,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 52;
+const COUNT: usize = 60;
 
 /// The name under which `cadence` sends the counters.
 const PREFIX: &str = "primrose";
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -13,7 +13,7 @@
 use primrose_wire::frame::Traffic;
 use primrose_wire::handshake;
 use primrose_wire::key::Key;
-use primrose_wire::peer::{Introduction, News, Packet, Peer, Submitted};
+use primrose_wire::peer::{Description, Introduction, News, Packet, Peer, Submitted};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +37,10 @@
     pub replica: Option<replica::Handle>,
     /// The configuration in force here.
     pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    /// Whether the scheduler runs.
+    pub ready: watch::Receiver<bool>,
+    /// True once the daemon is leaving.
+    pub draining: watch::Receiver<bool>,
     /// Receives packets that came by TCP.
     pub inbox: Inbox,
     /// Counters.
@@ -116,6 +120,15 @@
         }
     }
 
+    async fn describe(self, _: Context) -> Description {
+        let configuration = self.inputs.configuration.borrow().clone();
+        Description {
+            version: configuration.map_or(0, |configuration| configuration.version),
+            term: self.inputs.replica.as_ref().map(|replica| replica.standing().term),
+            ready: *self.inputs.ready.borrow() && !*self.inputs.draining.borrow(),
+        }
+    }
+
     async fn follow(self, _: Context, version: u64) -> Option<News> {
         let replica = self.inputs.replica.as_ref()?;
         let mut configuration = self.inputs.configuration.clone();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -113,6 +113,17 @@
     pub update: Option<Update>,
 }
 
+/// What a host tells about itself when an operator asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Description {
+    /// The version of the configuration in force.
+    pub version: u64,
+    /// The term of the log, if the host keeps a replica.
+    pub term: Option<u64>,
+    /// Whether it takes requests.
+    pub ready: bool,
+}
+
 /// Calls between daemons.
 #[tarpc::service]
 pub trait Peer {
@@ -124,6 +135,8 @@
     async fn introduce(caller: Introduction) -> Option<Introduction>;
     /// Proposes a command and waits until it is applied.
     async fn submit(command: Command) -> Submitted;
+    /// Tells what this host is, for an operator's question to another host.
+    async fn describe() -> Description;
     /// Waits until the configuration is newer than `version` or a time has passed.
     async fn follow(version: u64) -> Option<News>;
 }
