Show the version in force on every host in the status

The other hosts are asked when an operator asks. Weighed: carrying the version in the membership messages, which costs bytes all the time for a figure that is read rarely.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -155,11 +155,14 @@
             log: log.clone(),
         });
     }
+    let (ready_sender, ready) = watch::channel(false);
     let peer_inputs = peers::Inputs {
         key,
         traffic,
         replica: replica.clone(),
         configuration,
+        ready: ready.clone(),
+        draining: parts.draining.clone(),
         inbox,
         counters,
     };
@@ -171,6 +174,7 @@
         submitter,
         membership: receivers.membership,
         scheduler: receivers.scheduler,
+        ready: ready_sender,
     };
     let handle = parts.serve(serving, draining_sender).await?;
     info!(log, "started";
@@ -238,10 +242,10 @@
             submitter,
             membership,
             scheduler,
+            ready,
         } = serving;
         let (gate, events, claim_events) = Gate::new();
         let (origin_sender, origin) = watch::channel(None);
-        let (ready_sender, ready) = watch::channel(false);
         let (view_sender, view) = watch::channel(Arc::default());
         let (query_sender, queries) = mpsc::channel(QUERY_QUEUE);
         claims::spawn(claims::Inputs {
@@ -256,9 +260,10 @@
             incarnation: self.incarnation,
             configuration: self.configuration.clone(),
             view,
-            ready,
+            ready: ready.subscribe(),
             draining: self.draining.clone(),
             queries: query_sender,
+            links: self.links.clone(),
             submitter,
             replica: replica.clone(),
             counters: Arc::clone(&self.counters),
@@ -274,7 +279,7 @@
             events,
             queries,
             origin: origin_sender,
-            ready: ready_sender,
+            ready,
             view: view_sender,
         };
         tokio::spawn(self.join(joining));
@@ -378,6 +383,7 @@
     submitter: Submitter,
     membership: mpsc::Receiver<Received>,
     scheduler: mpsc::Receiver<Received>,
+    ready: watch::Sender<bool>,
 }
 
 /// What waits for this host to join the fleet: the inputs of membership and scheduling, and what others then learn.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use primrose_base::id;
 use primrose_config::{Configuration, KeyHash, State as Life, text};
@@ -12,14 +13,17 @@
     INVALID_TEXT, OrderSubmission, Role, Status, Submission, UNAVAILABLE,
 };
 use primrose_state::{Command, Reply};
+use primrose_wire::peer::Description;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::writing::{Json, Text};
 use salvo::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
+use tarpc::context;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::counters::Counters;
+use crate::links::Links;
 use crate::membership::View;
 use crate::orders::page as orders;
 use crate::replica;
@@ -33,6 +37,15 @@
 /// Time for a change; an election takes less.
 const CHANGE_TIMEOUT_MS: u64 = 5_000;
 
+/// Time for another host to describe itself.
+const DESCRIBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A host and, if it keeps a replica, the term it knows.
+struct Row {
+    term: Option<u64>,
+    host: Host,
+}
+
 /// What the interface shows and does.
 #[derive(Clone)]
 pub struct Inputs {
@@ -50,6 +63,8 @@
     pub draining: watch::Receiver<bool>,
     /// Asks the scheduler.
     pub queries: mpsc::Sender<Query>,
+    /// Connections to other hosts.
+    pub links: Links,
     /// Submits changes.
     pub submitter: Submitter,
     /// `Some` on hosts that keep a replica of the log.
@@ -133,7 +148,7 @@
             }
             Page::Changes => inputs.change(request, response).await,
             Page::Configuration => inputs.render_configuration(response),
-            Page::Status => response.render(Json(inputs.status())),
+            Page::Status => response.render(Json(inputs.status().await)),
             Page::Accounts => inputs.accounts(response).await,
             Page::Counters => response.render(Json(inputs.counters())),
             Page::Orders => inputs.orders(response),
@@ -274,46 +289,83 @@
         }
     }
 
-    fn status(&self) -> Status {
+    /// The state of the fleet. Other hosts are asked now, since a running exchange of versions would cost traffic that
+    /// nobody reads most of the time.
+    async fn status(&self) -> Status {
         let configuration = self.configuration.borrow().clone().unwrap_or_default();
         let view = self.view.borrow().clone();
         let leader = self.submitter.leader();
-        let standing = self.replica.as_ref().map(replica::Handle::standing);
         let in_use = configuration
             .hosts
             .iter()
             .filter(|host| host.state != Life::Retired);
-        let hosts: Vec<Host> = in_use
-            .map(|host| {
-                let is_self = host.name == self.settings.host;
-                let member = view.member(host.id);
-                Host {
+        let described = in_use.map(|host| async {
+            let is_self = host.name == self.settings.host;
+            let member = view.member(host.id);
+            let is_present = is_self || member.is_some_and(|member| member.state.is_present());
+            let description = if is_self {
+                Some(self.describe())
+            } else if is_present {
+                self.ask(host.peer).await
+            } else {
+                None
+            };
+            Row {
+                term: description.and_then(|description| description.term),
+                host: Host {
                     name: host.name.clone(),
                     domain: host.domain.clone(),
-                    reachable: is_self || member.is_some_and(|member| member.state.is_present()),
-                    version: is_self.then_some(configuration.version),
+                    reachable: description.is_some(),
+                    version: description.map(|description| description.version),
                     incarnation: member.map(|member| member.incarnation),
                     role: role(&host.name, host.voter, leader.as_ref()),
-                    ready: if is_self {
-                        *self.ready.borrow()
-                    } else {
-                        member.is_some()
-                    },
-                }
-            })
-            .collect();
+                    ready: description.is_some_and(|description| description.ready),
+                },
+            }
+        });
+        let rows = futures::future::join_all(described).await;
+        let term = rows
+            .iter()
+            .filter_map(|row| row.term)
+            .max()
+            .unwrap_or_default();
+        let hosts: Vec<Host> = rows.into_iter().map(|row| row.host).collect();
         let voters = hosts.iter().filter(|host| host.role != Role::Follower);
         Status {
             host: self.settings.host.clone(),
             version: configuration.version,
             leader,
-            term: standing.map_or(0, |standing| standing.term),
+            term,
             reachable_voters: voters.clone().filter(|host| host.reachable).count() as u32,
             voters: voters.count() as u32,
             hosts,
         }
     }
 
+    fn describe(&self) -> Description {
+        let configuration = self.configuration.borrow().clone();
+        Description {
+            version: configuration.map_or(0, |configuration| configuration.version),
+            term: self.replica.as_ref().map(|replica| replica.standing().term),
+            ready: *self.ready.borrow() && !*self.draining.borrow(),
+        }
+    }
+
+    async fn ask(&self, address: SocketAddr) -> Option<Description> {
+        let call = async {
+            let client = self.links.client(address).await.ok()?;
+            client.describe(context::current()).await.ok()
+        };
+        let description = tokio::time::timeout(DESCRIBE_TIMEOUT, call)
+            .await
+            .ok()
+            .flatten();
+        if description.is_none() {
+            self.links.reset(address).await;
+        }
+        description
+    }
+
     async fn accounts(&self, response: &mut Response) {
         let (reply, state) = oneshot::channel();
         let is_sent = self.queries.send(Query { reply }).await.is_ok();
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -124,7 +124,11 @@
         let configuration = self.inputs.configuration.borrow().clone();
         Description {
             version: configuration.map_or(0, |configuration| configuration.version),
-            term: self.inputs.replica.as_ref().map(|replica| replica.standing().term),
+            term: self
+                .inputs
+                .replica
+                .as_ref()
+                .map(|replica| replica.standing().term),
             ready: *self.inputs.ready.borrow() && !*self.inputs.draining.borrow(),
         }
     }
