--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -302,7 +302,8 @@
         let described = in_use.map(|host| async {
             let is_self = host.name == self.settings.host;
             let member = view.member(host.id);
-            let is_present = is_self || member.is_some_and(|member| member.state.is_present());
+            // A host that membership has not found yet is asked too.
+            let is_present = member.is_none_or(|member| member.state.is_present());
             let description = if is_self {
                 Some(self.describe())
             } else if is_present {
