daemon: Show a replica that does not count yet as a learner

The status took the role of a host from the configuration alone, so a voter with a new disk was shown as a voter from its start. docs/operations.md tells operators to wait until the role changes from learner to voter before they take down another voter; the page could not be followed.

A host with a replica now reports from the members of the log. A host without one still knows the configuration only and shows what that says. Learners no longer count among the reachable voters.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use primrose_base::id;
-use primrose_config::{Configuration, KeyHash, State as Life, text};
+use primrose_base::name::Name;
+use primrose_config::{Configuration, Host as HostItem, KeyHash, State as Life, text};
 use primrose_schedule::snapshot::Snapshot;
 use primrose_state::api::{
     Account, Accounts, Counter, Counters as CountersReply, ErrorBody, ErrorReply, Host,
@@ -21,7 +22,7 @@
 
 use crate::counters::Counters;
 use crate::membership::View;
-use crate::replica;
+use crate::replica::{self, Standing};
 use crate::scheduler::{Query, State};
 use crate::settings::Settings;
 use crate::submit::{Outcome, Submitter};
@@ -248,7 +249,7 @@
                     reachable: is_self || member.is_some_and(|member| member.state.is_present()),
                     version: is_self.then_some(configuration.version),
                     incarnation: member.map(|member| member.incarnation),
-                    role: role(&host.name, host.voter, leader.as_ref()),
+                    role: self.role(host, leader.as_ref(), standing.as_ref()),
                     ready: if is_self {
                         *self.ready.borrow()
                     } else {
@@ -258,17 +259,42 @@
             })
             .collect();
         let voters = hosts.iter().filter(|host| host.role != Role::Follower);
+        let counting = voters.clone().filter(|host| host.role != Role::Learner);
         Status {
             host: self.settings.host.clone(),
             version: configuration.version,
             leader,
             term: standing.map_or(0, |standing| standing.term),
-            reachable_voters: voters.clone().filter(|host| host.reachable).count() as u32,
+            reachable_voters: counting.filter(|host| host.reachable).count() as u32,
             voters: voters.count() as u32,
             hosts,
         }
     }
 
+    /// What `host` does for the log. A host that keeps no replica knows only what the configuration says.
+    fn role(&self, host: &HostItem, leader: Option<&Name>, standing: Option<&Standing>) -> Role {
+        if leader == Some(&host.name) {
+            return Role::Leader;
+        }
+        if !host.voter {
+            return Role::Follower;
+        }
+        let Some(standing) = standing else {
+            return Role::Voter;
+        };
+        let is_self = host.name == self.settings.host;
+        let mut replicas = standing.members.iter().filter(|member| {
+            member.host == host.name && (!is_self || member.id == standing.introduction.replica)
+        });
+        // An empty replica knows no members, but knows that it does not count.
+        let counts = replicas.clone().next().is_some() && replicas.all(|member| member.voter);
+        if counts || (standing.members.is_empty() && !is_self) {
+            Role::Voter
+        } else {
+            Role::Learner
+        }
+    }
+
     async fn accounts(&self, response: &mut Response) {
         let (reply, state) = oneshot::channel();
         let is_sent = self.queries.send(Query { reply }).await.is_ok();
@@ -324,20 +350,6 @@
     }
 }
 
-fn role(
-    host: &primrose_base::name::Name,
-    voter: bool,
-    leader: Option<&primrose_base::name::Name>,
-) -> Role {
-    if leader == Some(host) {
-        Role::Leader
-    } else if voter {
-        Role::Voter
-    } else {
-        Role::Follower
-    }
-}
-
 /// The figures of an owner cover the fleet; those of another host cover its own queue and what owners told it.
 fn account_rows(state: &State, configuration: &Configuration) -> Vec<Account> {
     let snapshot: &Snapshot = state.lender.as_ref().unwrap_or(&state.borrower);
