daemon: Complete the repair of a voter under the next leader

Cause: the steps that bring a replica with a new disk into the log followed a list in the memory of the leader, filled by introductions of empty replicas. Three faults, each with a test in tests/fleet/restart.rs that failed by its 60 s limit:

- The leader dies after it has added the learner.
The learner is not empty any more, does not introduce itself again, and stays a learner for good (a_new_leader_completes_the_repair_of_a_disk).
- The learner was promoted before the former replica was removed.
In between the fleet had four voters, one of them without a disk, and lost its majority with the next failure (a_second_voter_can_fail_right_after_a_disk_was_replaced).
- The replica of a retired host was never removed, so a host that replaced it raised the majority to three of four (a_second_voter_can_fail_after_a_lost_host_was_replaced).

Ruled out: an answer of the node that refuses the promotion (the log of the daemons shows no refusal), and the role in the status alone (the tests failed with the corrected status and the old repair).

The next step now follows from the members and the configuration: remove what does not belong, remove the former replica of a learner, promote the learner, add a newcomer. A leader that is retired passes the leadership on.

--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -13,7 +13,7 @@
 
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
-use primrose_config::Configuration;
+use primrose_config::{Configuration, State as Life};
 use primrose_consensus::Replica;
 use primrose_consensus::disk::{Disk, Error as DiskError, Options as DiskOptions};
 use primrose_consensus::entry::Position;
@@ -466,49 +466,78 @@
         self.host_of(self.replica.node().status().leader?)
     }
 
-    /// Brings replicas with new disks into the fleet, one step at a time: learner, voter, removal of the old replica.
+    /// Brings replicas with new disks into the log and takes those of retired hosts out of it, one step at a time.
     fn repair(&mut self) {
-        if self.clock.is_none() || self.newcomers.is_empty() {
+        if self.clock.is_none() {
             return;
         }
-        let newcomers = std::mem::take(&mut self.newcomers);
-        self.newcomers = newcomers
-            .into_iter()
-            .filter(|newcomer| self.repair_one(newcomer))
-            .collect();
-    }
-
-    /// Takes the next step for `newcomer`; returns whether more steps remain.
-    fn repair_one(&mut self, newcomer: &Introduction) -> bool {
-        let membership = self.replica.node().membership();
-        let id = newcomer.replica;
-        let former = membership
-            .members()
-            .iter()
-            .find(|member| member.host == newcomer.host && member.id != id);
-        let change = match (membership.member(id), former) {
-            (None, _) => Change::AddLearner {
-                id,
-                host: newcomer.host.clone(),
-            },
-            (Some(member), _) if !member.voter => Change::Promote { id },
-            (Some(_), Some(former)) => Change::Remove { id: former.id },
-            (Some(_), None) => return false,
+        let Some(change) = self.next_step() else {
+            return;
         };
         match self.replica.change(Time::now(), &change) {
             Ok(_) => {
                 info!(self.inputs.log, "changing the members of the log"; "change" => ?change);
-                true
             }
-            // The learner lags or an earlier step is not committed yet.
-            Err(NodeError::Pending | NodeError::Behind { .. } | NodeError::Quorum { .. }) => true,
+            // The learner lags, an earlier step is not committed yet, or the leadership has just ended.
+            Err(
+                NodeError::Pending
+                | NodeError::Behind { .. }
+                | NodeError::Quorum { .. }
+                | NodeError::NotLeader { .. },
+            ) => {}
+            // A leader cannot remove itself; its successor does it.
+            Err(NodeError::RemovesLeader(_)) => self.take(Input::Transfer),
             Err(error) => {
                 warn!(self.inputs.log, "cannot change the members of the log"; "error" => %error);
-                false
+                self.newcomers.clear();
             }
         }
     }
 
+    /// The next change of the members: a learner for a host with a new disk, then the removal of the host's former
+    /// replica, then the promotion of the learner.
+    ///
+    /// Everything after the first step follows from the membership alone, so that the next leader goes on where the last
+    /// one stopped. The former replica is removed first, since a voter without a disk would count in the majority.
+    fn next_step(&mut self) -> Option<Change> {
+        let membership = self.replica.node().membership();
+        let members = membership.members();
+        self.newcomers
+            .retain(|newcomer| membership.member(newcomer.replica).is_none());
+        let machine = lock(&self.machine);
+        let hosts = &machine.configuration().hosts;
+        let keeps_replica = |host: &Name| {
+            let host = hosts.get(host.as_str());
+            host.is_none_or(|host| host.voter && host.state != Life::Retired)
+        };
+        if let Some(member) = members.iter().find(|member| !keeps_replica(&member.host)) {
+            return Some(Change::Remove { id: member.id });
+        }
+        if let Some(learner) = members.iter().find(|member| !member.voter) {
+            let newer = self
+                .newcomers
+                .iter()
+                .any(|newcomer| newcomer.host == learner.host);
+            let former = members
+                .iter()
+                .find(|member| member.host == learner.host && member.id != learner.id);
+            return Some(match former {
+                // Its disk was replaced once more.
+                _ if newer => Change::Remove { id: learner.id },
+                Some(former) => Change::Remove { id: former.id },
+                None => Change::Promote { id: learner.id },
+            });
+        }
+        let newcomer = self
+            .newcomers
+            .iter()
+            .find(|newcomer| keeps_replica(&newcomer.host))?;
+        Some(Change::AddLearner {
+            id: newcomer.replica,
+            host: newcomer.host.clone(),
+        })
+    }
+
     fn snapshot(&mut self) {
         if self.replica.entries_since_snapshot() < SNAPSHOT_ENTRIES {
             return;
