daemon: Test configuration changes on real daemons under failure

All daemons are killed after 300 changes and started again, disks are replaced and hosts retired, each with a second failure right after.

--- /dev/null
+++ b/crates/daemon/tests/fleet/restart.rs
@@ -0,0 +1,154 @@
+//! Restarts of daemons, with and without their disks (G8).
+
+use hyper::StatusCode;
+use primrose_config::{Action, draft};
+use primrose_operator::api::Role;
+
+use crate::harness::{Fleet, Host, VOTERS, account, eventually, follower, name, rounds, voter};
+
+/// Changes before the restart: more than followers are sent one by one.
+const CHANGES: u32 = 300;
+
+/// The share that the newest change gave the account, as `host` shows it.
+async fn share(host: &Host) -> u32 {
+    let configuration = host.operator().configuration().await;
+    let configuration = configuration.expect("a configuration");
+    let account = configuration.accounts.get("tester");
+    account.expect("the account").share
+}
+
+/// Guards against a fleet that brings back an older configuration than the newest accepted one after all its daemons
+/// were killed, and against a host without a disk that serves before it has a configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_newest_configuration_comes_back_after_a_restart_of_all() {
+    let plans = [VOTERS[0], VOTERS[1], VOTERS[2], follower("e1", "d1")];
+    let mut fleet = Fleet::start(&plans).await;
+    let changes = CHANGES * rounds() as u32;
+    let mut newest = 0;
+    for number in 1..=changes {
+        newest = fleet
+            .change(&format!("c{number}"), vec![account(number)])
+            .await;
+    }
+    // The last acknowledgements are a moment old at most, so an unsynced entry would be lost here.
+    fleet.hosts.iter_mut().for_each(Host::kill);
+
+    fleet.hosts[3].start();
+    let alone = &fleet.hosts[3];
+    eventually("e1 is alive", async || alone.health("/healthz").await).await;
+    assert_eq!(
+        alone.health("/readyz").await,
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    assert_eq!(
+        alone.version().await,
+        None,
+        "a host without a disk has nothing to show"
+    );
+    let refused = alone.call_chat("e1 has no configuration").await;
+    refused.assert_refused(StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
+
+    for at in 0..3 {
+        fleet.hosts[at].start();
+    }
+    let alone = &fleet.hosts[3];
+    let first = eventually("e1 has a configuration", async || alone.version().await).await;
+    assert_eq!(first, newest, "an older configuration came back");
+    alone.wait_ready().await;
+    fleet.wait_version(newest).await;
+    for host in &fleet.hosts {
+        assert_eq!(share(host).await, changes, "{}", host.plan.name);
+    }
+    let next = fleet.change("after", vec![account(changes + 1)]).await;
+    assert_eq!(next, newest + 1);
+}
+
+/// Waits until the host itself shows that it is a voter. Others may still show the replica that it has lost.
+async fn wait_voter(host: &Host) {
+    eventually("the host is a voter", async || {
+        let status = host.operator().status().await.ok()?;
+        let own = status
+            .hosts
+            .iter()
+            .find(|one| one.name.as_str() == host.plan.name)?;
+        matches!(own.role, Role::Voter | Role::Leader).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a voter with a new disk that never counts again, or that is reported to count before it does, so that
+/// the failure of a second voter right after the repair stops the fleet or loses a change.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_voter_can_fail_right_after_a_disk_was_replaced() {
+    let mut fleet = Fleet::start(&VOTERS).await;
+    let newest = fleet.change("before", vec![account(1)]).await;
+    let leader = fleet.leader().await;
+    let (replaced, killed) = ((leader + 1) % 3, leader);
+    replace_disk(&mut fleet, replaced).await;
+    wait_voter(&fleet.hosts[replaced]).await;
+    fleet.hosts[killed].kill();
+    let after = fleet.change("after", vec![account(2)]).await;
+    assert_eq!(after, newest + 1);
+    fleet.hosts[replaced].wait_version(after).await;
+    assert_eq!(share(&fleet.hosts[replaced]).await, 2);
+    fleet.hosts[killed].start();
+    fleet.wait_version(after).await;
+}
+
+/// Guards against a repair that is forgotten when the leader that began it dies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_leader_completes_the_repair_of_a_disk() {
+    let mut fleet = Fleet::start(&VOTERS).await;
+    let mut newest = fleet.change("before", vec![account(1)]).await;
+    for round in 0..3 * rounds() {
+        let leader = fleet.leader().await;
+        let replaced = (leader + 1) % 3;
+        replace_disk(&mut fleet, replaced).await;
+        // The repair has begun when the leader reports its first step.
+        fleet.hosts[leader].wait_logged("AddLearner").await;
+        fleet.hosts[leader].kill();
+        fleet.hosts[leader].start();
+        wait_voter(&fleet.hosts[replaced]).await;
+        // Only with the replaced disk there is a majority without the third voter.
+        let third = (leader + 2) % 3;
+        fleet.hosts[third].kill();
+        let next = fleet
+            .change(&format!("round-{round}"), vec![account(2)])
+            .await;
+        assert_eq!(next, newest + 1, "round {round}");
+        newest = next;
+        fleet.hosts[third].start();
+        fleet.wait_version(newest).await;
+    }
+}
+
+/// Guards against a retired voter that goes on counting in the majority of the log, so that the next failure after its
+/// replacement stops the fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_second_voter_can_fail_after_a_lost_host_was_replaced() {
+    let mut fleet = Fleet::start(&VOTERS).await;
+    fleet.hosts[2].kill();
+    let added = fleet.add(voter("v4", "d3"));
+    let host = draft::Host {
+        name: name("v4"),
+        domain: name("d3"),
+        peer: fleet.hosts[added].peers,
+        voter: true,
+    };
+    let replace = vec![Action::RetireHost(name("v3")), Action::AddHost(host)];
+    let newest = fleet.change("replace", replace).await;
+    fleet.hosts[added].start();
+    wait_voter(&fleet.hosts[added]).await;
+    let leader = fleet.leader().await;
+    fleet.hosts[leader].kill();
+    let after = fleet.change("after", vec![account(1)]).await;
+    assert_eq!(after, newest + 1);
+    fleet.hosts[added].wait_version(after).await;
+}
+
+async fn replace_disk(fleet: &mut Fleet, at: usize) {
+    let host = &mut fleet.hosts[at];
+    host.kill();
+    std::fs::remove_dir_all(host.data_folder()).expect("the data folder is removed");
+    host.start();
+}
