daemon: Announce the configured address to the other hosts

Membership announced the address that the daemon listens on. The others send datagrams there, whatever the configuration says: with a wildcard such as 0.0.0.0:7000, which the settings accept, every other host would send them to itself.

Found with relays between the daemons: the log respected a cut between failure domains, since it uses the configured addresses, while membership and slot exchange went around the relays. The host of an isolated domain went on seeing the others as reachable (60 s limit of an_isolated_domain_refuses_payouts_and_serves_other_requests); with the configured address it sees them leave and the test passes. Ruled out: a relay that does not cut, since claims were refused.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -309,13 +309,13 @@
                 .as_ref()
                 .is_some_and(|current| current.hosts.get(host.as_str()).is_some())
         };
-        let id = match configuration.wait_for(is_member).await {
+        let own = match configuration.wait_for(is_member).await {
             Ok(current) => current
                 .as_ref()
-                .and_then(|current| current.hosts.get(host.as_str()).map(|host| host.id)),
+                .and_then(|current| current.hosts.get(host.as_str()).cloned()),
             Err(_) => None,
         };
-        let Some(id) = id else {
+        let Some(own) = own else {
             warn!(
                 self.log,
                 "the daemon stopped before it was in the configuration"
@@ -323,15 +323,16 @@
             return;
         };
         let origin = Origin {
-            host: id,
+            host: own.id,
             incarnation: self.incarnation,
         };
         let domain = self.settings.failure_domain.clone();
         let members = membership::spawn(membership::Inputs {
-            host: id,
+            host: own.id,
             incarnation: self.incarnation,
             place: Place {
-                address: self.settings.peer_address,
+                // The address to listen on may be a wildcard, which others cannot send to.
+                address: own.peer,
                 domain: domain.clone(),
             },
             configuration: self.configuration.clone(),
@@ -355,7 +356,7 @@
             counters: self.counters,
             log: self.log.clone(),
         });
-        info!(self.log, "joined the fleet"; "host id" => id.0, "incarnation" => self.incarnation);
+        info!(self.log, "joined the fleet"; "host id" => own.id.0, "incarnation" => self.incarnation);
         joining.origin.send_replace(Some(origin));
         joining.ready.send_replace(true);
         pass_on(members.view, joining.view).await;
