daemon: Test claims on keys while hosts and links fail

Callers send requests that must not be repeated through five hosts and resend after lost answers, while hosts are killed or stopped and a failure domain is cut off by relays. The execution logs of the stand-ins show that no key ran twice, no request ran whose caller was told only not run, and no answer reached another caller. An isolated domain refuses such requests as not run and serves the others.

--- /dev/null
+++ b/crates/daemon/tests/fleet/claims.rs
@@ -0,0 +1,268 @@
+//! Requests that must not be repeated, sent again after lost answers while hosts and links fail (G3, G4, G5).
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::StatusCode;
+use primrose_engine::Handle;
+use primrose_engine::record::{Execution, Progress};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rustix::process::Signal;
+
+use crate::harness::{
+    Answer, Fleet, Lost, VOTERS, eventually, exchange, exchange_within, follower, payout,
+    plain_stand_in, pools, question, rounds, seed, server,
+};
+
+const CALLERS: u64 = 6;
+
+/// Faults, one after the other.
+const FAULTS: usize = 10;
+
+/// A caller that waits this long takes the answer as lost. It is longer than most stops and shorter than the others.
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
+const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
+
+/// What a caller learnt about one key at last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Learned {
+    /// It received the answer, or was told that the request has completed.
+    Complete,
+    /// Every attempt was answered "not run", or no connection was made.
+    NotRun,
+    /// An answer was lost, or the request may have run.
+    Unknown,
+}
+
+/// What became of one key.
+#[derive(Debug)]
+struct Story {
+    key: String,
+    learned: Learned,
+    /// Codes of the answers in order, for messages.
+    steps: Vec<String>,
+}
+
+/// What one answer says.
+fn learn(answer: &Result<Answer, Lost>, nonce: &str) -> (Learned, String) {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(Lost::NotSent) => return (Learned::NotRun, "not sent".to_owned()),
+        Err(Lost::Broken) => return (Learned::Unknown, "lost".to_owned()),
+    };
+    if answer.status == StatusCode::OK {
+        let document: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+        assert_eq!(document["nonce"], nonce, "the answer to another request");
+        return (Learned::Complete, "answer".to_owned());
+    }
+    let error = answer.error();
+    assert_ne!(error.code, "key_reused", "{nonce}");
+    let learned = match error.verdict.as_str() {
+        "not-run" => Learned::NotRun,
+        "may-have-run" => Learned::Unknown,
+        "complete" => Learned::Complete,
+        other => panic!("unknown verdict {other}"),
+    };
+    (learned, error.code)
+}
+
+/// Sends one request, again to other hosts after a lost answer or, at times, after "not run".
+async fn call(hosts: &[std::net::SocketAddr], key: String, rng: &mut SmallRng) -> Story {
+    let mut story = Story {
+        key,
+        learned: Learned::NotRun,
+        steps: Vec::new(),
+    };
+    for _ in 0..4 {
+        let host = hosts[rng.random_range(0..hosts.len())];
+        let request = payout(&story.key, &story.key);
+        let answer = exchange_within(host, request, PATIENCE).await;
+        let (learned, step) = learn(&answer, &story.key);
+        let is_final = step == "duplicate_request";
+        story.steps.push(step);
+        match learned {
+            Learned::Complete => {
+                story.learned = learned;
+                return story;
+            }
+            Learned::Unknown => story.learned = learned,
+            Learned::NotRun => {}
+        }
+        // A caller that gives up after "not run" lets the log of the stand-ins tell whether that was true.
+        if is_final || (story.learned == Learned::NotRun && rng.random_bool(0.5)) {
+            return story;
+        }
+    }
+    story
+}
+
+/// Faults of hosts and links, one at a time, each repaired before the next.
+async fn disturb(fleet: &mut Fleet, rng: &mut SmallRng) {
+    for number in 0..FAULTS * rounds() {
+        let at = rng.random_range(0..fleet.hosts.len());
+        let ms = rng.random_range(100..3_000);
+        match number % 3 {
+            0 => {
+                fleet.hosts[at].kill();
+                pause(ms / 3).await;
+                fleet.hosts[at].start();
+            }
+            1 => {
+                fleet.hosts[at].signal(Signal::STOP);
+                pause(ms).await;
+                fleet.hosts[at].signal(Signal::CONT);
+            }
+            _ => {
+                fleet
+                    .network
+                    .isolate(DOMAINS[rng.random_range(0..DOMAINS.len())]);
+                pause(ms).await;
+                fleet.network.heal();
+            }
+        }
+        pause(rng.random_range(100..700)).await;
+    }
+}
+
+async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Three voters and two entry hosts, with a stand-in of the plain service in each failure domain.
+async fn fleet_with_payouts(seed: u64) -> (Fleet, Vec<Handle>) {
+    let plans = [
+        VOTERS[0],
+        VOTERS[1],
+        VOTERS[2],
+        follower("e1", "d1"),
+        follower("e2", "d2"),
+    ];
+    let fleet = Fleet::start_relayed(&plans).await;
+    let mut actions = pools();
+    let mut stand_ins = Vec::new();
+    for (at, domain) in DOMAINS.iter().enumerate() {
+        let handle = plain_stand_in(seed + at as u64).await;
+        actions.push(server(&format!("p{}", at + 1), "payouts", domain, &handle));
+        stand_ins.push(handle);
+    }
+    let version = fleet.change("set-up", actions).await;
+    fleet.wait_version(version).await;
+    (fleet, stand_ins)
+}
+
+fn executions(stand_ins: &[Handle], key: &str) -> Vec<Execution> {
+    let logs = stand_ins.iter().flat_map(|handle| handle.log().executions);
+    logs.filter(|one| one.key.as_deref() == Some(key)).collect()
+}
+
+/// Guards against a request that runs twice because it was sent again, a request that runs after its caller was told
+/// that it does not, an answer that reaches another caller, and "complete" for a request that has not completed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_payout_runs_twice_or_after_it_was_refused() {
+    let seed = seed(0xc1a1);
+    let (mut fleet, stand_ins) = fleet_with_payouts(seed).await;
+    let hosts: Vec<_> = fleet.hosts.iter().map(|host| host.callers).collect();
+    let done = std::sync::Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let (hosts, done) = (hosts.clone(), done.clone());
+            let mut rng = SmallRng::seed_from_u64(seed.wrapping_add(caller + 1));
+            tokio::spawn(async move {
+                let mut stories = Vec::new();
+                while !done.load(Ordering::Relaxed) {
+                    let key = format!("k{caller}-{}", stories.len());
+                    stories.push(call(&hosts, key, &mut rng).await);
+                    pause(rng.random_range(0..20)).await;
+                }
+                stories
+            })
+        })
+        .collect();
+    disturb(&mut fleet, &mut SmallRng::seed_from_u64(seed)).await;
+    done.store(true, Ordering::Relaxed);
+    let mut stories = Vec::new();
+    for caller in callers {
+        stories.extend(caller.await.expect("a caller ends well"));
+    }
+    fleet.wait_ready().await;
+    // Whatever a host might still send belongs to a claim, which it may act on for 10 s at most.
+    let mut counts = [0; 3];
+    for story in &stories {
+        counts[story.learned as usize] += 1;
+        check(story, &stand_ins, seed);
+    }
+    println!(
+        "{} keys: {} complete, {} not run, {} unknown",
+        stories.len(),
+        counts[0],
+        counts[1],
+        counts[2]
+    );
+    assert!(
+        counts.iter().all(|count| *count > 0),
+        "the faults reached the requests"
+    );
+}
+
+fn check(story: &Story, stand_ins: &[Handle], seed: u64) {
+    let executions = executions(stand_ins, &story.key);
+    let shown = format!("seed {seed}: {story:?} {executions:?}");
+    assert!(executions.len() <= 1, "ran twice: {shown}");
+    match story.learned {
+        Learned::Complete => {
+            assert_eq!(executions.len(), 1, "did not run: {shown}");
+            assert_eq!(executions[0].progress, Progress::Completed, "{shown}");
+        }
+        Learned::NotRun => assert!(executions.is_empty(), "ran: {shown}"),
+        Learned::Unknown => {}
+    }
+}
+
+/// Guards against a domain without a majority that runs requests that must not be repeated, or that stops serving the
+/// others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_isolated_domain_refuses_payouts_and_serves_other_requests() {
+    let seed = seed(0x150);
+    let (fleet, stand_ins) = fleet_with_payouts(seed).await;
+    let isolated = &fleet.hosts[2];
+    fleet.network.isolate("d3");
+    for number in 0..3 {
+        let key = format!("isolated-{number}");
+        let refused = exchange(isolated.callers, payout(&key, &key)).await;
+        let refused = refused.expect("an answer");
+        refused.assert_refused(StatusCode::SERVICE_UNAVAILABLE, "claim_unavailable");
+        let nonce = format!("question-{number}");
+        let answered = exchange(isolated.callers, question(&nonce)).await;
+        let (learned, step) = learn(&answered, &nonce);
+        assert_eq!(learned, Learned::Complete, "{step}");
+        let other = format!("majority-{number}");
+        let answered = exchange(fleet.hosts[0].callers, payout(&other, &other)).await;
+        let (learned, step) = learn(&answered, &other);
+        assert_eq!(learned, Learned::Complete, "{step}");
+    }
+    assert_eq!(isolated.counter("claim_unavailable").await, 3);
+    eventually("the isolated host sees no other domain", async || {
+        let status = isolated.operator().status().await.ok()?;
+        let mut reachable = status.hosts.iter().filter(|host| host.reachable);
+        reachable
+            .all(|host| host.domain.as_str() == "d3")
+            .then_some(())
+    })
+    .await;
+    fleet.network.heal();
+    for number in 0..3 {
+        let key = format!("isolated-{number}");
+        assert!(
+            executions(&stand_ins, &key).is_empty(),
+            "a refused payout ran"
+        );
+        eventually("the payout runs after the cut", async || {
+            let answer = exchange(isolated.callers, payout(&key, &key)).await;
+            (learn(&answer, &key).0 == Learned::Complete).then_some(())
+        })
+        .await;
+        assert_eq!(executions(&stand_ins, &key).len(), 1);
+    }
+}
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -10,13 +10,19 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::http::request::Builder;
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use primrose_base::name::Name;
 use primrose_config::{Action, Change, KeyHash, draft};
+use primrose_engine::{Handle, answer};
 use primrose_operator::{Client, Key, Outcome, Timeouts, api};
+use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::network::{self, Network, Node};
 
 /// Upper limit of every wait: far more than any of them takes.
 pub(crate) const LIMIT: Duration = Duration::from_secs(60);
@@ -97,6 +103,9 @@
     pub(crate) callers: SocketAddr,
     pub(crate) operators: SocketAddr,
     pub(crate) peers: SocketAddr,
+    /// Where the others reach it: a relay, or the same as `peers`.
+    listed: SocketAddr,
+    network: Network,
     folder: PathBuf,
     process: Option<Child>,
 }
@@ -110,6 +119,8 @@
             callers: address(0),
             operators: address(1),
             peers: address(2),
+            listed: address(2),
+            network: Network::default(),
             folder,
             process: None,
         }
@@ -138,7 +149,15 @@
             .stdout(log.try_clone().expect("a second handle of the log file"))
             .stderr(log)
             .spawn();
-        self.process = Some(process.expect("the daemon starts"));
+        let process = process.expect("the daemon starts");
+        self.network.set_process(self.peers, process.id());
+        self.process = Some(process);
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let process = self.process.as_ref().expect("a running daemon");
+        kill_process(Pid::from_child(process), signal).expect("the signal is sent");
     }
 
     /// Ends the process with SIGKILL, if it runs.
@@ -194,6 +213,13 @@
         .await;
     }
 
+    /// The value of a counter.
+    pub(crate) async fn counter(&self, name: &str) -> u64 {
+        let counters = self.operator().counters().await.expect("counters");
+        let found = counters.counters.iter().find(|one| one.name == name);
+        found.expect("a declared counter").value
+    }
+
     /// Waits until the current process has logged `text`.
     pub(crate) async fn wait_logged(&self, text: &str) {
         let deadline = Instant::now() + LIMIT;
@@ -239,22 +265,25 @@
 }
 
 /// The second byte of the loopback addresses of one fleet, so that fleets seldom meet on an address.
-fn network() -> u8 {
+fn number_of_fleet() -> u8 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let next = NEXT.fetch_add(1, Ordering::Relaxed);
     (2 + (std::process::id().wrapping_mul(7) + next) % 250) as u8
 }
 
-/// The address of host `at`: 127.network.domain.host.
-fn host_ip(network: u8, plan: Plan, at: usize) -> Ipv4Addr {
+/// The address of host `at`: 127.fleet.domain.host.
+fn host_ip(number: u8, plan: Plan, at: usize) -> Ipv4Addr {
     let domain = plan.domain.as_bytes()[1] - b'0';
-    Ipv4Addr::new(127, network, domain, at as u8 + 1)
+    Ipv4Addr::new(127, number, domain, at as u8 + 1)
 }
 
 /// Daemons that form one fleet. Dropping it ends them all.
 pub(crate) struct Fleet {
     pub(crate) hosts: Vec<Host>,
-    network: u8,
+    number: u8,
+    /// Cuts failure domains off, if the fleet was started with relays.
+    pub(crate) network: Network,
+    relays: Vec<JoinSet<()>>,
     /// Removed after the processes have ended.
     folder: TempDir,
 }
@@ -262,14 +291,21 @@
 impl Fleet {
     /// Starts a daemon for each plan and waits until all are ready.
     pub(crate) async fn start(plans: &[Plan]) -> Fleet {
-        Fleet::start_with(plans, "").await
+        Fleet::start_with(plans, false).await
+    }
+
+    /// As [`Fleet::start`], with relays between the daemons, so that failure domains can be cut off.
+    pub(crate) async fn start_relayed(plans: &[Plan]) -> Fleet {
+        Fleet::start_with(plans, true).await
     }
 
-    /// As [`Fleet::start`], with more lines for each settings file.
-    pub(crate) async fn start_with(plans: &[Plan], settings: &str) -> Fleet {
+    async fn start_with(plans: &[Plan], relayed: bool) -> Fleet {
         for _ in 0..START_ATTEMPTS {
             let mut fleet = Fleet::reserve(plans);
-            fleet.write_settings(settings);
+            if relayed {
+                fleet.attach().await;
+            }
+            fleet.write_settings();
             fleet.hosts.iter_mut().for_each(Host::start);
             if fleet.has_started().await {
                 fleet.wait_ready().await;
@@ -281,23 +317,40 @@
 
     fn reserve(plans: &[Plan]) -> Fleet {
         let folder = tempfile::tempdir().expect("a folder");
-        let network = network();
+        let number = number_of_fleet();
         let hosts = plans.iter().enumerate().map(|(at, plan)| {
-            Host::reserve(*plan, host_ip(network, *plan, at), folder.path().to_owned())
+            Host::reserve(*plan, host_ip(number, *plan, at), folder.path().to_owned())
         });
         Fleet {
             hosts: hosts.collect(),
-            network,
+            number,
+            network: Network::default(),
+            relays: Vec::new(),
             folder,
         }
     }
 
-    fn write_settings(&self, more: &str) {
+    async fn attach(&mut self) {
+        for (at, host) in self.hosts.iter_mut().enumerate() {
+            let node = Node {
+                address: host.peers,
+                domain: host.plan.domain,
+                process: 0,
+            };
+            let ip = host_ip(self.number, host.plan, at);
+            let (listed, tasks) = network::attach(&self.network, node, ip).await;
+            host.listed = listed;
+            host.network = self.network.clone();
+            self.relays.push(tasks);
+        }
+    }
+
+    fn write_settings(&self) {
         let mut peers = String::new();
         for host in &self.hosts {
             peers.push_str(&format!(
                 "- {{host: {}, failure_domain: {}, peer_address: '{}', voter: {}}}\n",
-                host.plan.name, host.plan.domain, host.peers, host.plan.voter
+                host.plan.name, host.plan.domain, host.listed, host.plan.voter
             ));
         }
         for host in &self.hosts {
@@ -305,7 +358,7 @@
             write_secret(&key_file, FLEET_KEY);
             let mut text = format!(
                 "fleet: test\nhost: {}\nfailure_domain: {}\ncaller_address: '{}'\noperator_address: '{}'\n\
-                 peer_address: '{}'\nfleet_key_file: fleet.key\noperator_key_sha256: ['{}']\npeers:\n{peers}{more}",
+                 peer_address: '{}'\nfleet_key_file: fleet.key\noperator_key_sha256: ['{}']\npeers:\n{peers}",
                 host.plan.name,
                 host.plan.domain,
                 host.callers,
@@ -323,10 +376,10 @@
     /// Adds a host that is not in the settings of the others and does not start it.
     pub(crate) fn add(&mut self, plan: Plan) -> usize {
         let at = self.hosts.len();
-        let ip = host_ip(self.network, plan, at);
+        let ip = host_ip(self.number, plan, at);
         self.hosts
             .push(Host::reserve(plan, ip, self.folder.path().to_owned()));
-        self.write_settings("");
+        self.write_settings();
         at
     }
 
@@ -547,3 +600,61 @@
         .body(Full::from(body.to_string()))
         .expect("a request")
 }
+
+/// A call of the plain service `payouts` that must not be repeated.
+pub(crate) fn payout(nonce: &str, key: &str) -> Request<Full<Bytes>> {
+    plain(nonce, |request| {
+        request
+            .header("x-primrose-non-idempotent", "true")
+            .header("idempotency-key", key)
+    })
+}
+
+/// A call of the plain service `payouts` that may be repeated.
+pub(crate) fn question(nonce: &str) -> Request<Full<Bytes>> {
+    plain(nonce, |request| request)
+}
+
+fn plain(nonce: &str, headers: impl Fn(Builder) -> Builder) -> Request<Full<Bytes>> {
+    let request =
+        Request::post("/plain/payouts/pay").header("authorization", format!("Bearer {API_KEY}"));
+    headers(request)
+        .body(Full::from(answer::mark(nonce)))
+        .expect("a request")
+}
+
+/// Starts a stand-in in the test process.
+pub(crate) async fn stand_in(settings: primrose_engine::Settings) -> Handle {
+    primrose_engine::bind(settings).await.expect("a stand-in")
+}
+
+/// A stand-in for the plain service.
+pub(crate) async fn plain_stand_in(seed: u64) -> Handle {
+    stand_in(primrose_engine::Settings {
+        kind: primrose_engine::Kind::Plain,
+        seed,
+        ..Default::default()
+    })
+    .await
+}
+
+/// The change that adds a backend server.
+pub(crate) fn server(id: &str, pool: &str, domain: &str, handle: &Handle) -> Action {
+    Action::AddServer(draft::Server {
+        name: name(id),
+        pool: name(pool),
+        address: handle.address,
+        domain: name(domain),
+        slots: 8,
+        checks_fencing: true,
+    })
+}
+
+/// The account, the pool `payouts` of a plain service and the pool `chat` of the model `plum`.
+pub(crate) fn pools() -> Vec<Action> {
+    vec![
+        account(1),
+        Action::PutPool(draft::Pool::plain(name("payouts"))),
+        Action::PutPool(draft::Pool::model(name("chat"), "plum")),
+    ]
+}
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -5,6 +5,8 @@
 //! `PRIMROSE_TEST_ROUNDS` to a factor by which the histories grow (1 by default), and `PRIMROSE_TEST_SEED` to another
 //! seed.
 
+mod claims;
 mod configuration;
 mod harness;
+mod network;
 mod restart;
