daemon: Answer new calls until a graceful shutdown has finished

On SIGTERM the listener for callers was stopped at once, while streams in flight went on. A call that came after that was accepted by the kernel only: it hung until the process ended and then broke, so its caller could not know whether the request ran. docs/design.md, section 7, says that new calls are refused as not run (draining).

The listener now stops when no request of this host is on a backend server any more. Ruled out: the handler's own check of draining, which was right but never reached.

Before: a call during the shutdown ended with a broken connection (a_graceful_shutdown_interrupts_no_stream).

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use primrose_base::name::Name;
 use primrose_config::Configuration;
@@ -16,7 +16,7 @@
 use primrose_wire::peer::Packet;
 use slog::{Logger, info, warn};
 use tarpc::context;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::counters::Counters;
 use crate::links::Links;
@@ -31,6 +31,9 @@
 /// Questions of operators that wait at most.
 const QUERY_QUEUE: usize = 16;
 
+/// Interval at which a leaving daemon checks whether its requests have finished.
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A claim on an idempotency key that is older than this is not acted on.
 const CLAIM_DEADLINE_MS: u64 = 10_000;
 
@@ -61,6 +64,9 @@
     callers: server::Handle,
     operator_address: SocketAddr,
     draining: watch::Sender<bool>,
+    /// Whether the scheduler runs and answers queries.
+    ready: watch::Receiver<bool>,
+    queries: mpsc::Sender<Query>,
     replica: Option<replica::Handle>,
     log: Logger,
 }
@@ -77,17 +83,36 @@
     }
 
     /// Leaves: takes nothing new, passes on what this host owns, lets requests in flight finish.
+    ///
+    /// New calls are accepted until then, to be refused as not run: a connection that nobody accepts would hang until the
+    /// process ends, and its caller would not know whether the request ran.
     pub async fn drain(self) {
         info!(self.log, "leaving");
         self.draining.send_replace(true);
         if let Some(replica) = &self.replica {
             replica.send(Input::Transfer);
         }
+        self.wait_idle().await;
         self.callers.drain().await;
         info!(self.log, "all requests have finished");
     }
 }
 
+impl Handle {
+    /// Waits until no request of this host is on a backend server.
+    async fn wait_idle(&self) {
+        while *self.ready.borrow() && self.in_flight().await.is_some_and(|count| count > 0) {
+            tokio::time::sleep(IDLE_INTERVAL).await;
+        }
+    }
+
+    async fn in_flight(&self) -> Option<usize> {
+        let (reply, state) = oneshot::channel();
+        self.queries.send(Query { reply }).await.ok()?;
+        Some(state.await.ok()?.in_flight)
+    }
+}
+
 /// Channels and values that several tasks share.
 struct Parts {
     settings: Arc<Settings>,
@@ -248,9 +273,9 @@
             incarnation: self.incarnation,
             configuration: self.configuration.clone(),
             view,
-            ready,
+            ready: ready.clone(),
             draining: self.draining.clone(),
-            queries: query_sender,
+            queries: query_sender.clone(),
             submitter,
             replica: replica.clone(),
             counters: Arc::clone(&self.counters),
@@ -274,6 +299,8 @@
             callers,
             operator_address,
             draining,
+            ready,
+            queries: query_sender,
             replica,
             log,
         })
