daemon: Test delivery, departure, shutdown and strangers

It now lets a fifth of the callers give up after 3 ms, before a call can have ended, and demands lost answers; hosts that are killed stay down for 500 ms more, so that callers meet the closed port.

--- a/crates/daemon/tests/fleet/claims.rs
+++ b/crates/daemon/tests/fleet/claims.rs
@@ -23,6 +23,9 @@
 /// A caller that waits this long takes the answer as lost. It is longer than most stops and shorter than the others.
 const PATIENCE: Duration = Duration::from_millis(2_000);
 
+/// Shorter than a call of the stand-in takes (5 ms), so an impatient caller always sends a running request again.
+const IMPATIENCE: Duration = Duration::from_millis(3);
+
 const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
 
 /// What a caller learnt about one key at last.
@@ -78,7 +81,9 @@
     for _ in 0..4 {
         let host = hosts[rng.random_range(0..hosts.len())];
         let request = payout(&story.key, &story.key);
-        let answer = exchange_within(host, request, PATIENCE).await;
+        let impatient = story.steps.is_empty() && rng.random_bool(0.2);
+        let limit = if impatient { IMPATIENCE } else { PATIENCE };
+        let answer = exchange_within(host, request, limit).await;
         let (learned, step) = learn(&answer, &story.key);
         let is_final = step == "duplicate_request";
         story.steps.push(step);
@@ -106,7 +111,8 @@
         match number % 3 {
             0 => {
                 fleet.hosts[at].kill();
-                pause(ms / 3).await;
+                // Long enough for callers to meet the closed port.
+                pause(500 + ms / 3).await;
                 fleet.hosts[at].start();
             }
             1 => {
@@ -193,15 +199,17 @@
         counts[story.learned as usize] += 1;
         check(story, &stand_ins, seed);
     }
+    let steps = stories.iter().flat_map(|story| &story.steps);
+    let lost = steps.filter(|step| *step == "lost").count();
     println!(
-        "{} keys: {} complete, {} not run, {} unknown",
+        "{} keys: {} complete, {} not run, {} unknown; {lost} answers lost",
         stories.len(),
         counts[0],
         counts[1],
         counts[2]
     );
     assert!(
-        counts.iter().all(|count| *count > 0),
+        counts[0] > 0 && counts[1] > 0 && lost > 0,
         "the faults reached the requests"
     );
 }
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -29,7 +29,7 @@
 
 const POLL: Duration = Duration::from_millis(20);
 const FLEET_KEY: &str = "a fleet key for tests, 32 bytes or more";
-const OPERATOR_KEY: &str = "operator-key-of-the-tests";
+pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 
 /// The API key of the account that [`Fleet::set_up`] adds.
 pub(crate) const API_KEY: &str = "api-key-of-the-tests";
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -7,6 +7,8 @@
 
 mod claims;
 mod configuration;
+mod delivery;
 mod harness;
 mod network;
 mod restart;
+mod strangers;
