--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self as queue, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -153,6 +154,8 @@
     let results = Arc::clone(&applied);
     let state = Arc::clone(&machine);
     let failure = Arc::new(Mutex::new(None));
+    let restored = Arc::new(AtomicU64::new(0));
+    let restored_to = Arc::clone(&restored);
     let restore_failure = Arc::clone(&failure);
     let apply = move |action: Action<'_>| match action {
         Action::Apply { position, data } => {
@@ -160,8 +163,11 @@
                 lock(&results).push(Applied { position, reply });
             }
         }
-        Action::Restore { data, .. } => match Machine::restore(data) {
-            Ok(restored) => *lock(&state) = restored,
+        Action::Restore { position, data } => match Machine::restore(data) {
+            Ok(restored) => {
+                *lock(&state) = restored;
+                restored_to.store(position.index, Ordering::Relaxed);
+            }
             Err(error) => *lock(&restore_failure) = Some(error),
         },
     };
@@ -197,6 +203,7 @@
         applied,
         machine: Arc::clone(&machine),
         restore_failure: failure,
+        restored,
         standing: standing_sender,
         waiting: Vec::new(),
         clock: None,
@@ -250,6 +257,9 @@
     applied: Arc<Mutex<Vec<Applied>>>,
     machine: Arc<Mutex<Machine>>,
     restore_failure: Arc<Mutex<Option<SnapshotError>>>,
+    /// Index up to which the latest snapshot from the leader replaced the state; entries up to it were not applied one by
+    /// one here.
+    restored: Arc<AtomicU64>,
     standing: watch::Sender<Standing>,
     /// Sorted by index; indices only grow.
     waiting: Vec<Waiting>,
@@ -403,6 +413,10 @@
                 .find(|applied| applied.position == waiting.position);
             let submitted = match result {
                 Some(applied) => Submitted::Applied(applied.reply.clone()),
+                // The entry may be part of the snapshot, which does not carry its reply.
+                None if waiting.position.index <= self.restored.load(Ordering::Relaxed) => {
+                    Submitted::Unknown
+                }
                 // Another leader's entry took its place, so it will never be applied.
                 None => Submitted::NotLeader { leader: None },
             };
