daemon: Enforce the retry budget

docs/design.md, section 6, bounds retries by a budget per account (10 in 100 of its requests plus 10). The request task leaves that to the scheduler, which passed every retry; primrose_schedule::retry::Budget was not used by any crate.

The scheduler now counts first attempts and charges later ones. A retry that the budget refuses ends the request with the failure of its last attempt, whose verdict covers what ran, and counts retry_budget.

Ruled out: a second limit in the proxy, which allows four attempts per call.

--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::name::Name;
+use primrose_base::verdict::Verdict;
 use primrose_config::{Configuration, Kind, Server as ServerItem, State as Life};
 use primrose_member::ownership::{ASK_INTERVAL_MS, Candidate as DomainHost, Ownership};
 use primrose_proxy::failure::Failure;
@@ -22,6 +23,7 @@
 use primrose_schedule::lender::{self, Lender, Support};
 use primrose_schedule::message::Answer;
 use primrose_schedule::queue::Request;
+use primrose_schedule::retry::{self, Budget};
 use primrose_schedule::settings::Settings as Tuning;
 use primrose_schedule::snapshot::Snapshot;
 use primrose_wire::peer::Packet;
@@ -98,6 +100,7 @@
         owners: Owners::default(),
         calls: Calls::default(),
         estimator: Estimator::default(),
+        budget: Budget::new(),
         paces: Paces::default(),
         configuration: Arc::default(),
         view: Arc::default(),
@@ -119,6 +122,7 @@
     owners: Owners,
     calls: Calls,
     estimator: Estimator,
+    budget: Budget,
     paces: Paces,
     configuration: Arc<Configuration>,
     view: Arc<View>,
@@ -219,7 +223,10 @@
 // Requests.
 impl Scheduler {
     fn arrive(&mut self, call: Call, reply: Reply, now: Time) {
-        if let Some(failure) = self.refusal(&call) {
+        if let Some(failure) = self
+            .refusal(&call)
+            .or_else(|| self.charge_retry(&call, now))
+        {
             // The caller may have left; then nobody needs the answer.
             let _ = reply.send(Err(failure));
             return;
@@ -267,6 +274,28 @@
         None
     }
 
+    /// Counts a first attempt for the retry budget of its account, and charges a later one to it.
+    fn charge_retry(&mut self, call: &Call, now: Time) -> Option<Failure> {
+        if call.attempt == 0 {
+            self.budget.count_request(now, call.account);
+            return None;
+        }
+        // The request task has checked what the verdict allows, so only the budget decides here.
+        let failed = retry::Failure {
+            verdict: Verdict::NotRun,
+            idempotent: true,
+            delivered_bytes: 0,
+            attempts: 0,
+        };
+        self.budget.decide(now, call.account, &failed).err()?;
+        self.inputs.counters.count("retry_budget");
+        Some(Failure::refuse(
+            "retry_budget",
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the retry budget of the account is used up",
+        ))
+    }
+
     fn estimate(&self, call: &Call) -> u64 {
         let default = self
             .configuration
@@ -314,7 +343,7 @@
         let charge = self.charge(call.pool, end.usage.input_tokens, end.usage.output_tokens);
         self.borrower.finish(now, id, charge);
         self.paces.record(server, &end, now);
-        if end.verdict == primrose_base::verdict::Verdict::Complete {
+        if end.verdict == Verdict::Complete {
             self.inputs.counters.count("served");
             self.estimator
                 .record(call.pool, call.account, end.usage.output_tokens);
@@ -395,6 +424,7 @@
             })
             .collect();
         self.borrower.set_shares(&shares);
+        self.budget.expire(now);
         self.configuration = configuration;
         self.set_servers(now);
         if let Some(lender) = &mut self.lender {
--- a/crates/daemon/tests/fleet/delivery.rs
+++ b/crates/daemon/tests/fleet/delivery.rs
@@ -15,8 +15,8 @@
 use rustix::process::Signal;
 
 use crate::harness::{
-    Answer, Fleet, Lost, VOTERS, chat, eventually, exchange, follower, name, pools, question,
-    rounds, seed, server, stand_in,
+    Answer, Fleet, Lost, VOTERS, chat, eventually, exchange, follower, name, plain_stand_in, pools,
+    question, rounds, seed, server, stand_in,
 };
 
 const CALLERS: u64 = 6;
@@ -230,6 +230,45 @@
     assert!(wrong > 0, "answers to other requests were met");
 }
 
+/// Guards against retries that multiply the load just when the backend servers fail.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_retry_budget_bounds_the_attempts() {
+    const CALLS: u64 = 60;
+    /// Retries that an account has beside a tenth of its requests.
+    const BASE: u64 = 10;
+    let fleet = Fleet::start(&VOTERS[..1]).await;
+    let plain = plain_stand_in(1).await;
+    plain.set_faults(Faults {
+        swap: 1.0,
+        ..Default::default()
+    });
+    let mut actions = pools();
+    actions.push(server("p1", "payouts", "d1", &plain));
+    fleet
+        .wait_version(fleet.change("set-up", actions).await)
+        .await;
+    let host = &fleet.hosts[0];
+    for number in 0..CALLS {
+        let request = question(&format!("q{number}"));
+        let answer = exchange(host.callers, request).await.expect("an answer");
+        // The stand-in answers with the id of the request before, which on the second attempt is the right one.
+        if answer.status == StatusCode::OK {
+            continue;
+        }
+        let error = answer.error();
+        assert_eq!(error.code, "wrong_answer");
+        // What the first attempt may have done stays true when the budget refuses the second.
+        assert_eq!(error.verdict, "may-have-run");
+    }
+    let dispatched = host.counter("dispatched").await;
+    assert!(dispatched > CALLS, "the budget allows some retries");
+    assert!(
+        dispatched <= CALLS + CALLS / 10 + BASE,
+        "{dispatched} attempts for {CALLS} calls"
+    );
+    assert!(host.counter("retry_budget").await > 0);
+}
+
 /// Guards against a shutdown that breaks streams, refuses new calls without a verdict, or never ends.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_graceful_shutdown_interrupts_no_stream() {
