daemon: Test a frozen host with a claim, and kill the host without a disk too

A host that holds a claim is stopped for 11 s while the only slot becomes free. Its request is answered as not run, does not run, and runs when the caller sends it again through another host.

The claims test ends all hosts gracefully before it reads the execution logs, so that no request can run after the check.

--- a/crates/daemon/tests/fleet/claims.rs
+++ b/crates/daemon/tests/fleet/claims.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use primrose_engine::Handle;
 use primrose_engine::record::{Execution, Progress};
+use primrose_engine::{Handle, Kind, Settings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 
 use crate::harness::{
     Answer, Fleet, Lost, VOTERS, eventually, exchange, exchange_within, follower, payout,
-    plain_stand_in, pools, question, rounds, seed, server,
+    plain_stand_in, pools, question, rounds, seed, server, server_with_slots, stand_in,
 };
 
 const CALLERS: u64 = 6;
@@ -26,6 +26,9 @@
 /// Shorter than a call of the stand-in takes (5 ms), so an impatient caller always sends a running request again.
 const IMPATIENCE: Duration = Duration::from_millis(3);
 
+/// Longer than a host may act on a claim.
+const FREEZE: Duration = Duration::from_secs(11);
+
 const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
 
 /// What a caller learnt about one key at last.
@@ -193,7 +196,11 @@
         stories.extend(caller.await.expect("a caller ends well"));
     }
     fleet.wait_ready().await;
-    // Whatever a host might still send belongs to a claim, which it may act on for 10 s at most.
+    // After a graceful shutdown no host has a request left that could still run.
+    for host in &mut fleet.hosts {
+        host.signal(Signal::TERM);
+        eventually("the process ends", async || host.has_ended().then_some(())).await;
+    }
     let mut counts = [0; 3];
     for story in &stories {
         counts[story.learned as usize] += 1;
@@ -274,3 +281,47 @@
         assert_eq!(executions(&stand_ins, &key).len(), 1);
     }
 }
+
+/// Guards against a host that was frozen and, when it wakes up, acts on a claim that is older than its deadline of 10 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_was_frozen_does_not_act_on_its_old_claim() {
+    let fleet = Fleet::start(&[VOTERS[0], follower("e1", "d1")]).await;
+    let plain = stand_in(Settings {
+        kind: Kind::Plain,
+        service_ms: 1_500,
+        ..Default::default()
+    })
+    .await;
+    let mut actions = pools();
+    actions.push(server_with_slots("p1", "payouts", "d1", &plain, 1));
+    fleet
+        .wait_version(fleet.change("set-up", actions).await)
+        .await;
+    let (voter, frozen) = (&fleet.hosts[0], &fleet.hosts[1]);
+    let first = tokio::spawn(exchange(frozen.callers, payout("first", "first")));
+    eventually("the only slot is taken", async || {
+        (!executions(std::slice::from_ref(&plain), "first").is_empty()).then_some(())
+    })
+    .await;
+    let second = tokio::spawn(exchange(frozen.callers, payout("second", "second")));
+    eventually("the second payout is claimed", async || {
+        (frozen.counter("claim_granted").await == 2).then_some(())
+    })
+    .await;
+    frozen.signal(Signal::STOP);
+    tokio::time::sleep(FREEZE).await;
+    frozen.signal(Signal::CONT);
+    let second = second.await.expect("the caller ends well");
+    let (learned, step) = learn(&second, "second");
+    assert_eq!(learned, Learned::NotRun, "{step}");
+    let first = first.await.expect("the caller ends well");
+    assert_eq!(learn(&first, "first").0, Learned::Complete);
+    let runs = |key| executions(std::slice::from_ref(&plain), key).len();
+    assert_eq!(runs("second"), 0, "a refused payout ran");
+    eventually("the payout runs through another host", async || {
+        let answer = exchange(voter.callers, payout("second", "second")).await;
+        (learn(&answer, "second").0 == Learned::Complete).then_some(())
+    })
+    .await;
+    assert_eq!((runs("first"), runs("second")), (1, 1));
+}
--- a/crates/daemon/tests/fleet/configuration.rs
+++ b/crates/daemon/tests/fleet/configuration.rs
@@ -102,6 +102,8 @@
         base = learned.unwrap_or_else(|current| current);
         submission.learned = Some(learned);
         push(&log, process, Action::Response(submission));
+        // Spreads the operations over several rounds of kills.
+        pause(&mut rng, 0..150).await;
     }
 }
 
@@ -133,8 +135,8 @@
     seen
 }
 
-/// Kills voters with SIGKILL and starts them again, at times two of the three.
-async fn kill_voters(hosts: &mut [Host], done: &AtomicBool, mut rng: SmallRng) -> usize {
+/// Kills voters with SIGKILL and starts them again, at times two of the three, and at times the host without a disk.
+async fn kill_hosts(hosts: &mut [Host], done: &AtomicBool, mut rng: SmallRng) -> usize {
     let mut kills = 0;
     while !done.load(Ordering::Relaxed) {
         let first = rng.random_range(0..VOTERS.len());
@@ -142,12 +144,19 @@
         hosts[first].kill();
         pause(&mut rng, 0..200).await;
         hosts[second].kill();
+        let without_disk = rng.random_bool(0.5);
+        if without_disk {
+            hosts[VOTERS.len()].kill();
+        }
         kills += 1;
         pause(&mut rng, 0..500).await;
         hosts[first].start();
         if second != first {
             hosts[second].start();
         }
+        if without_disk {
+            hosts[VOTERS.len()].start();
+        }
         pause(&mut rng, 100..900).await;
     }
     kills
@@ -184,7 +193,7 @@
         finished.store(true, Ordering::Relaxed);
         results
     });
-    let kills = kill_voters(&mut fleet.hosts, &done, SmallRng::seed_from_u64(seed)).await;
+    let kills = kill_hosts(&mut fleet.hosts, &done, SmallRng::seed_from_u64(seed)).await;
     for result in ends.await.expect("the operators end") {
         result.expect("an operator ends well");
     }
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -640,12 +640,23 @@
 
 /// The change that adds a backend server.
 pub(crate) fn server(id: &str, pool: &str, domain: &str, handle: &Handle) -> Action {
+    server_with_slots(id, pool, domain, handle, 8)
+}
+
+/// As [`server`], with another number of slots.
+pub(crate) fn server_with_slots(
+    id: &str,
+    pool: &str,
+    domain: &str,
+    handle: &Handle,
+    slots: u32,
+) -> Action {
     Action::AddServer(draft::Server {
         name: name(id),
         pool: name(pool),
         address: handle.address,
         domain: name(domain),
-        slots: 8,
+        slots,
         checks_fencing: true,
     })
 }
