daemon: Give a host without a configuration the newest one only

A host without a disk that restarted took its first configuration from any voter, its own failure domain first. Ruled out: the voters, whose versions never went back, and the update of a running host, which never takes an older version.

The first configuration now comes from the leader while it has its lease and has applied an entry of its term, so it is the newest accepted one. A voter that knows no leader for 10 s is taken to be cut off and gives what it has, because a failure domain without a majority must go on serving; that configuration may be older.

--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Asks one voter; returns whether it answered.
+    /// Asks one voter; returns whether it answered and this host has a configuration.
     async fn follow(&self, voter: &Name) -> bool {
         let current = self.configuration.borrow().clone();
         let Ok(address) = address_of(voter, current.as_deref(), &self.settings) else {
@@ -69,7 +69,8 @@
         match tokio::time::timeout(CALL_TIMEOUT, client.follow(context::current(), version)).await {
             Ok(Ok(Some(news))) => {
                 self.take(news, &current.unwrap_or_default());
-                true
+                // A voter that may lag gives the first configuration to nobody; the next one may be the leader.
+                self.configuration.borrow().is_some()
             }
             Ok(Ok(None)) => false,
             Ok(Err(_)) | Err(_) => {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_config::Configuration;
 use primrose_consensus::message::Message;
@@ -129,9 +130,12 @@
         let has_newer = tokio::time::timeout(FOLLOW_WAIT, configuration.wait_for(is_newer))
             .await
             .is_ok();
-        let newer = has_newer.then(|| replica.read(|machine| machine.changes_since(version)));
+        let standing = replica.standing();
+        // A host without a configuration may have had a newer one before its restart than a voter that lags.
+        let may_answer = has_newer && (version > 0 || standing.may_teach(Time::now()));
+        let newer = may_answer.then(|| replica.read(|machine| machine.changes_since(version)));
         Some(News {
-            leader: replica.standing().leader,
+            leader: standing.leader,
             update: newer,
         })
     }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -35,6 +35,11 @@
 /// A snapshot replaces the log after so many entries; at the target of 2,500 changes a day about one a day.
 const SNAPSHOT_ENTRIES: u64 = 10_000;
 
+/// Several elections: a replica that knows no leader for so long is taken to be cut off from the majority. A host that
+/// restarts without a configuration then takes one that may be older than the one it had, because its failure domain
+/// must go on serving.
+const LEADERLESS_MS: u64 = 10_000;
+
 /// Something the thread has to do.
 pub enum Input {
     /// Messages of another replica.
@@ -76,10 +81,24 @@
     pub lease_until: Option<Time>,
     /// Whether the leader has applied an entry of its own term, so that it knows all that was accepted before.
     pub is_current: bool,
+    /// Since when this replica knows no leader; `None` while it knows one.
+    pub leaderless_since: Option<Time>,
     /// Fsyncs of the log since the start.
     pub syncs: u64,
 }
 
+impl Standing {
+    /// Whether a host without a configuration may take that of this replica: it is the newest accepted one, or no leader
+    /// has been known for [`LEADERLESS_MS`].
+    pub fn may_teach(&self, now: Time) -> bool {
+        let has_lease = self.lease_until.is_some_and(|until| now < until);
+        let is_cut_off = self
+            .leaderless_since
+            .is_some_and(|since| now.since(since) >= LEADERLESS_MS);
+        (self.is_current && has_lease) || is_cut_off
+    }
+}
+
 /// A running replica.
 #[derive(Clone)]
 pub struct Handle {
@@ -194,6 +213,7 @@
         members: Vec::new(),
         lease_until: None,
         is_current: false,
+        leaderless_since: Some(Time::now()),
         syncs: 0,
     });
     let worker = Worker {
@@ -566,6 +586,7 @@
         let node = self.replica.node();
         let status = node.status();
         let is_leader = status.role == Role::Leader;
+        let before = self.standing.borrow().leaderless_since;
         let standing = Standing {
             introduction: Introduction {
                 host: self.inputs.host.clone(),
@@ -578,6 +599,10 @@
             members: node.membership().members().to_vec(),
             lease_until: node.lease_until(),
             is_current: self.clock.is_some(),
+            leaderless_since: match status.leader {
+                Some(_) => None,
+                None => before.or_else(|| Some(Time::now())),
+            },
             syncs: self.replica.disk().counters().log_syncs,
         };
         self.standing.send_replace(standing);
