daemon: Test that a host without a disk does not take a lagging voter's configuration

Its own domain's voter misses a change, all daemons are killed, and that voter and the host start before the others.

--- a/crates/daemon/tests/fleet/restart.rs
+++ b/crates/daemon/tests/fleet/restart.rs
@@ -146,6 +146,29 @@
     fleet.hosts[added].wait_version(after).await;
 }
 
+/// Guards against a host without a disk that takes an older configuration than it had from a voter that lags.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_without_a_disk_does_not_go_back_to_the_version_of_a_lagging_voter() {
+    let plans = [VOTERS[0], VOTERS[1], VOTERS[2], follower("e1", "d1")];
+    let mut fleet = Fleet::start(&plans).await;
+    let before = fleet.change("before", vec![account(1)]).await;
+    fleet.wait_version(before).await;
+    fleet.hosts[0].kill();
+    let newest = fleet.change("after", vec![account(2)]).await;
+    fleet.hosts[3].wait_version(newest).await;
+    fleet.hosts.iter_mut().for_each(Host::kill);
+    // The voter of the host's own failure domain has missed the last change.
+    fleet.hosts[0].start();
+    fleet.hosts[3].start();
+    fleet.hosts[3].wait_logged("host: e1").await;
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    fleet.hosts[1].start();
+    fleet.hosts[2].start();
+    let host = &fleet.hosts[3];
+    let first = eventually("e1 has a configuration", async || host.version().await).await;
+    assert_eq!(first, newest);
+}
+
 async fn replace_disk(fleet: &mut Fleet, at: usize) {
     let host = &mut fleet.hosts[at];
     host.kill();
