--- a/crates/daemon/tests/fleet/delivery.rs
+++ b/crates/daemon/tests/fleet/delivery.rs
@@ -266,7 +266,7 @@
         dispatched <= CALLS + CALLS / 10 + BASE,
         "{dispatched} attempts for {CALLS} calls"
     );
-    assert!(host.counter("retry_budget").await > 0);
+    assert!(host.counter("no_retry_budget").await > 0);
 }
 
 /// Guards against a shutdown that breaks streams, refuses new calls without a verdict, or never ends.
