Split the scheduler task by subject and remove what had no effect

The setting limits.waiting_per_account is gone: the limits of the configuration apply, and a setting without effect misleads operators. Unknown paths are counted. The description of a host is made in one place.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -34,9 +34,6 @@
 /// Interval at which a leaving daemon checks whether its requests have finished.
 const IDLE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A claim on an idempotency key that is older than this is not acted on.
-const CLAIM_DEADLINE_MS: u64 = 10_000;
-
 /// Why a daemon cannot start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum Error {
@@ -326,7 +323,6 @@
             max_body_bytes: limits.max_body_bytes,
             queue_timeout_ms: limits.queue_timeout_ms,
             answer_timeout_ms: limits.answer_timeout_ms,
-            claim_deadline_ms: CLAIM_DEADLINE_MS,
         };
         let counters = Arc::clone(&self.counters);
         let inputs = server::Inputs {
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -27,6 +27,7 @@
 use crate::links::Links;
 use crate::membership::View;
 use crate::orders::page as orders;
+use crate::peers::describe;
 use crate::replica::{self, Standing};
 use crate::scheduler::{Query, State};
 use crate::settings::Settings;
@@ -347,12 +348,12 @@
     }
 
     fn describe(&self) -> Description {
-        let configuration = self.configuration.borrow().clone();
-        Description {
-            version: configuration.map_or(0, |configuration| configuration.version),
-            term: self.replica.as_ref().map(|replica| replica.standing().term),
-            ready: *self.ready.borrow() && !*self.draining.borrow(),
-        }
+        describe(
+            &self.configuration,
+            self.replica.as_ref(),
+            &self.ready,
+            &self.draining,
+        )
     }
 
     async fn ask(&self, address: SocketAddr) -> Option<Description> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -60,6 +60,23 @@
     Ok(address)
 }
 
+/// What this host tells about itself.
+pub(crate) fn describe(
+    configuration: &watch::Receiver<Option<Arc<Configuration>>>,
+    replica: Option<&replica::Handle>,
+    ready: &watch::Receiver<bool>,
+    draining: &watch::Receiver<bool>,
+) -> Description {
+    Description {
+        version: configuration
+            .borrow()
+            .as_ref()
+            .map_or(0, |configuration| configuration.version),
+        term: replica.map(|replica| replica.standing().term),
+        ready: *ready.borrow() && !*draining.borrow(),
+    }
+}
+
 async fn accept(listener: TcpListener, inputs: Inputs) {
     loop {
         match listener.accept().await {
@@ -122,16 +139,13 @@
     }
 
     async fn describe(self, _: Context) -> Description {
-        let configuration = self.inputs.configuration.borrow().clone();
-        Description {
-            version: configuration.map_or(0, |configuration| configuration.version),
-            term: self
-                .inputs
-                .replica
-                .as_ref()
-                .map(|replica| replica.standing().term),
-            ready: *self.inputs.ready.borrow() && !*self.inputs.draining.borrow(),
-        }
+        let inputs = &self.inputs;
+        describe(
+            &inputs.configuration,
+            inputs.replica.as_ref(),
+            &inputs.ready,
+            &inputs.draining,
+        )
     }
 
     async fn follow(self, _: Context, version: u64) -> Option<News> {
--- /dev/null
+++ b/crates/daemon/src/scheduler/requests.rs
@@ -0,0 +1,212 @@
+//! Requests of this host: admission, the queue, slots and ends.
+
+use primrose_base::clock::Time;
+use primrose_base::id;
+use primrose_base::name::Name;
+use primrose_base::verdict::Verdict;
+use primrose_config::Kind;
+use primrose_member::view::State as Presence;
+use primrose_proxy::failure::Failure;
+use primrose_proxy::gate::{Call, End, Slot, Usage};
+use primrose_schedule::admission;
+use primrose_schedule::borrower;
+use primrose_schedule::queue::Request;
+use primrose_schedule::retry;
+use primrose_wire::peer::Packet;
+
+use crate::scheduler::calls::{Reply, Stage};
+use crate::scheduler::{STARTUP_MS, Scheduler, refusals};
+
+impl Scheduler {
+    pub(super) fn arrive(&mut self, call: Call, reply: Reply, now: Time) {
+        if let Err(failure) = self.admit(&call, now) {
+            // The caller may have left; then nobody needs the answer.
+            let _ = reply.send(Err(failure));
+            return;
+        }
+        let request = Request {
+            id: call.id,
+            account: call.account,
+            pool: call.pool,
+            estimate: self.estimate(&call),
+            deadline: call.deadline,
+            affinity: call.affinity,
+        };
+        self.calls.insert(call, reply);
+        self.borrower.arrive(now, request);
+    }
+
+    /// Admission control.
+    pub(super) fn admit(&mut self, call: &Call, now: Time) -> Result<(), Failure> {
+        match &call.retry {
+            Some(failure) => self.admit_retry(call.account, failure, now)?,
+            None => self.budget.count_request(now, call.account),
+        }
+        let account = self.configuration.accounts.by_id(call.account);
+        let limit = account.map_or(0, |account| self.configuration.waiting_limit(account));
+        let limits = admission::Limits {
+            account_waiting: limit as usize,
+            host_waiting: self.inputs.limits.waiting_per_host as usize,
+            deadline_ms: self.inputs.limits.queue_timeout_ms,
+            ..admission::Limits::default()
+        };
+        let load = self.load(call, now);
+        admission::check(&limits, &load).map_err(refusals::of_admission)
+    }
+
+    pub(super) fn admit_retry(
+        &mut self,
+        account: id::Account,
+        failure: &retry::Failure,
+        now: Time,
+    ) -> Result<(), Failure> {
+        match self.budget.decide(now, account, failure) {
+            Ok(ground) => {
+                self.inputs.counters.count(ground.code());
+                Ok(())
+            }
+            Err(refusal) => {
+                self.inputs.counters.count(refusal.code());
+                Err(refusals::of_retry(refusal))
+            }
+        }
+    }
+
+    pub(super) fn load(&self, call: &Call, now: Time) -> admission::Load {
+        let pool = self.configuration.pools.by_id(call.pool);
+        admission::Load {
+            draining: *self.inputs.draining.borrow(),
+            ready: true,
+            account_waiting: self.borrower.waiting(call.pool, call.account),
+            host_waiting: self.borrower.waiting_total(),
+            servers: pool.map(|pool| self.configuration.active_servers(pool.name.as_str()).len()),
+            reaches_slots: pool.is_some_and(|pool| self.reaches(&pool.name, now)),
+            expected_wait_ms: None,
+        }
+    }
+
+    /// Whether a host of a failure domain with servers of the pool can be reached.
+    pub(super) fn reaches(&self, pool: &Name, now: Time) -> bool {
+        // Until membership has found the other hosts, a request waits instead of being refused.
+        if now.since(self.started) < STARTUP_MS {
+            return true;
+        }
+        let servers = self.configuration.active_servers(pool.as_str());
+        let mut hosts = servers
+            .iter()
+            .flat_map(|server| self.view.live(&server.domain));
+        hosts.any(|host| self.is_reachable(host))
+    }
+
+    pub(super) fn is_reachable(&self, host: id::Host) -> bool {
+        host == self.inputs.origin.host
+            || self
+                .view
+                .member(host)
+                .is_some_and(|member| member.state == Presence::Alive)
+    }
+
+    pub(super) fn estimate(&self, call: &Call) -> u64 {
+        let default = self
+            .configuration
+            .pools
+            .by_id(call.pool)
+            .map_or(1, |pool| u64::from(pool.output_estimate));
+        let output =
+            self.estimator
+                .output_tokens(call.pool, call.account, default, call.max_output_tokens);
+        self.charge(call.pool, call.input_tokens, output)
+    }
+
+    /// Weighted tokens, by the weights of the pool.
+    pub(super) fn charge(&self, pool: id::Pool, input_tokens: u64, output_tokens: u64) -> u64 {
+        let pool = self.configuration.pools.by_id(pool);
+        match pool.map(|pool| &pool.kind) {
+            Some(Kind::Model {
+                input_weight,
+                output_weight,
+                ..
+            }) => {
+                input_tokens * u64::from(*input_weight) + output_tokens * u64::from(*output_weight)
+            }
+            Some(Kind::Plain) | None => output_tokens,
+        }
+    }
+
+    pub(super) fn flow(&mut self, id: u64, usage: Usage) {
+        let Some(entry) = self.calls.get(id) else {
+            return;
+        };
+        let total = self.charge(entry.call.pool, usage.input_tokens, usage.output_tokens);
+        self.borrower.flow(id, total);
+    }
+
+    pub(super) fn end(&mut self, id: u64, end: End, now: Time) {
+        let Some(entry) = self.calls.remove(id) else {
+            return;
+        };
+        let call = entry.call;
+        let Stage::Running { server } = entry.stage else {
+            self.borrower.cancel(now, id);
+            return;
+        };
+        let charge = self.charge(call.pool, end.usage.input_tokens, end.usage.output_tokens);
+        self.borrower.finish(now, id, charge);
+        self.paces.record(server, &end, now);
+        if end.verdict == Verdict::Complete {
+            self.inputs.counters.count("served");
+            self.estimator
+                .record(call.pool, call.account, end.usage.output_tokens);
+        }
+    }
+
+    pub(super) fn dispatch(&mut self, id: u64, server: id::Server) {
+        let Some(reply) = self.calls.start(id, server) else {
+            return;
+        };
+        self.inputs.counters.count("dispatched");
+        let address = self
+            .configuration
+            .servers
+            .by_id(server)
+            .map(|server| server.address);
+        let answer = match address {
+            Some(address) => Ok(Slot { server, address }),
+            None => Err(refusals::of_admission(admission::Reason::NoServer)),
+        };
+        // A caller that left has dropped its ticket, and the end of the request is on its way.
+        let _ = reply.send(answer);
+    }
+
+    pub(super) fn refuse(&mut self, id: u64, reason: borrower::Reason) {
+        let Some(entry) = self.calls.remove(id) else {
+            return;
+        };
+        let Stage::Waiting { reply } = entry.stage else {
+            return;
+        };
+        let reason = match reason {
+            borrower::Reason::Expired => admission::Reason::QueueDeadline,
+            borrower::Reason::NoServer => admission::Reason::NoServer,
+        };
+        let failure = refusals::of_admission(reason);
+        let _ = reply.send(Err(failure));
+    }
+
+    pub(super) fn drain(&mut self, now: Time) {
+        for id in self.calls.waiting() {
+            self.borrower.cancel(now, id);
+            let Some(entry) = self.calls.remove(id) else {
+                continue;
+            };
+            if let Stage::Waiting { reply } = entry.stage {
+                let _ = reply.send(Err(Failure::draining()));
+            }
+        }
+        self.borrower.leave();
+        self.lender = None;
+        if let Some(release) = self.ownership.leave(now) {
+            self.send_to_domain(&Packet::Release(release));
+        }
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -86,8 +86,6 @@
     pub queue_timeout_ms: u64,
     /// A backend server that sends no first byte for so long has failed; 120 s by default.
     pub answer_timeout_ms: u64,
-    /// Requests of one account that wait here at most, unless the configuration says otherwise; 1,000 by default.
-    pub waiting_per_account: u32,
     /// Requests that wait here at most; 4,000 by default.
     pub waiting_per_host: u32,
 }
@@ -98,7 +96,6 @@
             max_body_bytes: 16 << 20,
             queue_timeout_ms: 60_000,
             answer_timeout_ms: 120_000,
-            waiting_per_account: 1_000,
             waiting_per_host: 4_000,
         }
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -29,8 +29,6 @@
     pub queue_timeout_ms: u64,
     /// A backend server that sends no first byte within this time has failed.
     pub answer_timeout_ms: u64,
-    /// A claim on an idempotency key that is older than this is not acted on.
-    pub claim_deadline_ms: u64,
 }
 
 impl Default for Settings {
@@ -39,7 +37,6 @@
             max_body_bytes: 16 << 20,
             queue_timeout_ms: 60_000,
             answer_timeout_ms: 120_000,
-            claim_deadline_ms: 10_000,
         }
     }
 }
@@ -108,15 +105,18 @@
 }
 
 fn router(shared: Shared) -> Router {
+    let count = Arc::clone(&shared.count);
     Router::new()
         .push(Router::with_path("v1/chat/completions").post(Chat(shared.clone())))
         .push(Router::with_path("v1/models").get(Models(shared.clone())))
         .push(Router::with_path("plain/{**rest}").goal(Plain(shared)))
-        .push(Router::with_path("{**rest}").goal(Unknown))
+        .push(Router::with_path("{**rest}").goal(Unknown { count }))
 }
 
 /// Answers requests for paths that do not exist.
-struct Unknown;
+struct Unknown {
+    count: Count,
+}
 
 #[async_trait]
 impl salvo::Handler for Unknown {
@@ -132,6 +132,8 @@
             request.method(),
             request.uri().path()
         );
-        Failure::refuse("unknown_path", StatusCode::NOT_FOUND, message).render(response);
+        let failure = Failure::refuse("unknown_path", StatusCode::NOT_FOUND, message);
+        (self.count)(failure.code);
+        failure.render(response);
     }
 }
