Give every answer and error a request id

Errors had none, although docs/design.md says that answers carry one; a caller could not name a refused request. The test of refusals now asks for it with every code, and for the counter of unknown paths too.

--- a/crates/daemon/tests/fleet/strangers.rs
+++ b/crates/daemon/tests/fleet/strangers.rs
@@ -122,9 +122,11 @@
         let answer = exchange(host.callers, request).await.expect("an answer");
         let status = StatusCode::from_u16(status).expect("a status");
         answer.assert_refused(status, code);
-        if code != "unknown_path" {
-            assert_eq!(host.counter(code).await, before + 1, "{code} is counted");
-        }
+        assert!(
+            answer.headers.contains_key("x-request-id"),
+            "{code} has an id"
+        );
+        assert_eq!(host.counter(code).await, before + 1, "{code} is counted");
     }
     let announced = "content-length: 99999999\r\n\r\n";
     let answer = raw(host.callers, announced).await;
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -15,7 +15,9 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
-use crate::attempt::{Answer, Count, Hold, Job, Runner, claim_failure, passed_headers};
+use crate::attempt::{
+    Answer, Count, Hold, Job, REQUEST_ID_HEADER, Runner, claim_failure, passed_headers,
+};
 use crate::failure::Failure;
 use crate::gate::{Call, Claim};
 use crate::head::{Fields, Head};
@@ -64,6 +66,16 @@
     account: Arc<Account>,
 }
 
+/// Where a request goes and what of it is held.
+struct Target {
+    pool: Arc<Pool>,
+    path: String,
+    head: Head,
+    max_output_tokens: Option<u64>,
+    /// The `x-request-id` towards the backend server and in the answer.
+    id: HeaderValue,
+}
+
 #[async_trait]
 impl salvo::Handler for Chat {
     async fn handle(
@@ -73,8 +85,9 @@
         response: &mut Response,
         _: &mut FlowCtrl,
     ) {
-        let result = self.0.chat(request).await;
-        self.0.respond(result, response);
+        let id = new_request_id();
+        let result = self.0.chat(request, &id).await;
+        self.0.respond(result, id, response);
     }
 }
 
@@ -87,8 +100,9 @@
         response: &mut Response,
         _: &mut FlowCtrl,
     ) {
-        let result = self.0.plain(request).await;
-        self.0.respond(result, response);
+        let id = new_request_id();
+        let result = self.0.plain(request, &id).await;
+        self.0.respond(result, id, response);
     }
 }
 
@@ -140,7 +154,7 @@
 }
 
 impl Shared {
-    async fn chat(&self, request: &mut Request) -> Result<Answer, Failure> {
+    async fn chat(&self, request: &mut Request, id: &HeaderValue) -> Result<Answer, Failure> {
         let caller = self.caller(request)?;
         let head = Head::read(request.take_body(), self.runner.settings.max_body_bytes).await?;
         let fields = head.fields()?;
@@ -157,10 +171,17 @@
         let pool = Arc::clone(pool);
         let path = request.uri().path().to_owned();
         let limit = fields.max_completion_tokens.or(fields.max_tokens);
-        self.run(request, &caller, &pool, path, head, limit).await
+        let target = Target {
+            pool,
+            path,
+            head,
+            max_output_tokens: limit,
+            id: id.clone(),
+        };
+        self.run(request, &caller, target).await
     }
 
-    async fn plain(&self, request: &mut Request) -> Result<Answer, Failure> {
+    async fn plain(&self, request: &mut Request, id: &HeaderValue) -> Result<Answer, Failure> {
         let caller = self.caller(request)?;
         let (name, path) = plain_target(request)?;
         let Some(pool) = caller.configuration.plain_pool(&name) else {
@@ -173,25 +194,28 @@
         };
         let pool = Arc::clone(pool);
         let head = Head::read(request.take_body(), self.runner.settings.max_body_bytes).await?;
-        self.run(request, &caller, &pool, path, head, Some(1)).await
+        let target = Target {
+            pool,
+            path,
+            head,
+            max_output_tokens: Some(1),
+            id: id.clone(),
+        };
+        self.run(request, &caller, target).await
     }
 
     async fn run(
         &self,
         request: &Request,
         caller: &Caller,
-        pool: &Pool,
-        path: String,
-        head: Head,
-        max_output_tokens: Option<u64>,
+        target: Target,
     ) -> Result<Answer, Failure> {
         let idempotent = is_idempotent(request.headers())?;
         let key = idempotency_key(request.headers())?;
         let hold = match key {
-            Some(key) if !idempotent => Some(
-                self.claim(request.method(), &path, &head, caller, key)
-                    .await?,
-            ),
+            Some(key) if !idempotent => {
+                Some(self.claim(request.method(), &target, caller, key).await?)
+            }
             _ => None,
         };
         let mut deadline = Time::now().plus_ms(self.runner.settings.queue_timeout_ms);
@@ -202,10 +226,10 @@
         let call = Call {
             id: self.runner.gate.next_id(),
             account: caller.account.id,
-            pool: pool.id,
-            input_tokens: input_tokens(request.headers(), &head),
-            max_output_tokens,
-            affinity: affinity(&head),
+            pool: target.pool.id,
+            input_tokens: input_tokens(request.headers(), &target.head),
+            max_output_tokens: target.max_output_tokens,
+            affinity: affinity(&target.head),
             deadline,
             retry: None,
             avoid: None,
@@ -213,12 +237,12 @@
         let job = Job {
             call,
             method: request.method().clone(),
-            path,
+            path: target.path,
             headers: backend_headers(request.headers(), &caller.account),
-            head,
+            head: target.head,
             idempotent,
-            plain: matches!(pool.kind, Kind::Plain),
-            request_id: new_request_id(),
+            plain: matches!(target.pool.kind, Kind::Plain),
+            request_id: target.id,
             hold,
         };
         self.runner.run(job).await
@@ -256,8 +280,7 @@
     async fn claim(
         &self,
         method: &Method,
-        path: &str,
-        head: &Head,
+        target: &Target,
         caller: &Caller,
         key: &str,
     ) -> Result<Hold, Failure> {
@@ -265,7 +288,7 @@
             request: self.runner.gate.next_id(),
             account: caller.account.id,
             key: key.into(),
-            digest: digest(method, path, &head.bytes),
+            digest: digest(method, &target.path, &target.head.bytes),
         };
         let mut guard = Guard::default();
         guard.claim(Time::now());
@@ -276,7 +299,7 @@
         }
     }
 
-    fn respond(&self, result: Result<Answer, Failure>, response: &mut Response) {
+    fn respond(&self, result: Result<Answer, Failure>, id: HeaderValue, response: &mut Response) {
         match result {
             Ok(answer) => {
                 response.status_code(answer.status);
@@ -285,6 +308,7 @@
             }
             Err(failure) => self.refuse(&failure, response),
         }
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
     }
 
     fn refuse(&self, failure: &Failure, response: &mut Response) {
@@ -397,7 +421,7 @@
     headers
 }
 
-fn new_request_id() -> HeaderValue {
+pub(crate) fn new_request_id() -> HeaderValue {
     let id = format!("{:032x}", rand::random::<u128>());
     HeaderValue::from_str(&id).expect("hexadecimal digits are valid in a header")
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -14,10 +14,10 @@
 use tokio::task::JoinHandle;
 
 pub use crate::attempt::Count;
-use crate::attempt::Runner;
+use crate::attempt::{REQUEST_ID_HEADER, Runner};
 use crate::failure::Failure;
 use crate::gate::Gate;
-use crate::handler::{Chat, Models, Plain, Shared};
+use crate::handler::{Chat, Models, Plain, Shared, new_request_id};
 use crate::upstream::Upstream;
 
 /// Limits of the caller-facing interface.
@@ -135,5 +135,8 @@
         let failure = Failure::refuse("unknown_path", StatusCode::NOT_FOUND, message);
         (self.count)(failure.code);
         failure.render(response);
+        response
+            .headers_mut()
+            .insert(REQUEST_ID_HEADER, new_request_id());
     }
 }
