--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -99,7 +99,7 @@
     fn send(&mut self) -> Result<(), Failure> {
         match self.guard.send(Time::now()) {
             Ok(true) => Ok(()),
-            // A connection that could not be opened: the request is sent once more under the same claim.
+            // The request was sent under the claim before.
             Ok(false) => Err(Failure::broken(
                 "interrupted",
                 "the request was sent before and may have run",
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -15,9 +15,7 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
-use crate::attempt::{
-    Answer, Count, Hold, Job, REQUEST_ID_HEADER, Runner, claim_failure, passed_headers,
-};
+use crate::attempt::{Answer, Hold, Job, REQUEST_ID_HEADER, Runner, claim_failure, passed_headers};
 use crate::failure::Failure;
 use crate::gate::{Call, Claim};
 use crate::head::{Fields, Head};
@@ -48,7 +46,6 @@
     pub(crate) runner: Runner,
     pub(crate) configuration: watch::Receiver<Option<Arc<Configuration>>>,
     pub(crate) draining: watch::Receiver<bool>,
-    pub(crate) count: Count,
 }
 
 /// Serves `POST /v1/chat/completions`.
@@ -312,7 +309,7 @@
     }
 
     fn refuse(&self, failure: &Failure, response: &mut Response) {
-        (self.count)(failure.code);
+        (self.runner.count)(failure.code);
         failure.render(response);
     }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -88,11 +88,10 @@
             gate: inputs.gate,
             upstream: Upstream::new(),
             settings,
-            count: Arc::clone(&inputs.count),
+            count: inputs.count,
         },
         configuration: inputs.configuration,
         draining: inputs.draining,
-        count: inputs.count,
     };
     let server = Server::new(acceptor);
     let handle = server.handle();
@@ -105,7 +104,7 @@
 }
 
 fn router(shared: Shared) -> Router {
-    let count = Arc::clone(&shared.count);
+    let count = Arc::clone(&shared.runner.count);
     Router::new()
         .push(Router::with_path("v1/chat/completions").post(Chat(shared.clone())))
         .push(Router::with_path("v1/models").get(Models(shared.clone())))
