Compute the failure domains once per configuration

Every decision of the scheduler sorted the failure domains of all hosts anew. They change with the configuration only.

--- a/crates/daemon/src/scheduler/exchange.rs
+++ b/crates/daemon/src/scheduler/exchange.rs
@@ -1,5 +1,7 @@
 //! Packets of other hosts and the decisions that follow from them.
 
+use std::sync::Arc;
+
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_config::Configuration;
@@ -78,13 +80,13 @@
         let Some(paces) = self.paces.due(now) else {
             return;
         };
-        for domain in self.domains() {
+        for domain in Arc::clone(&self.domains).iter() {
             let of_domain = |pace: &&Pace| {
                 let server = self.configuration.servers.by_id(pace.server);
-                server.is_some_and(|server| server.domain == domain)
+                server.is_some_and(|server| server.domain == *domain)
             };
             let servers: Vec<Pace> = paces.iter().filter(of_domain).copied().collect();
-            match self.owner(&domain, now) {
+            match self.owner(domain, now) {
                 _ if servers.is_empty() => {}
                 Some(owner) if owner == self.inputs.origin.host => self.merge_paces(&servers, now),
                 Some(owner) => self.send(
--- a/crates/daemon/src/scheduler/fleet.rs
+++ b/crates/daemon/src/scheduler/fleet.rs
@@ -1,9 +1,11 @@
 //! The configuration, the membership view and who owns which failure domain.
 
+use std::sync::Arc;
+
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::name::Name;
-use primrose_config::{Server as ServerItem, State as Life};
+use primrose_config::{Configuration, Server as ServerItem, State as Life};
 use primrose_member::ownership::{ASK_INTERVAL_MS, Candidate as DomainHost};
 use primrose_schedule::borrower;
 use primrose_schedule::ledger::Share;
@@ -30,6 +32,7 @@
         self.borrower.set_shares(&shares);
         self.budget.expire(now);
         self.configuration = configuration;
+        self.domains = domains_of(&self.configuration);
         self.set_servers(now);
         if let Some(lender) = &mut self.lender {
             lender.set_shares(&shares);
@@ -94,19 +97,6 @@
         self.ownership.observe(self.view.live(&self.inputs.domain));
     }
 
-    /// Failure domains that have hosts, sorted.
-    pub(super) fn domains(&self) -> Vec<Name> {
-        let hosts = self
-            .configuration
-            .hosts
-            .iter()
-            .filter(|host| host.state == Life::Active);
-        let mut domains: Vec<Name> = hosts.map(|host| host.domain.clone()).collect();
-        domains.sort_unstable();
-        domains.dedup();
-        domains
-    }
-
     /// Live hosts of `domain`, the preferred owner first.
     pub(super) fn candidates(&self, domain: &Name) -> Vec<id::Host> {
         let live = self.view.live(domain);
@@ -122,9 +112,9 @@
 // Ownership of the backend servers of a failure domain.
 impl Scheduler {
     pub(super) fn follow_owners(&mut self, now: Time) {
-        for domain in self.domains() {
-            let owner = self.owner(&domain, now);
-            self.borrower.set_owner(now, &domain, owner);
+        for domain in Arc::clone(&self.domains).iter() {
+            let owner = self.owner(domain, now);
+            self.borrower.set_owner(now, domain, owner);
         }
     }
 
@@ -185,3 +175,15 @@
         }
     }
 }
+
+/// Failure domains that have hosts, sorted.
+fn domains_of(configuration: &Configuration) -> Arc<[Name]> {
+    let active = configuration
+        .hosts
+        .iter()
+        .filter(|host| host.state == Life::Active);
+    let mut domains: Vec<Name> = active.map(|host| host.domain.clone()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains.into()
+}
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -107,6 +107,7 @@
         started: now,
         paces: Paces::default(),
         configuration: Arc::default(),
+        domains: Arc::default(),
         view: Arc::default(),
         next_ask: now,
         lender_incarnation: inputs.origin.incarnation,
@@ -131,6 +132,8 @@
     started: Time,
     paces: Paces,
     configuration: Arc<Configuration>,
+    /// Failure domains of the configuration that have hosts, sorted; read with every decision.
+    domains: Arc<[Name]>,
     view: Arc<View>,
     next_ask: Time,
     /// Incarnation of the latest lender of this process; each new one gets a greater one.
