Look up the voters in one place and do the slot limits once per packet

Found by reading the whole change again. Submission and following each had their own list of voters (configuration, else settings); both now call replica::voters. A packet about server times set the servers of the scheduler although the decision that follows does so if something changed. The status page carried an incarnation that nothing read, and the table of requests searched in three copies.

--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -1,6 +1,5 @@
 //! The task that records claims of idempotency keys in the log.
 
-use primrose_base::id;
 use primrose_proxy::gate::{Claim, ClaimEvent};
 use primrose_schedule::claim::{Reply as Claimed, Settlement};
 use primrose_schedule::ledger::Origin;
@@ -125,9 +124,8 @@
 }
 
 fn attempt(origin: Origin, claim: &Claim) -> Attempt {
-    let host: id::Host = origin.host;
     Attempt {
-        host,
+        host: origin.host,
         incarnation: origin.incarnation,
         request: claim.request,
     }
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use primrose_base::name::Name;
-use primrose_config::{Configuration, State as Life};
+use primrose_config::Configuration;
 use primrose_wire::peer::News;
 use slog::{Logger, info, warn};
 use tarpc::context;
 use tokio::sync::watch;
 
 use crate::links::Links;
-use crate::replica::address_of;
+use crate::replica::{address_of, voters};
 use crate::settings::Settings;
 use crate::submit::Submitter;
 
@@ -102,23 +102,9 @@
     fn voters(&self) -> Vec<Name> {
         let own = &self.settings.failure_domain;
         let current = self.configuration.borrow().clone();
-        let mut voters: Vec<(bool, Name)> = match current {
-            Some(configuration) => {
-                let voters = configuration
-                    .voters()
-                    .filter(|host| host.state != Life::Retired);
-                voters
-                    .map(|host| (host.domain != *own, host.name.clone()))
-                    .collect()
-            }
-            None => {
-                let voters = self.settings.peers.iter().filter(|peer| peer.voter);
-                voters
-                    .map(|peer| (peer.failure_domain != *own, peer.host.clone()))
-                    .collect()
-            }
-        };
-        voters.sort_unstable();
-        voters.into_iter().map(|(_, name)| name).collect()
+        let mut voters = voters(current.as_deref(), &self.settings);
+        voters
+            .sort_unstable_by(|a, b| (a.domain != *own, &a.host).cmp(&(b.domain != *own, &b.host)));
+        voters.into_iter().map(|voter| voter.host).collect()
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -279,7 +279,6 @@
         let callers = self.bind_callers(gate).await?;
         let operator_inputs = operator::Inputs {
             settings: Arc::clone(&self.settings),
-            incarnation: self.incarnation,
             configuration: self.configuration.clone(),
             view,
             ready: ready.subscribe(),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -53,8 +53,6 @@
 pub struct Inputs {
     /// Settings of this daemon.
     pub settings: Arc<Settings>,
-    /// Start time of the process in wall-clock ms.
-    pub incarnation: u64,
     /// The configuration in force here.
     pub configuration: watch::Receiver<Option<Arc<Configuration>>>,
     /// The membership view, once membership runs.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -655,3 +655,36 @@
             )
         })
 }
+
+/// A host that keeps a replica of the log.
+pub struct Voter {
+    /// Its name.
+    pub host: Name,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+/// Hosts that keep a replica: those of the configuration or, before there is one, of the settings.
+pub fn voters(
+    configuration: Option<&Configuration>,
+    settings: &crate::settings::Settings,
+) -> Vec<Voter> {
+    let Some(configuration) = configuration else {
+        let voters = settings.peers.iter().filter(|peer| peer.voter);
+        return voters
+            .map(|peer| Voter {
+                host: peer.host.clone(),
+                domain: peer.failure_domain.clone(),
+            })
+            .collect();
+    };
+    let voters = configuration
+        .voters()
+        .filter(|host| host.state != Life::Retired);
+    voters
+        .map(|host| Voter {
+            host: host.name.clone(),
+            domain: host.domain.clone(),
+        })
+        .collect()
+}
--- a/crates/daemon/src/scheduler/calls.rs
+++ b/crates/daemon/src/scheduler/calls.rs
@@ -50,27 +50,18 @@
     }
 
     pub(super) fn get(&self, id: u64) -> Option<&Entry> {
-        let at = self
-            .entries
-            .binary_search_by_key(&id, |entry| entry.call.id)
-            .ok()?;
+        let at = self.position(id)?;
         Some(&self.entries[at])
     }
 
     pub(super) fn remove(&mut self, id: u64) -> Option<Entry> {
-        let at = self
-            .entries
-            .binary_search_by_key(&id, |entry| entry.call.id)
-            .ok()?;
+        let at = self.position(id)?;
         Some(self.entries.remove(at))
     }
 
     /// Moves a request from the queue to a slot and returns its reply channel.
     pub(super) fn start(&mut self, id: u64, server: id::Server) -> Option<Reply> {
-        let at = self
-            .entries
-            .binary_search_by_key(&id, |entry| entry.call.id)
-            .ok()?;
+        let at = self.position(id)?;
         let running = Stage::Running { server };
         match std::mem::replace(&mut self.entries[at].stage, running) {
             Stage::Waiting { reply } => Some(reply),
@@ -86,4 +77,10 @@
             .filter(|entry| matches!(entry.stage, Stage::Waiting { .. }));
         waiting.map(|entry| entry.call.id).collect()
     }
+
+    fn position(&self, id: u64) -> Option<usize> {
+        self.entries
+            .binary_search_by_key(&id, |entry| entry.call.id)
+            .ok()
+    }
 }
--- a/crates/daemon/src/scheduler/exchange.rs
+++ b/crates/daemon/src/scheduler/exchange.rs
@@ -51,10 +51,7 @@
             }
             Packet::Support { from, answer } => self.ownership.on_answer(now, from, &answer),
             Packet::Release(release) => self.ownership.on_release(now, &release),
-            Packet::Pace { servers, .. } => {
-                self.merge_paces(&servers, now);
-                self.set_servers(now);
-            }
+            Packet::Pace { servers, .. } => self.merge_paces(&servers, now),
             Packet::Member(_) | Packet::Step { .. } => {}
         }
     }
--- a/crates/daemon/src/submit.rs
+++ b/crates/daemon/src/submit.rs
@@ -6,7 +6,7 @@
 
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
-use primrose_config::{Configuration, State as Life};
+use primrose_config::Configuration;
 use primrose_state::{Command, Reply};
 use primrose_wire::peer::Submitted;
 use tarpc::context;
@@ -85,10 +85,13 @@
         let mut target = self.leader();
         let mut next = 0;
         while Time::now() < deadline {
-            let voters = self.voters();
-            let host = target
-                .take()
-                .or_else(|| voters.get(next % voters.len().max(1)).cloned());
+            let configuration = self.configuration.borrow().clone();
+            let voters = replica::voters(configuration.as_deref(), &self.settings);
+            let host = target.take().or_else(|| {
+                voters
+                    .get(next % voters.len().max(1))
+                    .map(|voter| voter.host.clone())
+            });
             next += 1;
             let Some(host) = host else {
                 return Outcome::Unavailable;
@@ -118,23 +121,6 @@
         }
     }
 
-    /// Hosts that may lead: those of the configuration or, before there is one, of the settings.
-    fn voters(&self) -> Vec<Name> {
-        let configuration = self.configuration.borrow();
-        match &*configuration {
-            Some(configuration) => {
-                let voters = configuration
-                    .voters()
-                    .filter(|host| host.state != Life::Retired);
-                voters.map(|host| host.name.clone()).collect()
-            }
-            None => {
-                let voters = self.settings.peers.iter().filter(|peer| peer.voter);
-                voters.map(|peer| peer.host.clone()).collect()
-            }
-        }
-    }
-
     /// `None` if nothing was sent.
     async fn submit_to(&self, host: &Name, command: Command) -> Option<Submitted> {
         if *host == self.settings.host {
