--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -72,7 +72,7 @@
             return Err(Error::NotLeader { leader });
         }
         self.round += 1;
-        if !self.has_lease(self.now) {
+        if !self.may_read_by_lease() {
             self.heartbeat_due = true;
         }
         self.barriers.push_back(Barrier {
@@ -123,6 +123,10 @@
         awake && self.lease_until().is_some_and(|until| now < until)
     }
 
+    fn may_read_by_lease(&self) -> bool {
+        self.options.lease_reads && self.has_lease(self.now)
+    }
+
     /// Since when it leads, on its own clock. A leader that sends orders to receivers that do not check terms waits until
     /// the lease of its predecessor has ended for certain.
     pub fn leads_since(&self) -> Option<Time> {
@@ -441,7 +445,7 @@
         if self.barriers.is_empty() {
             return;
         }
-        let confirmed = match self.has_lease(self.now) {
+        let confirmed = match self.may_read_by_lease() {
             true => Some(u64::MAX),
             false => self.majority(|peer| peer.acked.map(|stamp| stamp.round), self.round),
         };
--- a/crates/consensus/src/node/options.rs
+++ b/crates/consensus/src/node/options.rs
@@ -17,6 +17,11 @@
     /// Invariant: shorter than `election_min_ms`. The default leaves a fifth for clock drift and for the rounding of
     /// times to ms.
     pub lease_ms: u64,
+    /// Whether a read barrier is released without a round of messages while the lease holds.
+    ///
+    /// A monotonic clock stops while a machine is suspended, and the lease with it: where that happens, a leader that
+    /// wakes up would answer from an old state. Without lease reads every barrier waits for a majority.
+    pub lease_reads: bool,
     /// The largest proposal, in bytes.
     pub max_entry_bytes: usize,
     /// The most bytes of entries, or of a snapshot, in one message. A single larger entry is still sent.
@@ -43,6 +48,7 @@
             election_min_ms: 500,
             election_max_ms: 1000,
             lease_ms: 400,
+            lease_reads: true,
             max_entry_bytes: 4 << 20,
             max_message_bytes: 256 << 10,
             max_in_flight: 8,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::counters::Counters;
-use crate::links::Links;
+use crate::links::{self, Links};
 use crate::membership::{self, View};
 use crate::packets::{self, Inbox, Outbox, Received};
 use crate::replica::{self, Input, Outgoing, address_of};
@@ -134,7 +134,7 @@
     let counters = Counters::open(settings.statsd_address);
     let counters = Arc::new(counters.map_err(socket_error("counters", settings.operator_address))?);
     let traffic = Traffic::default();
-    let links = Links::new(key.clone(), traffic.clone());
+    let links = links::new(key.clone(), traffic.clone());
     let (inbox, receivers) = Inbox::new();
     let peer_address = settings.peer_address;
     let outbox = packets::bind(
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -20,7 +20,7 @@
 use primrose_config::{Action, Change, KeyHash, Settings as FleetSettings, draft};
 use primrose_consensus::membership::Member;
 use primrose_daemon::counters::Counters;
-use primrose_daemon::links::Links;
+use primrose_daemon::links;
 use primrose_daemon::orders::send::Sender;
 use primrose_daemon::replica::{self, Input};
 use primrose_daemon::submit::Submitter;
@@ -510,7 +510,7 @@
         replica: replica.clone(),
         submitter: Submitter::new(
             settings,
-            Links::new(key, Traffic::default()),
+            links::new(key, Traffic::default()),
             Some(replica.clone()),
             configuration.clone(),
         ),
--- /dev/null
+++ b/crates/entry/src/counter.rs
@@ -0,0 +1,48 @@
+//! Names of the counters and histograms of an entry host; `docs/counters.md` lists them.
+
+/// All counters.
+pub const ALL: [&str; 40] = [
+    "answer_foreign",
+    "answer_broken",
+    "ask_local",
+    "ask_repeated",
+    "body_too_large",
+    "body_unreadable",
+    "caller_gone",
+    "connection_opened",
+    "connection_reused",
+    "core_suspected",
+    "datagram_refused",
+    "directory_fetched",
+    "document_fetched",
+    "hopeless_deadline",
+    "malformed_request",
+    "no_retry_attempts",
+    "no_retry_budget",
+    "no_retry_non_idempotent",
+    "no_server",
+    "not_ready",
+    "over_share",
+    "overload",
+    "resume_refused",
+    "retry_answer_broken",
+    "retry_not_sent",
+    "retry_server_failed",
+    "retry_server_full",
+    "retry_server_gone",
+    "retry_silent",
+    "retry_unreachable",
+    "served",
+    "server_failed",
+    "server_full",
+    "server_gone",
+    "stream_broken",
+    "stream_resumed",
+    "timeout",
+    "unknown_key",
+    "unknown_route",
+    "unreachable",
+];
+
+/// All histograms.
+pub const LATENCIES: [&str; 3] = ["answer", "first_event", "placing"];
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,20 @@
+//! The entry hosts: they take requests from callers and carry them to backend servers.
+//!
+//! An entry host keeps nothing that must survive. What it needs to know comes from the core hosts ([`link`]); a request
+//! is looked up, placed, sent and answered in [`request`], streams are carried by [`stream`], and [`upstream`] keeps the
+//! connections to backend servers. How the platform names things on the wire is left to a [`Dialect`].
+
+pub mod body;
+pub mod budget;
+pub mod counter;
+pub mod dialect;
+pub mod event;
+pub mod link;
+pub mod listener;
+pub mod refusal;
+pub mod request;
+mod stream;
+mod ticket;
+mod upstream;
+
+pub use dialect::Dialect;
--- /dev/null
+++ b/crates/entry/src/listener.rs
@@ -0,0 +1,140 @@
+//! Serves HTTP to callers, the platform and operators.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::body::Body;
+
+/// The largest head of a request, in bytes, as far as the listener is concerned.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// A process takes no more connections after it was told to leave, but answers those that were opened before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Connections are kept open for further requests.
+    Serving,
+    /// Each answer ends its connection.
+    Leaving,
+    /// Idle connections are closed too.
+    Closing,
+}
+
+/// A running listener.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    connections: Arc<AtomicUsize>,
+    /// The address that it listens on.
+    pub address: SocketAddr,
+}
+
+impl Handle {
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+/// Listens on `address` and answers each request with `handle`. A connection that is idle for `idle` is closed.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub async fn bind<F, R>(
+    address: SocketAddr,
+    idle: Duration,
+    phase: watch::Receiver<Phase>,
+    handle: F,
+) -> io::Result<Handle>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let connections = Arc::new(AtomicUsize::new(0));
+    let running = Handle {
+        connections: Arc::clone(&connections),
+        address: listener.local_addr()?,
+    };
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let open = Open::new(&connections);
+                    let served = serve(stream, idle, phase.clone(), handle.clone());
+                    tokio::spawn(async move {
+                        served.await;
+                        drop(open);
+                    });
+                }
+                // Out of file descriptors, for example; the pause keeps the loop from spinning.
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    });
+    Ok(running)
+}
+
+/// Counts a connection while it is open.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(count: &Arc<AtomicUsize>) -> Open {
+        count.fetch_add(1, Ordering::Relaxed);
+        Open(Arc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve<F, R>(stream: TcpStream, idle: Duration, phase: watch::Receiver<Phase>, handle: F)
+where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Response<Body>>,
+{
+    // Without it answers wait for acknowledgements; an error shows in the next read.
+    let _ = stream.set_nodelay(true);
+    let answering = phase.clone();
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        let phase = answering.clone();
+        async move {
+            let mut response = answer.await;
+            if *phase.borrow() != Phase::Serving {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut phase = phase;
+    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
+    tokio::select! {
+        // The caller learns of an error by the end of the connection.
+        _ = connection.as_mut() => return,
+        _ = closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,769 @@
+//! The path of one request: looked up, read, placed, sent, answered.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldhash::quality::FixedState;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::http::{request, response};
+use hyper::{Request, Response, StatusCode, Version};
+use primrose_base::clock::Time;
+use primrose_base::verdict::Verdict;
+use primrose_observe::Meter;
+use primrose_place::Server;
+use primrose_place::demand::{Demand, Key};
+use primrose_place::placer::{Decision, Outcome};
+use primrose_route::document::Route;
+use primrose_route::table::{Caller, choose_pool};
+use slog::{Logger, info};
+use std::hash::BuildHasher;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::body::Body;
+use crate::budget::Budget;
+use crate::dialect::{Dialect, Intent, Judgement, Passage};
+use crate::link;
+use crate::refusal::Refusal;
+use crate::stream;
+use crate::ticket::Ticket;
+use crate::upstream::{Connection, Failure, Pool};
+
+/// Failed connections after which a request is refused: each one may take the whole connection timeout.
+const MAX_UNREACHABLE: u32 = 3;
+
+/// When a caller comes back to a host that is not ready, in ms: another host is chosen then.
+const NOT_READY_RETURN_MS: u32 = 400;
+
+/// When a caller comes back whose server was full, in ms: some requests have ended by then.
+const FULL_RETURN_MS: u32 = 500;
+
+/// The largest answer that is held until it is complete, in bytes. A larger one is passed on as it comes.
+const MAX_HELD_BYTES: u64 = 512 << 10;
+
+/// A caller that waits for less than this part of the longest deadline of its route has been refused before.
+const RETURNING_PART: f64 = 0.95;
+
+/// The longest time to wait for the answer of an idempotent request before it is tried elsewhere, in objectives.
+const SILENT_OBJECTIVES: u64 = 2;
+
+/// What all requests of a host share.
+pub struct Shared {
+    /// The core hosts.
+    pub link: link::Handle,
+    /// The wire of the platform.
+    pub dialect: Dialect,
+    /// The failure domain of this host.
+    pub domain: Arc<str>,
+    /// The retry budget.
+    pub budget: Mutex<Budget>,
+    /// Counters and histograms.
+    pub meter: Arc<Meter>,
+    /// Log.
+    pub log: Logger,
+    pool: Pool,
+    sequence: AtomicU64,
+    /// The longest deadline seen on each route, in ms; sorted by route.
+    deadlines: Mutex<Vec<(Arc<str>, u64)>>,
+}
+
+impl Shared {
+    /// What the requests of a host share.
+    pub fn new(
+        link: link::Handle,
+        dialect: Dialect,
+        domain: Arc<str>,
+        budget: Budget,
+        meter: Arc<Meter>,
+        log: Logger,
+    ) -> Shared {
+        Shared {
+            link,
+            dialect,
+            domain,
+            budget: Mutex::new(budget),
+            meter,
+            log,
+            pool: Pool::default(),
+            sequence: AtomicU64::new(0),
+            deadlines: Mutex::default(),
+        }
+    }
+
+    /// Closes connections to backend servers that were idle for too long.
+    pub fn prune(&self) {
+        self.pool.prune();
+    }
+
+    /// Whether a caller has used up a part of its deadline in an earlier attempt.
+    fn is_returning(&self, route: &Route, deadline_ms: u64) -> bool {
+        let mut deadlines = self
+            .deadlines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let at = deadlines
+            .binary_search_by(|(name, _)| name.cmp(&route.name))
+            .unwrap_or_else(|at| {
+                deadlines.insert(at, (Arc::clone(&route.name), 0));
+                at
+            });
+        let longest = &mut deadlines[at].1;
+        *longest = (*longest).max(deadline_ms);
+        (deadline_ms as f64) < *longest as f64 * RETURNING_PART
+    }
+}
+
+/// Answers a request.
+pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let started = Time::now();
+    let start = Instant::now();
+    match admit(&shared, request, started, start).await {
+        Ok(job) => job.run().await,
+        Err(refusal) => {
+            shared.meter.count(refusal.code);
+            info!(shared.log, "request refused"; "code" => refusal.code,
+                "status" => refusal.status.as_u16(), "message" => &refusal.message);
+            refusal.response()
+        }
+    }
+}
+
+/// Looks a request up and reads its body.
+async fn admit(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    started: Time,
+    start: Instant,
+) -> Result<Job, Refusal> {
+    let (head, body) = request.into_parts();
+    let Some(table) = shared.link.table() else {
+        let message = "this host has no configuration yet";
+        return Err(Refusal::not_run("not_ready", NOT_READY_RETURN_MS, message));
+    };
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let Some(route) = table.route(host, head.uri.path()) else {
+        let message = format!("no route for host {host:?} and path {:?}", head.uri.path());
+        let status = StatusCode::NOT_FOUND;
+        return Err(Refusal::improper("unknown_route", status, message));
+    };
+    let intent = (shared.dialect.read)(&head).map_err(|malformed| {
+        let status = StatusCode::BAD_REQUEST;
+        Refusal::improper("malformed_request", status, malformed.0)
+    })?;
+    let account = match table.caller(route, intent.key.as_deref()) {
+        Caller::Anonymous => None,
+        Caller::Account(account) => Some(Arc::clone(&account.name)),
+        Caller::Unknown => {
+            let message = "the key is missing or names no account";
+            let status = StatusCode::UNAUTHORIZED;
+            return Err(Refusal::improper("unknown_key", status, message));
+        }
+    };
+    let route = route.clone();
+    let wait_ms = intent
+        .deadline_ms
+        .map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
+    let draw = FixedState::default().hash_one(&intent.attempt);
+    let Some(pool) = choose_pool(&route, draw).cloned() else {
+        let message = "the route has no pool";
+        return Err(Refusal::not_run("no_server", NOT_READY_RETURN_MS, message));
+    };
+    let ends = start + Duration::from_millis(wait_ms);
+    let limit = table.document().limits.max_body_bytes;
+    let body = read_body(body, limit, ends).await?;
+    let returning = intent
+        .deadline_ms
+        .is_some_and(|deadline| shared.is_returning(&route, deadline));
+    Ok(Job {
+        shared: Arc::clone(shared),
+        head,
+        body,
+        intent,
+        route,
+        account,
+        pool,
+        version: table.document().version,
+        started,
+        ends,
+        returning,
+        tried: Vec::new(),
+        sent: 0,
+        unreachable: 0,
+        may_have_run: false,
+        server: None,
+        wait_ms: 0,
+        predicted_ms: 0,
+        demand: None,
+    })
+}
+
+async fn read_body(body: Incoming, limit: u64, ends: Instant) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let read = tokio::time::timeout_at(ends, Limited::new(body, limit).collect()).await;
+    match read {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is larger than {limit} bytes");
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(Refusal::improper("body_too_large", status, message))
+        }
+        Ok(Err(error)) => {
+            let message = format!("the body cannot be read: {error}");
+            let status = StatusCode::BAD_REQUEST;
+            Err(Refusal::improper("body_unreadable", status, message))
+        }
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(Refusal::improper("body_unreadable", status, message))
+        }
+    }
+}
+
+/// A request on its way.
+pub(crate) struct Job {
+    pub(crate) shared: Arc<Shared>,
+    head: request::Parts,
+    body: Bytes,
+    intent: Intent,
+    pub(crate) route: Route,
+    account: Option<Arc<str>>,
+    pool: Arc<str>,
+    /// Version of the document that decided.
+    version: u64,
+    pub(crate) started: Time,
+    /// When the caller or the route gives up.
+    pub(crate) ends: Instant,
+    returning: bool,
+    /// Servers that must not be chosen again.
+    tried: Vec<Arc<str>>,
+    /// Servers that it was sent to.
+    sent: u32,
+    unreachable: u32,
+    /// Whether it may have run at a server that it was sent to.
+    may_have_run: bool,
+    /// The last server that it was sent to.
+    server: Option<Arc<str>>,
+    wait_ms: u32,
+    predicted_ms: u32,
+    /// What was placed last and not sent yet.
+    demand: Option<Arc<Demand>>,
+}
+
+/// An answer whose head has arrived.
+pub(crate) struct Answered {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) ticket: Ticket,
+    failed: bool,
+}
+
+/// Why a send got no answer that can be passed on.
+struct Miss {
+    /// Name of the counter if the request is sent again.
+    retry: &'static str,
+    /// The answer to the caller if it is not.
+    refusal: Refusal,
+    /// Whether the server took notice of the request.
+    was_sent: bool,
+}
+
+impl Job {
+    async fn run(mut self) -> Response<Body> {
+        self.count_request();
+        loop {
+            let answered = match self.answered(None).await {
+                Ok(answered) => answered,
+                Err(refusal) => return self.give_up(&refusal),
+            };
+            if self.route.kind.is_stream() || is_large(&answered) {
+                return self.pass_on(answered);
+            }
+            match self.hold(answered).await {
+                Ok(Some(response)) => return response,
+                Ok(None) => {}
+                Err(refusal) => return self.give_up(&refusal),
+            }
+        }
+    }
+
+    fn give_up(&self, refusal: &Refusal) -> Response<Body> {
+        self.log(refusal.code, Some(refusal));
+        self.shared.meter.count(refusal.code);
+        refusal.response()
+    }
+
+    /// Sends the request until a server answers it, as long as it may be sent again. `resume_after` is the last event
+    /// that the caller has.
+    pub(crate) async fn answered(
+        &mut self,
+        resume_after: Option<&str>,
+    ) -> Result<Answered, Refusal> {
+        loop {
+            let server = self.place().await?;
+            let miss = match self.send(&server, resume_after).await {
+                Ok(answered) => return Ok(answered),
+                Err(miss) => miss,
+            };
+            self.may_have_run |= miss.refusal.verdict != Verdict::NotRun;
+            self.may_go_on(&miss)?;
+            self.shared.meter.count(miss.retry);
+            info!(self.shared.log, "request sent again"; "id" => &*self.intent.attempt,
+                "reason" => miss.retry, "server" => &*server.id, "sent" => self.sent);
+        }
+    }
+
+    fn count_request(&self) {
+        let mut budget = self.budget();
+        budget.request(self.started, &self.pool);
+    }
+
+    fn budget(&self) -> std::sync::MutexGuard<'_, Budget> {
+        self.shared
+            .budget
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.ends
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64
+    }
+
+    async fn place(&mut self) -> Result<Server, Refusal> {
+        if self.left_ms() == 0 {
+            return Err(self.timed_out());
+        }
+        let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        let now = Time::now();
+        let demand = Arc::new(Demand {
+            key: Key {
+                entry: self.shared.link.incarnation,
+                sequence,
+            },
+            pool: Arc::clone(&self.pool),
+            account: self.account.clone(),
+            domain: Arc::clone(&self.shared.domain),
+            prompt: self.intent.prompt.clone(),
+            objective_ms: self.route.objective_ms as u32,
+            waited_ms: now.since(self.started) as u32,
+            left_ms: self.left_ms() as u32,
+            returning: self.returning,
+            tried: self.tried.clone(),
+        });
+        let decision = self.shared.link.place(&demand).await;
+        self.shared.meter.record("placing", Time::now().since(now));
+        match decision {
+            Decision::Place {
+                server,
+                predicted_ms,
+                ..
+            } => {
+                self.predicted_ms = predicted_ms;
+                self.demand = Some(demand);
+                Ok(server)
+            }
+            Decision::Refuse {
+                reason,
+                return_ms,
+                wait_ms,
+            } => {
+                self.wait_ms = wait_ms;
+                let message = "no server is expected to answer in time";
+                Err(self.refuse(Refusal::not_run(reason.code(), return_ms, message)))
+            }
+        }
+    }
+
+    /// A refusal that claims no more than what is known after the earlier sends.
+    fn refuse(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run && refusal.verdict == Verdict::NotRun {
+            let status = StatusCode::BAD_GATEWAY;
+            return Refusal::unknown(refusal.code, status, refusal.message);
+        }
+        refusal
+    }
+
+    fn timed_out(&self) -> Refusal {
+        if self.sent == 0 {
+            return Refusal::not_run(
+                "timeout",
+                FULL_RETURN_MS,
+                "no server was found before the timeout",
+            );
+        }
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        Refusal::unknown("timeout", status, "the server did not answer in time")
+    }
+
+    async fn send(
+        &mut self,
+        server: &Server,
+        resume_after: Option<&str>,
+    ) -> Result<Answered, Miss> {
+        let Some(demand) = self.demand.take() else {
+            return Err(Miss::not_run(
+                "retry_not_sent",
+                "no_server",
+                "no server was found",
+            ));
+        };
+        let mut ticket = Ticket::open(&self.shared.link, &demand, &server.id);
+        let mut fresh_only = false;
+        let response = loop {
+            let kept = if fresh_only {
+                None
+            } else {
+                self.shared.pool.kept(server)
+            };
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => match self.shared.pool.open(server).await {
+                    Ok(connection) => {
+                        self.shared.meter.count("connection_opened");
+                        connection
+                    }
+                    Err(error) => {
+                        ticket.end(Outcome::Unreachable);
+                        self.tried.push(Arc::clone(&server.id));
+                        self.unreachable += 1;
+                        let message = format!("server {} cannot be reached: {error}", server.id);
+                        return Err(Miss::not_run("retry_unreachable", "unreachable", &message));
+                    }
+                },
+            };
+            if connection.is_kept {
+                self.shared.meter.count("connection_reused");
+            }
+            let request = self.request(server, resume_after);
+            match self.exchange(&mut connection, request).await {
+                Ok(response) => break (response, connection),
+                // A kept connection was closed before the request left.
+                Err(Some(Failure::NotSent)) => fresh_only = true,
+                Err(Some(Failure::Broken(error))) => {
+                    self.count_sent(server);
+                    ticket.end(Outcome::Answered { failed: true });
+                    let message = format!("the answer of server {} broke off: {error}", server.id);
+                    return Err(Miss::unknown(
+                        "retry_answer_broken",
+                        "answer_broken",
+                        &message,
+                    ));
+                }
+                Err(None) => {
+                    self.count_sent(server);
+                    self.shared.pool.forget(&server.id);
+                    let is_over = self.left_ms() == 0;
+                    ticket.end(Outcome::Answered { failed: true });
+                    let mut miss = Miss::unknown("retry_silent", "timeout", "");
+                    if is_over {
+                        miss.refusal = self.timed_out();
+                    }
+                    return Err(miss);
+                }
+            }
+        };
+        self.count_sent(server);
+        let (response, connection) = response;
+        let (head, body) = response.into_parts();
+        match (self.shared.dialect.judge)(&head, &self.intent.attempt) {
+            Judgement::Answer { failed } => {
+                if !self.route.kind.is_stream() {
+                    ticket.first();
+                }
+                Ok(Answered {
+                    head,
+                    body,
+                    connection,
+                    ticket,
+                    failed,
+                })
+            }
+            Judgement::Full => {
+                self.recycle(body, connection).await;
+                ticket.end(Outcome::Full);
+                self.shared.meter.count("server_full");
+                Err(Miss::full(&server.id))
+            }
+            Judgement::Gone => {
+                ticket.end(Outcome::Gone);
+                self.shared.meter.count("server_gone");
+                let message = format!("another server has the address of {}", server.id);
+                Err(Miss::not_run("retry_server_gone", "server_gone", &message).sent())
+            }
+            Judgement::Foreign => {
+                self.shared.pool.forget(&server.id);
+                ticket.end(Outcome::Answered { failed: true });
+                let message = format!("server {} sent something else than an answer", server.id);
+                Err(Miss::unknown(
+                    "retry_answer_broken",
+                    "answer_foreign",
+                    &message,
+                ))
+            }
+        }
+    }
+
+    fn count_sent(&mut self, server: &Server) {
+        self.sent += 1;
+        self.server = Some(Arc::clone(&server.id));
+        self.tried.push(Arc::clone(&server.id));
+    }
+
+    /// Sends the request and waits for the head of the answer; `None` if it did not come in time.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Option<Failure>> {
+        let mut ends = self.ends;
+        let may_repeat = self.route.kind.is_repeatable() && self.sent + 1 < self.route.max_servers;
+        if may_repeat {
+            let patience = (self.route.objective_ms * SILENT_OBJECTIVES)
+                .max(u64::from(self.predicted_ms) * SILENT_OBJECTIVES);
+            ends = ends.min(Instant::now() + Duration::from_millis(patience));
+        }
+        match tokio::time::timeout_at(ends, connection.send(request)).await {
+            Ok(result) => result.map_err(Some),
+            Err(_) => Err(None),
+        }
+    }
+
+    /// Whether a request that got no answer is sent again.
+    fn may_go_on(&mut self, miss: &Miss) -> Result<(), Refusal> {
+        let refusal = self.refuse(miss.refusal.clone());
+        if self.left_ms() == 0 {
+            return Err(self.timed_out());
+        }
+        if !miss.was_sent {
+            return if self.unreachable < MAX_UNREACHABLE {
+                Ok(())
+            } else {
+                Err(refusal)
+            };
+        }
+        let verdict = miss.refusal.verdict;
+        if !verdict.allows_retry(self.route.kind.is_repeatable()) {
+            self.shared.meter.count("no_retry_non_idempotent");
+            return Err(refusal);
+        }
+        // The address of a server that is gone leads to no server that was meant.
+        let is_stray = miss.retry == "retry_server_gone";
+        if self.sent >= self.route.max_servers && !is_stray {
+            self.shared.meter.count("no_retry_attempts");
+            return Err(refusal);
+        }
+        let hosts = self.shared.link.state().entries;
+        if !self.budget().take(Time::now(), &self.pool, hosts) {
+            self.shared.meter.count("no_retry_budget");
+            return Err(refusal);
+        }
+        Ok(())
+    }
+
+    fn request(&self, server: &Server, resume_after: Option<&str>) -> Request<Full<Bytes>> {
+        let mut headers = self.head.headers.clone();
+        remove_hop_by_hop(&mut headers);
+        headers.remove(EXPECT);
+        headers.remove(CONTENT_LENGTH);
+        let passage = Passage {
+            server,
+            left_ms: self.left_ms(),
+            account: self.account.as_deref(),
+            resume_after,
+        };
+        (self.shared.dialect.write)(&mut headers, &passage);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Reads what is left of a short answer, so that its connection can be kept.
+    async fn recycle(&self, body: Incoming, connection: Connection) {
+        let read = Limited::new(body, MAX_HELD_BYTES as usize).collect();
+        let limit = Duration::from_millis(100);
+        if let Ok(Ok(_)) = tokio::time::timeout(limit, read).await {
+            self.shared.pool.keep(connection);
+        }
+    }
+
+    /// Holds an answer until it is complete, so that one that breaks off can be asked for again.
+    async fn hold(&mut self, answered: Answered) -> Result<Option<Response<Body>>, Refusal> {
+        let Answered {
+            head,
+            body,
+            connection,
+            ticket,
+            failed,
+        } = answered;
+        let read = tokio::time::timeout_at(self.ends, body.collect()).await;
+        let miss = match read {
+            Ok(Ok(collected)) => {
+                self.shared.pool.keep(connection);
+                ticket.end(Outcome::Answered { failed });
+                let miss = Miss::unknown("retry_server_failed", "server_failed", "");
+                if failed && self.may_repeat_failed(&miss) {
+                    self.shared.meter.count(miss.retry);
+                    return Ok(None);
+                }
+                return Ok(Some(self.complete(head, collected.to_bytes(), failed)));
+            }
+            Ok(Err(error)) => {
+                ticket.end(Outcome::Answered { failed: true });
+                let message = format!("the answer broke off: {error}");
+                Miss::unknown("retry_answer_broken", "answer_broken", &message)
+            }
+            Err(_) => {
+                ticket.end(Outcome::Cancelled);
+                return Err(self.timed_out());
+            }
+        };
+        self.may_have_run = true;
+        self.may_go_on(&miss)?;
+        self.shared.meter.count(miss.retry);
+        Ok(None)
+    }
+
+    /// Whether a request that its server failed is sent to another one. Nothing else is lost if it is not: the answer is
+    /// there.
+    fn may_repeat_failed(&mut self, miss: &Miss) -> bool {
+        self.may_have_run = true;
+        self.route.kind.is_repeatable() && self.may_go_on(miss).is_ok()
+    }
+
+    fn complete(&self, head: response::Parts, body: Bytes, failed: bool) -> Response<Body> {
+        let latency = Time::now().since(self.started);
+        self.shared.meter.record("answer", latency);
+        let code = if failed { "server_failed" } else { "served" };
+        self.shared.meter.count(code);
+        self.log(code, None);
+        let mut response = Response::new(Body::whole(body));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        remove_hop_by_hop(response.headers_mut());
+        response
+    }
+
+    /// Passes an answer on as it comes.
+    fn pass_on(self, answered: Answered) -> Response<Body> {
+        let (pieces, received) = mpsc::channel(stream::PIECES);
+        let mut response = Response::new(Body::Pieces(received));
+        *response.status_mut() = answered.head.status;
+        *response.headers_mut() = answered.head.headers.clone();
+        remove_hop_by_hop(response.headers_mut());
+        let resumes = answered.head.status.is_success()
+            && self.route.kind.is_stream()
+            && self.route.kind.is_repeatable();
+        if resumes {
+            // The rest may come from another server.
+            response.headers_mut().remove(CONTENT_LENGTH);
+        }
+        tokio::spawn(stream::carry(self, answered, pieces, resumes));
+        response
+    }
+
+    /// Whether a stream that broke off for `reason` goes on at another server.
+    pub(crate) fn may_resume(&mut self, reason: &str) -> bool {
+        self.may_have_run = true;
+        let miss = Miss::unknown("stream_resumed", "stream_broken", reason);
+        let may_go_on = self.may_go_on(&miss).is_ok();
+        info!(self.shared.log, "stream broke off"; "id" => &*self.intent.attempt,
+            "server" => self.server.as_deref(), "reason" => reason, "goes_on" => may_go_on);
+        if may_go_on {
+            self.shared.meter.count(miss.retry);
+        }
+        may_go_on
+    }
+
+    pub(crate) fn keep(&self, connection: Connection) {
+        self.shared.pool.keep(connection);
+    }
+
+    /// One line for each request that was looked up: what became of it, and what decided.
+    pub(crate) fn log(&self, outcome: &str, refusal: Option<&Refusal>) {
+        info!(self.shared.log, "request ended"; "id" => &*self.intent.attempt,
+            "route" => &*self.route.name, "version" => self.version,
+            "account" => self.account.as_deref(), "pool" => &*self.pool,
+            "server" => self.server.as_deref(), "sent" => self.sent,
+            "returning" => self.returning,
+            "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
+            "ms" => Time::now().since(self.started), "outcome" => outcome,
+            "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
+            "message" => refusal.map(|refusal| &*refusal.message));
+    }
+}
+
+impl Miss {
+    fn not_run(retry: &'static str, code: &'static str, message: &str) -> Miss {
+        Miss {
+            retry,
+            refusal: Refusal::not_run(code, FULL_RETURN_MS, message),
+            was_sent: false,
+        }
+    }
+
+    fn sent(mut self) -> Miss {
+        self.was_sent = true;
+        self
+    }
+
+    fn full(server: &str) -> Miss {
+        let message = format!("server {server} is full");
+        Miss::not_run("retry_server_full", "server_full", &message).sent()
+    }
+
+    fn unknown(retry: &'static str, code: &'static str, message: &str) -> Miss {
+        Miss {
+            retry,
+            refusal: Refusal::unknown(code, StatusCode::BAD_GATEWAY, message),
+            was_sent: true,
+        }
+    }
+}
+
+fn is_large(answered: &Answered) -> bool {
+    let length = answered.head.headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+    length.is_some_and(|length| length > MAX_HELD_BYTES)
+}
+
+/// Removes the headers that concern only one connection.
+fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let fixed = [
+        CONNECTION,
+        TRANSFER_ENCODING,
+        TE,
+        TRAILER,
+        UPGRADE,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in fixed {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,195 @@
+//! Carries streams from backend servers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use primrose_base::clock::Time;
+use primrose_place::placer::Outcome;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::body::Broken;
+use crate::event::Cutter;
+use crate::request::{Answered, Job};
+use crate::ticket::Ticket;
+
+/// Pieces that wait for a slow caller; after that the server waits.
+pub(crate) const PIECES: usize = 16;
+
+/// Silence after which a stream that can be resumed goes on at another server, in multiples of its longest pause that is
+/// on time. Callers leave after 2 s or more.
+const SILENT_GAPS: u64 = 4;
+
+/// The shortest such silence, in ms: an engine that preempts a request reads it again.
+const MIN_SILENCE_MS: u64 = 1_200;
+
+/// How a part of a stream ended.
+enum End {
+    Complete,
+    Broken(String),
+    Silent,
+    TimedOut,
+    CallerGone,
+}
+
+/// Carries the answer of a request. If `resumes`, only whole events are passed on, and the stream goes on at another
+/// server if it breaks off.
+pub(crate) async fn carry(
+    mut job: Job,
+    answered: Answered,
+    pieces: mpsc::Sender<Result<Bytes, Broken>>,
+    resumes: bool,
+) {
+    let mut part = answered;
+    let mut cutter = Cutter::default();
+    let mut has_first = false;
+    loop {
+        let Answered {
+            body,
+            connection,
+            mut ticket,
+            ..
+        } = part;
+        let mut passage = Passage {
+            job: &job,
+            pieces: &pieces,
+            cutter: resumes.then_some(&mut cutter),
+            has_first: &mut has_first,
+        };
+        let end = passage.carry(body, &mut ticket).await;
+        let reason = match end {
+            End::Complete => {
+                job.keep(connection);
+                ticket.end(Outcome::Answered { failed: false });
+                job.shared.meter.count("served");
+                job.shared
+                    .meter
+                    .record("answer", Time::now().since(job.started));
+                job.log("served", None);
+                return;
+            }
+            End::CallerGone => {
+                ticket.end(Outcome::Cancelled);
+                job.shared.meter.count("caller_gone");
+                job.log("caller_gone", None);
+                return;
+            }
+            End::TimedOut => {
+                ticket.end(Outcome::Cancelled);
+                break_off(&job, &pieces, "timeout").await;
+                return;
+            }
+            End::Silent => "the server fell silent".to_owned(),
+            End::Broken(error) => error,
+        };
+        drop(connection);
+        ticket.end(Outcome::Answered { failed: true });
+        if !resumes || !job.may_resume(&reason) {
+            break_off(&job, &pieces, "stream_broken").await;
+            return;
+        }
+        cutter.discard();
+        let last = cutter.last_id().map(str::to_owned);
+        part = match job.answered(last.as_deref()).await {
+            Ok(answered) if answered.head.status.is_success() => answered,
+            Ok(answered) => {
+                answered.ticket.end(Outcome::Answered { failed: true });
+                break_off(&job, &pieces, "stream_broken").await;
+                return;
+            }
+            Err(refusal) => {
+                job.shared.meter.count("resume_refused");
+                break_off(&job, &pieces, refusal.code).await;
+                return;
+            }
+        };
+    }
+}
+
+/// Ends the connection to the caller without the end of the answer.
+async fn break_off(job: &Job, pieces: &mpsc::Sender<Result<Bytes, Broken>>, code: &'static str) {
+    job.shared.meter.count(code);
+    job.log(code, None);
+    // The caller may have left.
+    let _ = pieces.send(Err(Broken)).await;
+}
+
+struct Passage<'a> {
+    job: &'a Job,
+    pieces: &'a mpsc::Sender<Result<Bytes, Broken>>,
+    cutter: Option<&'a mut Cutter>,
+    has_first: &'a mut bool,
+}
+
+impl Passage<'_> {
+    async fn carry(&mut self, mut body: Incoming, ticket: &mut Ticket) -> End {
+        let silence = self.silence();
+        loop {
+            let ends = match silence {
+                Some(silence) => (Instant::now() + silence).min(self.job.ends),
+                None => self.job.ends,
+            };
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(ends, body.frame()) => frame,
+                () = self.pieces.closed() => return End::CallerGone,
+            };
+            let data = match frame {
+                Err(_) if Instant::now() >= self.job.ends => return End::TimedOut,
+                Err(_) => return End::Silent,
+                Ok(None) => return self.finish().await,
+                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => data,
+                    // Trailers say nothing to the caller.
+                    Err(_) => continue,
+                },
+            };
+            ticket.first();
+            let passed = match self.cutter.as_deref_mut() {
+                Some(cutter) => cutter.push(&data),
+                None => data,
+            };
+            if self
+                .cutter
+                .as_ref()
+                .is_some_and(|cutter| cutter.is_too_large())
+            {
+                return End::Broken("an event is too large".to_owned());
+            }
+            if !passed.is_empty() && !self.pass(passed).await {
+                return End::CallerGone;
+            }
+        }
+    }
+
+    async fn pass(&mut self, bytes: Bytes) -> bool {
+        if !std::mem::replace(self.has_first, true) {
+            let latency = Time::now().since(self.job.started);
+            self.job.shared.meter.record("first_event", latency);
+        }
+        self.pieces.send(Ok(bytes)).await.is_ok()
+    }
+
+    /// The server has ended the stream.
+    async fn finish(&mut self) -> End {
+        let rest = match self.cutter.as_deref_mut() {
+            Some(cutter) if cutter.is_torn() => cutter.finish(),
+            _ => return End::Complete,
+        };
+        if self.pass(rest).await {
+            End::Complete
+        } else {
+            End::CallerGone
+        }
+    }
+
+    fn silence(&self) -> Option<Duration> {
+        self.cutter.as_ref()?;
+        let gap = self.job.route.max_gap_ms?;
+        Some(Duration::from_millis(
+            (gap * SILENT_GAPS).max(MIN_SILENCE_MS),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/counter.rs
@@ -0,0 +1,25 @@
+//! Names of the counters of a core host; `docs/counters.md` lists them.
+
+/// All counters.
+pub const ALL: [&str; 20] = [
+    "ask_placed",
+    "ask_refused_hopeless_deadline",
+    "ask_refused_no_server",
+    "ask_refused_over_share",
+    "ask_refused_overload",
+    "datagram_refused",
+    "directory_changed",
+    "directory_fetched",
+    "directory_read",
+    "directory_read_failed",
+    "document_conflict",
+    "document_invalid",
+    "document_not_leader",
+    "document_stored",
+    "document_unknown",
+    "leader_changed",
+    "peer_refused",
+    "read_answered",
+    "read_unavailable",
+    "replica_replaced",
+];
--- /dev/null
+++ b/crates/observe/tests/observe.rs
@@ -0,0 +1,34 @@
+//! The log stays bounded and counters are listed.
+
+use primrose_observe::lines::{Buffer, MAX_WAITING_BYTES, logger};
+use primrose_observe::meter::Meter;
+use slog::info;
+
+// A burst of lines while nobody reads must neither block nor use memory without bound.
+#[test]
+fn a_burst_of_lines_is_dropped_and_counted() {
+    let buffer = Buffer::default();
+    let log = logger(&buffer, "entry-1");
+    for request in 0..20_000 {
+        info!(log, "request ended"; "id" => request, "outcome" => "served");
+    }
+    let bytes = buffer.take();
+    assert!(bytes.len() <= MAX_WAITING_BYTES + 200);
+    let text = String::from_utf8(bytes).expect("the log is text");
+    assert!(text.starts_with('{') && text.contains("entry-1"));
+    let last = text.lines().last().expect("there are lines");
+    assert!(last.contains("log lines dropped"), "{last}");
+    assert!(buffer.take().is_empty());
+}
+
+// A counter that never counted must be visible as 0, or its absence looks like a misspelt name.
+#[test]
+fn declared_names_are_listed() {
+    let meter = Meter::new(&["served", "overload"], &["first_event"]);
+    meter.count("served");
+    meter.record("first_event", 120);
+    let text = meter.text();
+    assert!(text.contains("primrose_overload 0\n"), "{text}");
+    assert!(text.contains("primrose_served 1\n"), "{text}");
+    assert!(text.contains("primrose_first_event_ms_count 1\n"), "{text}");
+}
--- /dev/null
+++ b/crates/place/src/placer.rs
@@ -0,0 +1,507 @@
+//! Books requests on servers.
+
+use std::hash::BuildHasher;
+use std::sync::Arc;
+
+use foldhash::quality::FixedState;
+use primrose_base::clock::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::cache::{self, Cache};
+use crate::demand::{Demand, Key, Prompt};
+use crate::engine::{Load, Speed};
+use crate::health::Health;
+use crate::server::Server;
+use crate::share::Meter;
+
+/// Limits of the decisions.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How fast engines are.
+    pub speed: Speed,
+    /// Memory of an engine for running requests and kept parts, in tokens, if the pool does not say.
+    pub cache_tokens: u64,
+    /// A request is refused if the wait ahead of it exceeds this part of its objective.
+    pub limit: f64,
+    /// The same for accounts beyond their share.
+    pub excess_limit: f64,
+    /// The same for callers that were refused before and came back: they are late already, so that only their deadline
+    /// counts, and a second refusal would have cost them the wait in vain.
+    pub return_limit: f64,
+    /// Weight of the reading of a prompt against the wait ahead of it: over 1, because it delays others too.
+    pub reading_weight: f64,
+    /// Added to the predicted time for a server of another failure domain, in ms.
+    pub remote_ms: f64,
+    /// How much the failure rate of a server adds to its predicted time: a server that fails half of its requests
+    /// counts as several times slower.
+    pub failure_weight: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            speed: Speed::default(),
+            cache_tokens: 444_000,
+            limit: 1.2,
+            excess_limit: 0.6,
+            return_limit: 2.0,
+            reading_weight: 1.5,
+            remote_ms: 3.0,
+            failure_weight: 6.0,
+        }
+    }
+}
+
+/// How long a server is left alone after it said that it is full, in ms: a few of its steps.
+const FULL_PAUSE_MS: u64 = 60;
+
+/// The shortest and longest time after which a refused caller is told to come back, in ms.
+const RETURN_MS: std::ops::RangeInclusive<f64> = 300.0..=2_500.0;
+
+/// When a caller without a server is told to come back, in ms: about when a restarted server is found again.
+const NO_SERVER_RETURN_MS: u32 = 700;
+
+/// Time in which a request holds a slot of an engine, in ms, until one has been measured.
+const INITIAL_HOLD_MS: f64 = 1_500.0;
+
+/// Time in which a plain service works on a request, in ms, until one has been measured.
+const INITIAL_WORK_MS: f64 = 20.0;
+
+/// Weight of one measurement of the times above.
+const HOLD_WEIGHT: f64 = 0.05;
+
+/// A booking is dropped when its caller has been gone for this long, in ms: its entry host was lost.
+const EXPIRY_MS: u64 = 2_000;
+
+/// Interval at which expired bookings are looked for, in ms.
+const EXPIRY_INTERVAL_MS: u64 = 500;
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Reason {
+    /// No server of the pool can be used.
+    NoServer,
+    /// The wait would be too long on every server.
+    Overload,
+    /// The wait would be too long for an account beyond its share.
+    OverShare,
+    /// The caller's deadline would pass first.
+    Deadline,
+}
+
+impl Reason {
+    /// Name of the counter.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Reason::NoServer => "no_server",
+            Reason::Overload => "overload",
+            Reason::OverShare => "over_share",
+            Reason::Deadline => "hopeless_deadline",
+        }
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Decision {
+    /// It is booked on a server.
+    Place {
+        /// The server.
+        server: Server,
+        /// Predicted time to the first token, or of the whole answer of a plain service, in ms.
+        predicted_ms: u32,
+        /// Prompt tokens that the server is taken to keep.
+        kept: u32,
+    },
+    /// It is refused and has not run.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When the caller should come back, in ms.
+        return_ms: u32,
+        /// The wait on the best server, in ms.
+        wait_ms: u32,
+    },
+}
+
+/// How a request ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was answered; `failed` if the server failed it.
+    Answered {
+        /// Whether the answer was a failure of the server.
+        failed: bool,
+    },
+    /// No connection could be opened.
+    Unreachable,
+    /// The server refused it because it is full.
+    Full,
+    /// Another server has the address.
+    Gone,
+    /// The caller left first, or the time was up.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Booking {
+    key: Key,
+    server: Arc<str>,
+    domain: Arc<str>,
+    booked: Time,
+    expires: Time,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    server: Server,
+    load: Load,
+    cache: Cache,
+    health: Health,
+    /// Mean time that a request is booked, in ms.
+    hold_ms: f64,
+    /// Whether another server was found at its address.
+    gone: bool,
+}
+
+/// Books requests on the servers of all pools.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    settings: Settings,
+    /// Sorted by id.
+    servers: Vec<State>,
+    /// Sorted by key.
+    bookings: Vec<Booking>,
+    shares: Meter,
+    tokens_per_s: Option<f64>,
+    expired_at: Time,
+}
+
+/// A server that could take a request, with what is ahead of it there.
+#[derive(Clone, Copy)]
+struct Candidate {
+    at: usize,
+    /// Time until the server begins with the request, in ms.
+    wait_ms: f64,
+    /// Time to read the prompt, or of the work of a plain service, in ms.
+    own_ms: f64,
+    kept: u32,
+    score: f64,
+}
+
+impl Placer {
+    /// A placer that knows no servers.
+    pub fn new(settings: Settings) -> Placer {
+        Placer {
+            settings,
+            servers: Vec::new(),
+            bookings: Vec::new(),
+            shares: Meter::default(),
+            tokens_per_s: None,
+            expired_at: Time::ZERO,
+        }
+    }
+
+    /// Tokens per second that all engines handle together; `None` if it is not known, and nobody is beyond a share.
+    pub fn set_capacity(&mut self, tokens_per_s: Option<f64>) {
+        self.tokens_per_s = tokens_per_s;
+    }
+
+    /// Takes over what discovery says. What is known about a server stays while its id and address stay.
+    pub fn set_servers(&mut self, servers: &[Server]) {
+        let mut old = std::mem::take(&mut self.servers);
+        for server in servers {
+            let known = old
+                .binary_search_by(|state| state.server.id.cmp(&server.id))
+                .ok()
+                .filter(|&at| old[at].server.address == server.address);
+            let state = match known {
+                Some(at) => State {
+                    server: server.clone(),
+                    load: std::mem::take(&mut old[at].load),
+                    cache: std::mem::take(&mut old[at].cache),
+                    health: std::mem::take(&mut old[at].health),
+                    hold_ms: old[at].hold_ms,
+                    gone: old[at].gone,
+                },
+                None => State {
+                    server: server.clone(),
+                    load: Load::default(),
+                    cache: Cache::default(),
+                    health: Health::default(),
+                    hold_ms: 0.0,
+                    gone: false,
+                },
+            };
+            self.servers.push(state);
+        }
+        self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+    }
+
+    /// Requests that are booked.
+    pub fn booked(&self) -> usize {
+        self.bookings.len()
+    }
+
+    /// Chooses a server and books the request there, or refuses it.
+    pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
+        self.expire(now);
+        let cost = demand.prompt.as_ref().map(Prompt::cost);
+        if let (Some(account), Some(cost)) = (&demand.account, cost)
+            && demand.tried.is_empty()
+        {
+            self.shares.ask(now, account, cost);
+        }
+        let chains: Vec<(u64, u32)> = demand
+            .prompt
+            .as_ref()
+            .map(|prompt| cache::chains(prompt).collect())
+            .unwrap_or_default();
+        let Some(best) = self.best(now, demand, &chains) else {
+            return Decision::Refuse {
+                reason: Reason::NoServer,
+                return_ms: NO_SERVER_RETURN_MS,
+                wait_ms: 0,
+            };
+        };
+        if let Some(refusal) = self.refusal(now, demand, &best) {
+            return refusal;
+        }
+        if let (Some(account), Some(cost)) = (&demand.account, cost) {
+            self.shares.admit(now, account, cost);
+        }
+        let server = self.servers[best.at].server.clone();
+        self.enter(now, demand, best.at, &chains);
+        Decision::Place {
+            server,
+            predicted_ms: (best.wait_ms + best.own_ms) as u32,
+            kept: best.kept,
+        }
+    }
+
+    /// Books a request that another placer has placed on the server with the id `server`. Does nothing if it is booked.
+    pub fn book(&mut self, now: Time, demand: &Demand, server: &str) {
+        if self.position(demand.key).is_ok() {
+            return;
+        }
+        let Ok(at) = self.find(server) else {
+            return;
+        };
+        if let (Some(account), Some(prompt)) = (&demand.account, &demand.prompt) {
+            self.shares.ask(now, account, prompt.cost());
+            self.shares.admit(now, account, prompt.cost());
+        }
+        let chains: Vec<(u64, u32)> = demand
+            .prompt
+            .as_ref()
+            .map(|prompt| cache::chains(prompt).collect())
+            .unwrap_or_default();
+        self.enter(now, demand, at, &chains);
+    }
+
+    /// Records the first event of an answer.
+    pub fn first(&mut self, now: Time, key: Key) {
+        if let Ok(at) = self.position(key)
+            && let Ok(server) = self.find(&self.bookings[at].server)
+        {
+            self.servers[server].load.observe(now, key);
+        }
+    }
+
+    /// Records the end of a request and frees what it had booked.
+    pub fn end(&mut self, now: Time, key: Key, outcome: Outcome) {
+        let Ok(at) = self.position(key) else {
+            return;
+        };
+        let booking = self.bookings.remove(at);
+        let Ok(at) = self.find(&booking.server) else {
+            return;
+        };
+        let state = &mut self.servers[at];
+        state.load.end(now, key);
+        match outcome {
+            Outcome::Answered { failed } => {
+                let hold = now.since(booking.booked) as f64;
+                let weight = if state.hold_ms > 0.0 {
+                    HOLD_WEIGHT
+                } else {
+                    1.0
+                };
+                state.hold_ms += weight * (hold - state.hold_ms);
+                state.health.answered(&booking.domain, failed);
+            }
+            Outcome::Unreachable => {
+                state.health.unreachable(now, &booking.domain);
+                state.cache.clear();
+            }
+            Outcome::Full => state.health.full(now, FULL_PAUSE_MS),
+            Outcome::Gone => state.gone = true,
+            Outcome::Cancelled => {}
+        }
+    }
+
+    fn enter(&mut self, now: Time, demand: &Demand, at: usize, chains: &[(u64, u32)]) {
+        let state = &mut self.servers[at];
+        if let Some(prompt) = &demand.prompt {
+            let kept = state.cache.hit(chains);
+            let reading = self.settings.speed.reading(prompt.input, kept);
+            let predicted = state.load.wait_ms(now, &self.settings.speed)
+                + state.load.own_ms(&reading, &self.settings.speed);
+            state.load.book(now, demand.key, reading, predicted);
+            state.cache.touch(now, chains, self.settings.cache_tokens);
+        } else {
+            let reading = self.settings.speed.reading(0, 0);
+            state.load.book(now, demand.key, reading, 0.0);
+        }
+        let booking = Booking {
+            key: demand.key,
+            server: Arc::clone(&state.server.id),
+            domain: Arc::clone(&demand.domain),
+            booked: now,
+            expires: now.plus_ms(u64::from(demand.left_ms) + EXPIRY_MS),
+        };
+        match self.position(demand.key) {
+            Ok(at) => self.bookings[at] = booking,
+            Err(at) => self.bookings.insert(at, booking),
+        }
+    }
+
+    fn best(&self, now: Time, demand: &Demand, chains: &[(u64, u32)]) -> Option<Candidate> {
+        let usable = self.servers.iter().enumerate().filter(|(_, state)| {
+            state.server.pool == demand.pool
+                && !state.server.leaving
+                && !state.gone
+                && !demand.tried.contains(&state.server.id)
+                && !state.health.is_paused(now, &demand.domain)
+        });
+        usable
+            .map(|(at, state)| self.candidate(now, demand, chains, at, state))
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+    }
+
+    fn candidate(
+        &self,
+        now: Time,
+        demand: &Demand,
+        chains: &[(u64, u32)],
+        at: usize,
+        state: &State,
+    ) -> Candidate {
+        let settings = &self.settings;
+        let remote_ms = if state.server.domain == demand.domain {
+            0.0
+        } else {
+            settings.remote_ms
+        };
+        let failing = 1.0 + settings.failure_weight * state.health.failure_rate();
+        let Some(prompt) = &demand.prompt else {
+            let hold = if state.hold_ms > 0.0 {
+                state.hold_ms
+            } else {
+                INITIAL_WORK_MS
+            };
+            let wait_ms = slot_wait_ms(state, hold);
+            // Before all slots are taken, spreading still keeps the bursts of other hosts apart.
+            let spread = state.load.len() as f64 * hold / f64::from(state.server.slots.max(1));
+            return Candidate {
+                at,
+                wait_ms,
+                own_ms: hold,
+                kept: 0,
+                score: (wait_ms + spread + hold) * failing + remote_ms,
+            };
+        };
+        let kept = state.cache.hit(chains);
+        let reading = settings.speed.reading(prompt.input, kept);
+        let hold = if state.hold_ms > 0.0 {
+            state.hold_ms
+        } else {
+            INITIAL_HOLD_MS
+        };
+        let wait_ms = state.load.wait_ms(now, &settings.speed) + slot_wait_ms(state, hold);
+        let own_ms = state.load.own_ms(&reading, &settings.speed);
+        // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
+        // parts in the same places.
+        let tie = tie(chains, &state.server.id);
+        let load = state.load.len() as f64;
+        Candidate {
+            at,
+            wait_ms,
+            own_ms,
+            kept,
+            score: (wait_ms + settings.reading_weight * own_ms + load) * failing + remote_ms + tie,
+        }
+    }
+
+    fn refusal(&mut self, now: Time, demand: &Demand, best: &Candidate) -> Option<Decision> {
+        let waited = f64::from(demand.waited_ms);
+        let objective = f64::from(demand.objective_ms);
+        let total = best.wait_ms + best.own_ms;
+        if total > f64::from(demand.left_ms) {
+            return Some(refuse(Reason::Deadline, best.wait_ms, total));
+        }
+        let excess = match (&demand.account, &demand.prompt, self.tokens_per_s) {
+            (Some(account), Some(_), Some(capacity)) => self.shares.excess(now, account, capacity),
+            _ => 0.0,
+        };
+        let (limit, reason) = if excess > 1.0 {
+            (self.settings.excess_limit, Reason::OverShare)
+        } else if demand.returning {
+            (self.settings.return_limit, Reason::Overload)
+        } else {
+            (self.settings.limit, Reason::Overload)
+        };
+        let room = (limit * objective - waited).max(0.0);
+        (best.wait_ms > room).then(|| refuse(reason, best.wait_ms, best.wait_ms - room))
+    }
+
+    /// Drops the bookings of entry hosts that were lost.
+    fn expire(&mut self, now: Time) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_at = now;
+        let expired: Vec<Key> = self
+            .bookings
+            .iter()
+            .filter(|booking| booking.expires < now)
+            .map(|booking| booking.key)
+            .collect();
+        for key in expired {
+            self.end(now, key, Outcome::Cancelled);
+        }
+    }
+
+    fn position(&self, key: Key) -> Result<usize, usize> {
+        self.bookings
+            .binary_search_by_key(&key, |booking| booking.key)
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.servers
+            .binary_search_by(|state| (*state.server.id).cmp(id))
+    }
+}
+
+fn refuse(reason: Reason, wait_ms: f64, missing_ms: f64) -> Decision {
+    let return_ms = (missing_ms + RETURN_MS.start()).clamp(*RETURN_MS.start(), *RETURN_MS.end());
+    Decision::Refuse {
+        reason,
+        return_ms: return_ms as u32,
+        wait_ms: wait_ms as u32,
+    }
+}
+
+/// Time until a slot is free, in ms: with all slots taken, one is freed every `hold / slots`.
+fn slot_wait_ms(state: &State, hold_ms: f64) -> f64 {
+    let slots = state.server.slots.max(1) as usize;
+    let ahead = (state.load.len() + 1).saturating_sub(slots);
+    ahead as f64 * hold_ms / slots as f64
+}
+
+/// A number below 4 that depends on the shared parts of the prompt and the server.
+fn tie(chains: &[(u64, u32)], server: &str) -> f64 {
+    let shared = chains.len().saturating_sub(2);
+    let chain = chains.get(shared).map(|chain| chain.0);
+    let hash = FixedState::default().hash_one((chain, server));
+    (hash % 4_096) as f64 / 1_024.0
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod frame;
 pub mod handshake;
 pub mod key;
+pub mod link;
 pub mod peer;
