place: Refuse by the expected first event, accounts beyond their share first

The limit now applies to the expected first event (wait, fixed part, and at most 0.3 objectives of the own reading, so that long prompts are not refused for their length), and accounts beyond their max-min share are refused from 0.4 objectives on, so that the others find short queues. Reading a prompt weighs three times against waiting, since it delays all that come after it.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -5,12 +5,14 @@
 //! requests that are generating.
 
 use primrose_base::clock::Time;
+use serde::{Deserialize, Serialize};
 
 use crate::demand::Key;
 
 /// How fast an engine is. The defaults are the figures that the operators' sheets give for all of their engines;
 /// [`Load::observe`] corrects them for each server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Speed {
     /// Prompt tokens read in a ms.
     pub tokens_per_ms: f64,
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -15,21 +15,28 @@
 use crate::share::Meter;
 
 /// Limits of the decisions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// How fast engines are.
     pub speed: Speed,
     /// Memory of an engine for running requests and kept parts, in tokens, if the pool does not say.
     pub cache_tokens: u64,
-    /// A request is refused if the wait ahead of it exceeds this part of its objective.
+    /// A request is refused if its first event is expected later than this part of its objective.
     pub limit: f64,
     /// The same for accounts beyond their share.
     pub excess_limit: f64,
     /// The same for callers that were refused before and came back: they are late already, so that only their deadline
     /// counts, and a second refusal would have cost them the wait in vain.
     pub return_limit: f64,
+    /// The most of the reading of its own prompt that counts against a request, in objectives: a long prompt is late by
+    /// itself and must not be refused for it.
+    pub own_cap: f64,
     /// Weight of the reading of a prompt against the wait ahead of it: over 1, because it delays others too.
     pub reading_weight: f64,
+    /// A prompt whose shared parts are kept nowhere goes to the server that its hash names, unless others are better by
+    /// this part of the time to read it: after a restart placers find the parts where they were.
+    pub home_weight: f64,
     /// Added to the predicted time for a server of another failure domain, in ms.
     pub remote_ms: f64,
     /// How much the failure rate of a server adds to its predicted time: a server that fails half of its requests
@@ -42,16 +49,63 @@
         Settings {
             speed: Speed::default(),
             cache_tokens: 444_000,
-            limit: 1.2,
-            excess_limit: 0.6,
+            limit: 1.0,
+            excess_limit: 0.4,
             return_limit: 2.0,
-            reading_weight: 1.5,
+            own_cap: 0.3,
+            reading_weight: 3.0,
+            home_weight: 0.0,
             remote_ms: 3.0,
             failure_weight: 6.0,
         }
     }
 }
 
+impl Settings {
+    /// Checks that all values are usable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the name of the first value that is not.
+    pub fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("speed.tokens_per_ms", self.speed.tokens_per_ms),
+            ("speed.chunk_tokens", self.speed.chunk_tokens),
+            ("limit", self.limit),
+            ("excess_limit", self.excess_limit),
+            ("return_limit", self.return_limit),
+        ];
+        let not_negative = [
+            (
+                "speed.ms_per_million_pairs",
+                self.speed.ms_per_million_pairs,
+            ),
+            ("speed.step_ms", self.speed.step_ms),
+            (
+                "speed.step_ms_per_thousand",
+                self.speed.step_ms_per_thousand,
+            ),
+            ("speed.first_ms", self.speed.first_ms),
+            ("own_cap", self.own_cap),
+            ("reading_weight", self.reading_weight),
+            ("home_weight", self.home_weight),
+            ("remote_ms", self.remote_ms),
+            ("failure_weight", self.failure_weight),
+        ];
+        for (name, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(format!("{name} must be greater than 0, got {value}"));
+            }
+        }
+        for (name, value) in not_negative {
+            if !value.is_finite() || value < 0.0 {
+                return Err(format!("{name} must not be negative, got {value}"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// How long a server is left alone after it said that it is full, in ms: a few of its steps.
 const FULL_PAUSE_MS: u64 = 60;
 
@@ -427,7 +481,8 @@
         let own_ms = state.load.own_ms(&reading, &settings.speed);
         // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
         // parts in the same places.
-        let tie = tie(chains, &state.server.id);
+        let home = tie(chains, &state.server.id);
+        let tie = home * (4.0 + settings.home_weight * own_ms);
         let load = state.load.len() as f64;
         Candidate {
             at,
@@ -457,7 +512,9 @@
         } else {
             (self.settings.limit, Reason::Overload)
         };
-        let room = (limit * objective - waited).max(0.0);
+        let first =
+            self.settings.speed.first_ms + best.own_ms.min(self.settings.own_cap * objective);
+        let room = (limit * objective - waited - first).max(0.0);
         (best.wait_ms > room).then(|| refuse(reason, best.wait_ms, best.wait_ms - room))
     }
 
@@ -505,10 +562,10 @@
     ahead as f64 * hold_ms / slots as f64
 }
 
-/// A number below 4 that depends on the shared parts of the prompt and the server.
+/// A number below 1 that depends on the shared parts of the prompt and the server.
 fn tie(chains: &[(u64, u32)], server: &str) -> f64 {
     let shared = chains.len().saturating_sub(2);
     let chain = chains.get(shared).map(|chain| chain.0);
     let hash = FixedState::default().hash_one((chain, server));
-    (hash % 4_096) as f64 / 1_024.0
+    (hash % 4_096) as f64 / 4_096.0
 }
