--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,4 +1,4 @@
-//! Names of the counters and histograms of an entry host; `docs/counters.md` lists them.
+//! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// All counters.
 pub const ALL: [&str; 40] = [
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -29,7 +29,7 @@
 
 use crate::body::Body;
 use crate::budget::Budget;
-use crate::dialect::{Dialect, Intent, Judgement, Passage};
+use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
 use crate::link;
 use crate::refusal::Refusal;
 use crate::stream;
@@ -125,11 +125,17 @@
 pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let started = Time::now();
     let start = Instant::now();
-    match admit(&shared, request, started, start).await {
+    let (head, body) = request.into_parts();
+    let intent = (shared.dialect.read)(&head);
+    let id = intent
+        .as_ref()
+        .ok()
+        .map(|intent| Arc::clone(&intent.attempt));
+    match admit(&shared, head, body, intent, started, start).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             shared.meter.count(refusal.code);
-            info!(shared.log, "request refused"; "code" => refusal.code,
+            info!(shared.log, "request refused"; "id" => id.as_deref(), "code" => refusal.code,
                 "status" => refusal.status.as_u16(), "message" => &refusal.message);
             refusal.response()
         }
@@ -139,11 +145,12 @@
 /// Looks a request up and reads its body.
 async fn admit(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    head: request::Parts,
+    body: Incoming,
+    intent: Result<Intent, Malformed>,
     started: Time,
     start: Instant,
 ) -> Result<Job, Refusal> {
-    let (head, body) = request.into_parts();
     let Some(table) = shared.link.table() else {
         let message = "this host has no configuration yet";
         return Err(Refusal::not_run("not_ready", NOT_READY_RETURN_MS, message));
@@ -155,7 +162,7 @@
         let status = StatusCode::NOT_FOUND;
         return Err(Refusal::improper("unknown_route", status, message));
     };
-    let intent = (shared.dialect.read)(&head).map_err(|malformed| {
+    let intent = intent.map_err(|malformed| {
         let status = StatusCode::BAD_REQUEST;
         Refusal::improper("malformed_request", status, malformed.0)
     })?;
--- /dev/null
+++ b/crates/entry/tests/parts.rs
@@ -0,0 +1,109 @@
+//! Events, the retry budget, refusals and counters.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use primrose_base::clock::Time;
+use primrose_entry::budget::{Budget, Settings};
+use primrose_entry::counter;
+use primrose_entry::event::Cutter;
+use primrose_entry::refusal::Refusal;
+
+// A stream that goes on at another server must neither lose, double nor tear an event, wherever it was cut.
+#[test]
+fn a_stream_is_cut_between_events() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for cut in 0..stream.len() {
+        let mut cutter = Cutter::default();
+        let mut passed = cutter.push(&stream[..cut]).to_vec();
+        let whole = cut
+            - if cutter.is_torn() {
+                cut - passed.len()
+            } else {
+                0
+            };
+        assert_eq!(passed, stream[..whole], "cut at {cut}");
+        let ids = String::from_utf8_lossy(&passed).matches("id:").count();
+        let last = cutter
+            .last_id()
+            .map_or(0, |id| id.parse().expect("a number"));
+        assert_eq!(last, ids, "cut at {cut}");
+        passed.extend_from_slice(&cutter.push(&stream[cut..]));
+        assert_eq!(passed, stream, "cut at {cut}");
+        assert!(!cutter.is_torn());
+    }
+}
+
+// After a break the torn event must not be joined with the first event of the next server.
+#[test]
+fn a_torn_event_is_dropped() {
+    let mut cutter = Cutter::default();
+    assert_eq!(
+        cutter.push(b"id: 1\ndata: a\n\nid: 2\nda"),
+        Bytes::from("id: 1\ndata: a\n\n")
+    );
+    cutter.discard();
+    assert_eq!(cutter.last_id(), Some("1"));
+    assert_eq!(
+        cutter.push(b"id: 2\ndata: b\n\n"),
+        Bytes::from("id: 2\ndata: b\n\n")
+    );
+}
+
+// All hosts together must stay within the budget of the fleet, and get it back when the window has passed.
+#[test]
+fn retries_stay_within_the_budget() {
+    let settings = Settings {
+        ratio: 0.2,
+        slack: 90.0,
+        window_ms: 10_000,
+    };
+    let pool = "desk".into();
+    let mut budget = Budget::new(settings);
+    let now = Time::from_ms(100_000);
+    for _ in 0..100 {
+        budget.request(now, &pool);
+    }
+    let taken = (0..200).filter(|_| budget.take(now, &pool, 9)).count();
+    assert!(taken > 10 && taken <= 30, "{taken} of 100 x 0.2 + 90 / 9");
+    let later = now.plus_ms(10_001);
+    let taken = (0..200).filter(|_| budget.take(later, &pool, 9)).count();
+    assert!(taken > 0 && taken <= 10, "{taken} of 90 / 9");
+}
+
+// A refusal must say that the request has not run, and when to come back; a failure must promise nothing.
+#[tokio::test]
+async fn refusals_carry_a_verdict() {
+    let refusal = Refusal::not_run("overload", 1_250, "busy").response();
+    assert_eq!(refusal.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refusal.headers()["retry-after"], "1.250");
+    let body = refusal
+        .into_body()
+        .collect()
+        .await
+        .expect("a body")
+        .to_bytes();
+    let text = String::from_utf8_lossy(&body);
+    assert!(
+        text.contains("not-run") && text.contains("overload"),
+        "{text}"
+    );
+    let failure = Refusal::unknown("timeout", StatusCode::GATEWAY_TIMEOUT, "late").response();
+    assert!(!failure.headers().contains_key("retry-after"));
+}
+
+// A counter that is not documented cannot be read by the people who are woken by it.
+#[test]
+fn the_page_lists_all_counters() {
+    let page = include_str!("../../../docs/platform-counters.md");
+    let names = counter::ALL
+        .iter()
+        .chain(&counter::LATENCIES)
+        .chain(&primrose_fleet::counter::ALL);
+    for name in names {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is missing in docs/platform-counters.md"
+        );
+    }
+}
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,4 +1,4 @@
-//! Names of the counters of a core host; `docs/counters.md` lists them.
+//! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// All counters.
 pub const ALL: [&str; 20] = [
