place: Fetch kept parts from another engine in place of reading them again

Cause: under a flood a shared part is read again on servers that do not keep it (143 ms and more of an engine for 13,300 tokens). The engines can fetch it over their links.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -2,6 +2,7 @@
 //!
 //! The product knows what it wants to say and what it needs to know; the names of headers belong to the platform.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use hyper::HeaderMap;
@@ -46,6 +47,8 @@
     pub left_ms: u64,
     /// The client account.
     pub account: Option<&'a str>,
+    /// The engine from which the server is to fetch the kept parts of the prompt that it lacks.
+    pub fetch_from: Option<SocketAddrV4>,
     /// The last event that the caller has, if a stream is resumed.
     pub resume_after: Option<&'a str>,
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -564,7 +564,7 @@
                     self.inputs.meter.count("document_fetched");
                     info!(self.inputs.log, "document in force"; "version" => document.version,
                         "before" => self.version(), "routes" => document.routes.len());
-                    self.placer.set_capacity(document.limits.tokens_per_s);
+                    self.placer.set_document(&document);
                     self.table
                         .send_replace(Some(Arc::new(Table::new(document))));
                 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! The path of one request: looked up, read, placed, sent, answered.
 
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -210,6 +211,7 @@
         wait_ms: 0,
         predicted_ms: 0,
         kept: 0,
+        fetch_from: None,
         first_ms: None,
         demand: None,
     })
@@ -265,6 +267,8 @@
     wait_ms: u32,
     predicted_ms: u32,
     kept: u32,
+    /// The engine from which the server fetches kept parts.
+    fetch_from: Option<SocketAddrV4>,
     /// When the first event was passed on, in ms after the arrival.
     pub(crate) first_ms: Option<u64>,
     /// What was placed last and not sent yet.
@@ -382,7 +386,9 @@
                 predicted_ms,
                 wait_ms,
                 kept,
+                fetch_from,
             } => {
+                self.fetch_from = fetch_from;
                 self.predicted_ms = predicted_ms;
                 self.wait_ms = wait_ms;
                 self.kept = kept;
@@ -596,6 +602,7 @@
             server,
             left_ms: self.left_ms(),
             account: self.account.as_deref(),
+            fetch_from: self.fetch_from,
             resume_after,
         };
         (self.shared.dialect.write)(&mut headers, &passage);
@@ -716,6 +723,7 @@
             "server" => self.server.as_deref(), "sent" => self.sent,
             "returning" => self.returning, "deadline_ms" => self.intent.deadline_ms,
             "input" => self.intent.prompt.as_ref().map(|prompt| prompt.input), "kept" => self.kept,
+            "fetch_from" => self.fetch_from.map(|address| address.to_string()),
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
             "first_ms" => self.first_ms, "ms" => Time::now().since(self.started), "outcome" => outcome,
             "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/hub.rs
@@ -394,8 +394,7 @@
 
     fn document_changed(&mut self) {
         if let Some(stored) = &*self.newest.borrow() {
-            let limits = &stored.document.limits;
-            self.placer.set_capacity(limits.tokens_per_s);
+            self.placer.set_document(&stored.document);
             info!(self.inputs.log, "document in force"; "version" => stored.document.version,
                 "routes" => stored.document.routes.len());
         }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,10 +1,13 @@
 //! Books requests on servers.
 
 use std::hash::BuildHasher;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use foldhash::quality::FixedState;
 use primrose_base::clock::Time;
+use primrose_route::Document;
+use primrose_route::document::Engine;
 use serde::{Deserialize, Serialize};
 
 use crate::cache::{self, Cache};
@@ -20,8 +23,6 @@
 pub struct Settings {
     /// How fast engines are.
     pub speed: Speed,
-    /// Memory of an engine for running requests and kept parts, in tokens, if the pool does not say.
-    pub cache_tokens: u64,
     /// A request is refused if its first event is expected later than this part of its objective.
     pub limit: f64,
     /// The same for accounts beyond their share.
@@ -42,13 +43,17 @@
     /// How much the failure rate of a server adds to its predicted time: a server that fails half of its requests
     /// counts as several times slower.
     pub failure_weight: f64,
+    /// Weight of the time in which kept parts are fetched from another engine, against waiting: the links are shared, but
+    /// no engine works meanwhile.
+    pub fetch_weight: f64,
+    /// Fewer tokens are read again rather than fetched: setting a transfer up takes some ms.
+    pub min_fetch_tokens: u32,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
             speed: Speed::default(),
-            cache_tokens: 444_000,
             limit: 1.0,
             excess_limit: 0.4,
             return_limit: 2.0,
@@ -57,6 +62,8 @@
             home_weight: 0.0,
             remote_ms: 3.0,
             failure_weight: 6.0,
+            fetch_weight: 0.5,
+            min_fetch_tokens: 2_000,
         }
     }
 }
@@ -91,6 +98,7 @@
             ("home_weight", self.home_weight),
             ("remote_ms", self.remote_ms),
             ("failure_weight", self.failure_weight),
+            ("fetch_weight", self.fetch_weight),
         ];
         for (name, value) in positive {
             if !value.is_finite() || value <= 0.0 {
@@ -121,6 +129,12 @@
 /// Time in which a plain service works on a request, in ms, until one has been measured.
 const INITIAL_WORK_MS: f64 = 20.0;
 
+/// Time to set up the transfer of kept parts between two engines, in ms, by the operators' sheets.
+const TRANSFER_SETUP_MS: f64 = 4.0;
+
+/// How much longer a transfer between failure domains takes, by the platform's description.
+const REMOTE_TRANSFER: f64 = 2.0;
+
 /// Weight of one measurement of the times above.
 const HOLD_WEIGHT: f64 = 0.05;
 
@@ -166,8 +180,10 @@
         predicted_ms: u32,
         /// The part of that time before the server begins with it, in ms.
         wait_ms: u32,
-        /// Prompt tokens that the server is taken to keep.
+        /// Prompt tokens that the server is taken to keep, or to fetch.
         kept: u32,
+        /// The engine from which it fetches kept parts.
+        fetch_from: Option<SocketAddrV4>,
     },
     /// It is refused and has not run.
     Refuse {
@@ -217,6 +233,8 @@
     hold_ms: f64,
     /// Whether another server was found at its address.
     gone: bool,
+    /// Until when its link carries kept parts, on the placer's clock in ms.
+    link_until: f64,
 }
 
 /// Books requests on the servers of all pools.
@@ -228,7 +246,8 @@
     /// Sorted by key.
     bookings: Vec<Booking>,
     shares: Meter,
-    tokens_per_s: Option<f64>,
+    /// The newest document: sizes of pools and the capacity that is shared.
+    document: Arc<Document>,
     expired_at: Time,
 }
 
@@ -243,9 +262,25 @@
     /// Time until the first event, or the whole answer of a plain service, in ms.
     total_ms: f64,
     kept: u32,
+    fetch: Option<Fetch>,
     score: f64,
 }
 
+/// Kept parts that an engine fetches from another one before it begins with a request.
+#[derive(Clone, Copy)]
+struct Fetch {
+    from: usize,
+    /// Time until they have arrived, in ms.
+    arrival_ms: f64,
+}
+
+/// The engine that keeps the most of a prompt.
+#[derive(Clone, Copy)]
+struct Keeper {
+    at: usize,
+    kept: u32,
+}
+
 impl Placer {
     /// A placer that knows no servers.
     pub fn new(settings: Settings) -> Placer {
@@ -254,14 +289,15 @@
             servers: Vec::new(),
             bookings: Vec::new(),
             shares: Meter::default(),
-            tokens_per_s: None,
+            document: Arc::default(),
             expired_at: Time::ZERO,
         }
     }
 
-    /// Tokens per second that all engines handle together; `None` if it is not known, and nobody is beyond a share.
-    pub fn set_capacity(&mut self, tokens_per_s: Option<f64>) {
-        self.tokens_per_s = tokens_per_s;
+    /// Takes over the sizes of the pools and the capacity that accounts share. Without a capacity nobody is beyond a
+    /// share.
+    pub fn set_document(&mut self, document: &Arc<Document>) {
+        self.document = Arc::clone(document);
     }
 
     /// Takes over what discovery says. What is known about a server stays while its id and address stay.
@@ -280,6 +316,7 @@
                     health: std::mem::take(&mut old[at].health),
                     hold_ms: old[at].hold_ms,
                     gone: old[at].gone,
+                    link_until: old[at].link_until,
                 },
                 None => State {
                     server: server.clone(),
@@ -288,6 +325,7 @@
                     health: Health::default(),
                     hold_ms: 0.0,
                     gone: false,
+                    link_until: 0.0,
                 },
             };
             self.servers.push(state);
@@ -328,8 +366,15 @@
             self.shares.admit(now, account, cost);
         }
         let server = self.servers[best.at].server.clone();
-        self.enter(now, demand, best.at, &chains);
+        let fetch_from = best.fetch.map(|fetch| {
+            let until = now.as_ms() as f64 + fetch.arrival_ms;
+            self.servers[fetch.from].link_until = until;
+            self.servers[best.at].link_until = until;
+            self.servers[fetch.from].server.address
+        });
+        self.enter(now, demand, best.at, &chains, best.kept);
         Decision::Place {
+            fetch_from,
             server,
             predicted_ms: best.total_ms as u32,
             wait_ms: best.wait_ms as u32,
@@ -354,7 +399,8 @@
             .as_ref()
             .map(|prompt| cache::chains(prompt).collect())
             .unwrap_or_default();
-        self.enter(now, demand, at, &chains);
+        let kept = self.servers[at].cache.hit(&chains);
+        self.enter(now, demand, at, &chains, kept);
     }
 
     /// Records the first event of an answer.
@@ -400,13 +446,15 @@
         }
     }
 
-    fn enter(&mut self, now: Time, demand: &Demand, at: usize, chains: &[(u64, u32)]) {
+    fn enter(&mut self, now: Time, demand: &Demand, at: usize, chains: &[(u64, u32)], kept: u32) {
+        let capacity = self
+            .engine(&demand.pool)
+            .map_or(u64::MAX, |engine| engine.cache_tokens);
         let state = &mut self.servers[at];
         if let Some(prompt) = &demand.prompt {
-            let kept = state.cache.hit(chains);
             let reading = self.settings.speed.reading(prompt.input, kept);
             state.load.book(now, demand.key, reading);
-            state.cache.touch(now, chains, self.settings.cache_tokens);
+            state.cache.touch(now, chains, capacity);
         } else {
             let reading = self.settings.speed.reading(0, 0);
             state.load.book(now, demand.key, reading);
@@ -432,8 +480,9 @@
                 && !demand.tried.contains(&state.server.id)
                 && !state.health.is_paused(now, &demand.domain)
         });
+        let keeper = self.keeper(now, demand, chains);
         usable
-            .map(|(at, state)| self.candidate(now, demand, chains, at, state))
+            .map(|(at, state)| self.candidate(now, demand, chains, at, state, keeper))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
@@ -444,6 +493,7 @@
         chains: &[(u64, u32)],
         at: usize,
         state: &State,
+        keeper: Option<Keeper>,
     ) -> Candidate {
         let settings = &self.settings;
         let remote_ms = if state.server.domain == demand.domain {
@@ -467,31 +517,108 @@
                 own_ms: hold,
                 total_ms: wait_ms + hold,
                 kept: 0,
+                fetch: None,
                 score: (wait_ms + spread + hold) * failing + remote_ms,
             };
         };
-        let kept = state.cache.hit(chains);
-        let reading = settings.speed.reading(prompt.input, kept);
         let hold = if state.hold_ms > 0.0 {
             state.hold_ms
         } else {
             INITIAL_HOLD_MS
         };
         let wait_ms = state.load.wait_ms(now, &settings.speed) + slot_wait_ms(state, hold);
-        let own_ms = state.load.own_ms(&reading, &settings.speed);
-        // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
-        // parts in the same places.
-        let home = tie(chains, &state.server.id);
-        let tie = home * (4.0 + settings.home_weight * own_ms);
         let load = state.load.len() as f64;
-        Candidate {
-            at,
-            wait_ms,
-            own_ms,
-            total_ms: wait_ms + own_ms + settings.speed.first_ms,
-            kept,
-            score: (wait_ms + settings.reading_weight * own_ms + load) * failing + remote_ms + tie,
+        let candidate = |kept: u32, fetch: Option<Fetch>| {
+            let reading = settings.speed.reading(prompt.input, kept);
+            let own_ms = state.load.own_ms(&reading, &settings.speed);
+            let arrival = fetch.map_or(0.0, |fetch| fetch.arrival_ms);
+            let begin = wait_ms.max(arrival);
+            // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
+            // parts in the same places.
+            let home = tie(chains, &state.server.id);
+            let tie = home * (4.0 + settings.home_weight * own_ms);
+            let cost = begin + settings.reading_weight * own_ms + settings.fetch_weight * arrival;
+            Candidate {
+                at,
+                wait_ms: begin,
+                own_ms,
+                total_ms: begin + own_ms + settings.speed.first_ms,
+                kept,
+                fetch,
+                score: (cost + load) * failing + remote_ms + tie,
+            }
+        };
+        let kept = state.cache.hit(chains);
+        let read = candidate(kept, None);
+        let fetch = keeper.and_then(|keeper| self.fetch(now, demand, keeper, at, kept));
+        match fetch {
+            Some((keeper, fetch)) => {
+                let fetched = candidate(keeper.kept, Some(fetch));
+                if fetched.score < read.score {
+                    fetched
+                } else {
+                    read
+                }
+            }
+            None => read,
+        }
+    }
+
+    fn engine(&self, pool: &str) -> Option<&Engine> {
+        let mut pools = self.document.pools.iter();
+        pools.find(|known| &*known.name == pool)?.engine.as_ref()
+    }
+
+    /// The engine that keeps the most of the prompt.
+    fn keeper(&self, now: Time, demand: &Demand, chains: &[(u64, u32)]) -> Option<Keeper> {
+        self.engine(&demand.pool)?.token_bytes?;
+        let keepers = self.servers.iter().enumerate().filter(|(_, state)| {
+            state.server.pool == demand.pool
+                && !state.gone
+                && !state.health.is_paused(now, &demand.domain)
+        });
+        keepers
+            .map(|(at, state)| Keeper {
+                at,
+                kept: state.cache.hit(chains),
+            })
+            .max_by_key(|keeper| {
+                (
+                    keeper.kept,
+                    self.servers[keeper.at].server.domain == demand.domain,
+                )
+            })
+    }
+
+    /// The transfer of what `keeper` keeps beyond `kept` to the server at `to`.
+    fn fetch(
+        &self,
+        now: Time,
+        demand: &Demand,
+        keeper: Keeper,
+        to: usize,
+        kept: u32,
+    ) -> Option<(Keeper, Fetch)> {
+        let engine = self.engine(&demand.pool)?;
+        let tokens = keeper.kept.saturating_sub(kept);
+        if keeper.at == to || tokens < self.settings.min_fetch_tokens {
+            return None;
+        }
+        let (from, into) = (&self.servers[keeper.at], &self.servers[to]);
+        let bits = f64::from(tokens) * engine.token_bytes? as f64 * 8.0;
+        let mut transfer_ms = bits / (engine.link_mbps * 1_000.0);
+        if from.server.domain != into.server.domain {
+            transfer_ms *= REMOTE_TRANSFER;
         }
+        let start = from.link_until.max(into.link_until) - now.as_ms() as f64;
+        let arrival_ms = start.max(0.0) + TRANSFER_SETUP_MS + transfer_ms;
+        arrival_ms.is_finite().then_some((
+            keeper,
+            Fetch {
+                from: keeper.at,
+                arrival_ms,
+            },
+        ))
     }
 
     fn refusal(&mut self, now: Time, demand: &Demand, best: &Candidate) -> Option<Decision> {
@@ -501,7 +628,11 @@
         if total > f64::from(demand.left_ms) {
             return Some(refuse(Reason::Deadline, best.wait_ms, total));
         }
-        let excess = match (&demand.account, &demand.prompt, self.tokens_per_s) {
+        let excess = match (
+            &demand.account,
+            &demand.prompt,
+            self.document.limits.tokens_per_s,
+        ) {
             (Some(account), Some(_), Some(capacity)) => self.shares.excess(now, account, capacity),
             _ => 0.0,
         };
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -8,7 +8,7 @@
 use primrose_base::clock::Time;
 use primrose_place::demand::Demand;
 use primrose_place::placer::{Decision, Outcome, Placer, Reason, Settings};
-use support::{demand, engines, placer, server_of};
+use support::{demand, document, engines, placer, server_of};
 
 fn from(account: &str, demand: Demand) -> Demand {
     Demand {
@@ -20,7 +20,7 @@
 /// One account asks for more than all engines can read, two others for little.
 fn flood(mut placer: Placer, ms: u64) -> (Tally, Tally, f64) {
     // What four engines read, with all shared parts kept.
-    placer.set_capacity(Some(300_000.0));
+    placer.set_document(&document(Some(300_000.0)));
     let mut replay = Replay::new(placer);
     let (mut flood, mut small) = (Tally::default(), Tally::default());
     let mut sequence = 0;
@@ -145,3 +145,29 @@
     }
     assert_eq!(servers.len(), 1, "{servers:?}");
 }
+
+// When the engine that keeps a shared part is busy, another one fetches it: reading it again would take longer, and
+// the time of an engine that is short of it.
+#[test]
+fn a_kept_part_is_fetched_and_not_read_again() {
+    let mut placer = placer(2);
+    let now = Time::from_ms(1_000);
+    let home = server_of(placer.place(now, &demand(1, 7, 13_300, 500)));
+    let later = now.plus_ms(1_000);
+    let mut fetched = 0;
+    for sequence in 2..12 {
+        let decision = placer.place(later, &demand(sequence, 7, 13_300, 3_000));
+        if let Decision::Place {
+            server,
+            fetch_from: Some(_),
+            kept,
+            ..
+        } = decision
+        {
+            assert_ne!(server.id, home);
+            assert_eq!(kept, 13_300);
+            fetched += 1;
+        }
+    }
+    assert!(fetched >= 1);
+}
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/support/mod.rs
@@ -7,6 +7,8 @@
 use primrose_place::Server;
 use primrose_place::demand::{Demand, Key, Part, Prompt};
 use primrose_place::placer::{Decision, Placer, Settings};
+use primrose_route::Document;
+use primrose_route::document::{Engine, Pool};
 
 pub(crate) const POOL: &str = "engines";
 
@@ -25,9 +27,30 @@
     (1..=count).map(engine).collect()
 }
 
+/// A document with engines whose memory holds many prompts.
+pub(crate) fn document(tokens_per_s: Option<f64>) -> Arc<Document> {
+    let engine = Engine {
+        slots: 48,
+        cache_tokens: 444_000,
+        token_bytes: Some(131_072),
+        link_mbps: 180_000.0,
+    };
+    let mut document = Document {
+        pools: vec![Pool {
+            name: POOL.into(),
+            max_connections: 310,
+            engine: Some(engine),
+        }],
+        ..Document::default()
+    };
+    document.limits.tokens_per_s = tokens_per_s;
+    Arc::new(document)
+}
+
 pub(crate) fn placer(count: u32) -> Placer {
     let mut placer = Placer::new(Settings::default());
     placer.set_servers(&engines(count));
+    placer.set_document(&document(None));
     placer
 }
 
--- a/crates/route/src/document.rs
+++ b/crates/route/src/document.rs
@@ -99,6 +99,10 @@
     pub slots: u32,
     /// Tokens that running requests and cached prompt parts share.
     pub cache_tokens: u64,
+    /// Memory of one token, in bytes; `None` if an engine cannot fetch kept parts from another one.
+    pub token_bytes: Option<u64>,
+    /// Bandwidth between engines, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// What callers may send, and how long they may take.
