--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -19,7 +19,7 @@
 use primrose_base::verdict::Verdict;
 use primrose_observe::Meter;
 use primrose_place::Server;
-use primrose_place::demand::{Demand, Key};
+use primrose_place::demand::{Demand, Key, Prompt};
 use primrose_place::placer::{Decision, Outcome};
 use primrose_route::document::Route;
 use primrose_route::table::{Caller, choose_pool};
@@ -722,7 +722,7 @@
             "account" => self.account.as_deref(), "pool" => &*self.pool,
             "server" => self.server.as_deref(), "sent" => self.sent,
             "returning" => self.returning, "deadline_ms" => self.intent.deadline_ms,
-            "input" => self.intent.prompt.as_ref().map(|prompt| prompt.input), "kept" => self.kept,
+            "input" => self.intent.prompt.as_ref().map(|prompt| prompt.input), "shared" => self.intent.prompt.as_ref().map(Prompt::shared), "kept" => self.kept,
             "fetch_from" => self.fetch_from.map(|address| address.to_string()),
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
             "first_ms" => self.first_ms, "ms" => Time::now().since(self.started), "outcome" => outcome,
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -36,6 +36,15 @@
 }
 
 impl Prompt {
+    /// Tokens of the parts that other requests may share.
+    pub fn shared(&self) -> u32 {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.tokens).sum()
+    }
+
     /// Tokens as capacity counts them: each one read once, each one generated twice.
     pub fn cost(&self) -> f64 {
         f64::from(self.input) + 2.0 * f64::from(self.output)
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -54,10 +54,10 @@
     fn default() -> Settings {
         Settings {
             speed: Speed::default(),
-            limit: 1.0,
-            excess_limit: 0.4,
+            limit: 0.9,
+            excess_limit: 0.35,
             return_limit: 2.0,
-            own_cap: 0.3,
+            own_cap: 0.2,
             reading_weight: 3.0,
             home_weight: 0.0,
             remote_ms: 3.0,
