--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! The path of one request: looked up, read, placed, sent, answered.
 
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -18,7 +19,7 @@
 use primrose_base::verdict::Verdict;
 use primrose_observe::Meter;
 use primrose_place::Server;
-use primrose_place::demand::{Demand, Key};
+use primrose_place::demand::{Demand, Key, Prompt};
 use primrose_place::placer::{Decision, Outcome};
 use primrose_route::document::Route;
 use primrose_route::table::{Caller, choose_pool};
@@ -29,7 +30,7 @@
 
 use crate::body::Body;
 use crate::budget::Budget;
-use crate::dialect::{Dialect, Intent, Judgement, Passage};
+use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
 use crate::link;
 use crate::refusal::Refusal;
 use crate::stream;
@@ -125,11 +126,17 @@
 pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let started = Time::now();
     let start = Instant::now();
-    match admit(&shared, request, started, start).await {
+    let (head, body) = request.into_parts();
+    let intent = (shared.dialect.read)(&head);
+    let id = intent
+        .as_ref()
+        .ok()
+        .map(|intent| Arc::clone(&intent.attempt));
+    match admit(&shared, head, body, intent, started, start).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             shared.meter.count(refusal.code);
-            info!(shared.log, "request refused"; "code" => refusal.code,
+            info!(shared.log, "request refused"; "id" => id.as_deref(), "code" => refusal.code,
                 "status" => refusal.status.as_u16(), "message" => &refusal.message);
             refusal.response()
         }
@@ -139,11 +146,12 @@
 /// Looks a request up and reads its body.
 async fn admit(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    head: request::Parts,
+    body: Incoming,
+    intent: Result<Intent, Malformed>,
     started: Time,
     start: Instant,
 ) -> Result<Job, Refusal> {
-    let (head, body) = request.into_parts();
     let Some(table) = shared.link.table() else {
         let message = "this host has no configuration yet";
         return Err(Refusal::not_run("not_ready", NOT_READY_RETURN_MS, message));
@@ -155,7 +163,7 @@
         let status = StatusCode::NOT_FOUND;
         return Err(Refusal::improper("unknown_route", status, message));
     };
-    let intent = (shared.dialect.read)(&head).map_err(|malformed| {
+    let intent = intent.map_err(|malformed| {
         let status = StatusCode::BAD_REQUEST;
         Refusal::improper("malformed_request", status, malformed.0)
     })?;
@@ -203,6 +211,7 @@
         wait_ms: 0,
         predicted_ms: 0,
         kept: 0,
+        fetch_from: None,
         first_ms: None,
         demand: None,
     })
@@ -258,6 +267,8 @@
     wait_ms: u32,
     predicted_ms: u32,
     kept: u32,
+    /// The engine from which the server fetches kept parts.
+    fetch_from: Option<SocketAddrV4>,
     /// When the first event was passed on, in ms after the arrival.
     pub(crate) first_ms: Option<u64>,
     /// What was placed last and not sent yet.
@@ -375,7 +386,9 @@
                 predicted_ms,
                 wait_ms,
                 kept,
+                fetch_from,
             } => {
+                self.fetch_from = fetch_from;
                 self.predicted_ms = predicted_ms;
                 self.wait_ms = wait_ms;
                 self.kept = kept;
@@ -589,6 +602,7 @@
             server,
             left_ms: self.left_ms(),
             account: self.account.as_deref(),
+            fetch_from: self.fetch_from,
             resume_after,
         };
         (self.shared.dialect.write)(&mut headers, &passage);
@@ -708,7 +722,8 @@
             "account" => self.account.as_deref(), "pool" => &*self.pool,
             "server" => self.server.as_deref(), "sent" => self.sent,
             "returning" => self.returning, "deadline_ms" => self.intent.deadline_ms,
-            "input" => self.intent.prompt.as_ref().map(|prompt| prompt.input), "kept" => self.kept,
+            "input" => self.intent.prompt.as_ref().map(|prompt| prompt.input), "shared" => self.intent.prompt.as_ref().map(Prompt::shared), "kept" => self.kept,
+            "fetch_from" => self.fetch_from.map(|address| address.to_string()),
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
             "first_ms" => self.first_ms, "ms" => Time::now().since(self.started), "outcome" => outcome,
             "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
