entry: Count failures of servers on stream routes

Cause: a complete answer on a stream route was counted as answered whatever its status, so a server that fails its streams kept a failure rate of 0 and drew requests by being fast. Ruled out: health checks, the retry budget, the core hosts; see docs/incidents.

Test a_grey_server_is_avoided: 39 of 40 failed before.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -302,7 +302,9 @@
                 Ok(answered) => answered,
                 Err(refusal) => return self.give_up(&refusal),
             };
-            if self.route.kind.is_stream() || is_large(&answered) {
+            // A failure of the server is short, also where the answer would be a stream.
+            let comes_in_pieces = self.route.kind.is_stream() && !answered.failed;
+            if comes_in_pieces || is_large(&answered) {
                 return self.pass_on(answered);
             }
             match self.hold(answered).await {
