fleet: Ask the engines once what they keep after a restart

Cause: the knowledge of kept parts lives in the core hosts' memory. Ruled out: the election (0.6 s), the entry hosts (0.2 s), lost servers.

--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// All counters.
-pub const ALL: [&str; 20] = [
+pub const ALL: [&str; 22] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
@@ -17,6 +17,8 @@
     "document_not_leader",
     "document_stored",
     "document_unknown",
+    "kept_read",
+    "kept_read_failed",
     "leader_changed",
     "peer_refused",
     "read_answered",
--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/hub.rs
@@ -58,6 +58,15 @@
     dyn Fn() -> Pin<Box<dyn Future<Output = Result<Vec<Server>, Unreadable>> + Send>> + Send + Sync,
 >;
 
+/// Asks an engine which prompt parts it keeps, as pairs of the key of a part and its length in tokens.
+pub type ReadKept = Arc<
+    dyn Fn(
+            SocketAddrV4,
+        ) -> Pin<Box<dyn Future<Output = Result<Vec<(u64, u32)>, Unreadable>> + Send>>
+        + Send
+        + Sync,
+>;
+
 /// What the task needs.
 pub struct Inputs {
     /// This host, named by its address.
@@ -78,6 +87,10 @@
     pub outgoing: mpsc::UnboundedReceiver<Outgoing>,
     /// Reads the list of servers.
     pub read_list: ReadList,
+    /// Asks an engine what it keeps.
+    pub read_kept: ReadKept,
+    /// Whether engines may keep parts that this host does not know of, because it has been started again.
+    pub is_restarted: bool,
     /// Limits of the placer.
     pub placing: Settings,
     /// Counters.
@@ -125,6 +138,7 @@
         is_reading: false,
         is_introducing: false,
         introduced: Time::ZERO,
+        asks_kept: inputs.is_restarted,
         inputs,
     };
     tokio::spawn(hub.run(received));
@@ -140,6 +154,10 @@
     },
     NotFetched,
     Introduced,
+    Kept {
+        server: Arc<str>,
+        parts: Result<Vec<(u64, u32)>, Unreadable>,
+    },
 }
 
 /// An entry host.
@@ -173,6 +191,8 @@
     is_reading: bool,
     is_introducing: bool,
     introduced: Time,
+    /// Whether engines are still to be asked what they keep.
+    asks_kept: bool,
 }
 
 impl Hub {
@@ -372,6 +392,19 @@
             }
             Event::NotFetched => self.is_reading = false,
             Event::Introduced => self.is_introducing = false,
+            Event::Kept { server, parts } => match parts {
+                Ok(parts) => {
+                    info!(self.inputs.log, "engine told what it keeps"; "server" => &*server,
+                        "parts" => parts.len());
+                    self.inputs.meter.count("kept_read");
+                    self.placer.learn_kept(now, &server, &parts);
+                }
+                Err(error) => {
+                    self.inputs.meter.count("kept_read_failed");
+                    warn!(self.inputs.log, "engine did not tell what it keeps"; "server" => &*server,
+                        "error" => %error);
+                }
+            },
         }
     }
 
@@ -388,6 +421,7 @@
         }
         self.shown.send_replace(Some((directory, read)));
         if !is_same {
+            self.ask_kept();
             self.welcome_all();
         }
     }
@@ -398,9 +432,28 @@
             info!(self.inputs.log, "document in force"; "version" => stored.document.version,
                 "routes" => stored.document.routes.len());
         }
+        self.ask_kept();
         self.welcome_all();
     }
 
+    /// Asks the engines once what they keep. Without it a restarted host takes every prompt for unread, predicts long
+    /// waits and refuses requests that engines could serve at once.
+    fn ask_kept(&mut self) {
+        if !self.asks_kept {
+            return;
+        }
+        for server in self.placer.engines() {
+            self.asks_kept = false;
+            let (id, address) = (Arc::clone(&server.id), server.address);
+            let (read_kept, events) = (Arc::clone(&self.inputs.read_kept), self.events.clone());
+            tokio::spawn(async move {
+                let parts = read_kept(address).await;
+                // The hub ends only with the process.
+                let _ = events.send(Event::Kept { server: id, parts }).await;
+            });
+        }
+    }
+
     fn welcome_all(&mut self) {
         let packet = Packet::Welcome(self.welcome());
         for entry in &self.entries {
--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -1,7 +1,7 @@
 //! Which prompt parts an engine keeps.
 //!
 //! An engine keeps the parts that it has read until it needs their memory; the least recently used yield first. A part
-//! counts only if all parts before it are kept too, so it is identified by a hash over the whole chain up to it.
+//! counts only if all parts before it are kept too.
 
 use std::hash::BuildHasher;
 
@@ -13,7 +13,7 @@
 /// The parts of one engine, as far as its placer knows.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
-    /// Sorted by chain.
+    /// Sorted by key.
     kept: Vec<Kept>,
     /// Sum of the tokens in `kept`.
     tokens: u64,
@@ -21,44 +21,39 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
-    chain: u64,
+    key: u64,
     tokens: u32,
     used: Time,
 }
 
-/// The chain of each part of a prompt.
-pub fn chains(prompt: &Prompt) -> impl Iterator<Item = (u64, u32)> + '_ {
-    let mut chain = prompt.model;
-    prompt.parts.iter().map(move |part| {
-        chain = FixedState::default().hash_one((chain, part.id));
-        (chain, part.tokens)
-    })
+/// Identifies a part as a model has read it.
+pub fn part_key(model: u64, part: u64) -> u64 {
+    FixedState::default().hash_one((model, part))
+}
+
+/// The key and length of each part of a prompt.
+pub fn keys(prompt: &Prompt) -> impl Iterator<Item = (u64, u32)> + '_ {
+    let parts = prompt.parts.iter();
+    parts.map(|part| (part_key(prompt.model, part.id), part.tokens))
 }
 
 impl Cache {
     /// How many tokens of the prompt need not be read again.
-    pub fn hit(&self, chains: &[(u64, u32)]) -> u32 {
-        let kept = chains
+    pub fn hit(&self, parts: &[(u64, u32)]) -> u32 {
+        let kept = parts
             .iter()
-            .take_while(|(chain, _)| self.position(*chain).is_ok());
+            .take_while(|(key, _)| self.position(*key).is_ok());
         kept.map(|&(_, tokens)| tokens).sum()
     }
 
     /// Records that the engine reads the prompt, and forgets the least recently used parts beyond `capacity` tokens.
-    pub fn touch(&mut self, now: Time, chains: &[(u64, u32)], capacity: u64) {
-        for &(chain, tokens) in chains {
-            match self.position(chain) {
+    pub fn touch(&mut self, now: Time, parts: &[(u64, u32)], capacity: u64) {
+        for &(key, tokens) in parts {
+            match self.position(key) {
                 Ok(at) => self.kept[at].used = now,
                 Err(at) => {
                     let used = now;
-                    self.kept.insert(
-                        at,
-                        Kept {
-                            chain,
-                            tokens,
-                            used,
-                        },
-                    );
+                    self.kept.insert(at, Kept { key, tokens, used });
                     self.tokens += u64::from(tokens);
                 }
             }
@@ -92,7 +87,7 @@
         self.tokens = self.kept.iter().map(|kept| u64::from(kept.tokens)).sum();
     }
 
-    fn position(&self, chain: u64) -> Result<usize, usize> {
-        self.kept.binary_search_by_key(&chain, |kept| kept.chain)
+    fn position(&self, key: u64) -> Result<usize, usize> {
+        self.kept.binary_search_by_key(&key, |kept| kept.key)
     }
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -333,6 +333,22 @@
         self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
     }
 
+    /// Takes over what a server says that it keeps, as pairs of the key of a part and its length in tokens. Parts that
+    /// are known already stay as recently used as they were.
+    pub fn learn_kept(&mut self, now: Time, server: &str, parts: &[(u64, u32)]) {
+        let Ok(at) = self.find(server) else {
+            return;
+        };
+        let capacity = self.cache_tokens(&self.servers[at].server.pool);
+        self.servers[at].cache.touch(now, parts, capacity);
+    }
+
+    /// The servers that keep prompt parts.
+    pub fn engines(&self) -> impl Iterator<Item = &Server> {
+        let servers = self.servers.iter().map(|state| &state.server);
+        servers.filter(|server| self.engine(&server.pool).is_some())
+    }
+
     /// Requests that are booked.
     pub fn booked(&self) -> usize {
         self.bookings.len()
@@ -347,12 +363,12 @@
         {
             self.shares.ask(now, account, cost);
         }
-        let chains: Vec<(u64, u32)> = demand
+        let parts: Vec<(u64, u32)> = demand
             .prompt
             .as_ref()
-            .map(|prompt| cache::chains(prompt).collect())
+            .map(|prompt| cache::keys(prompt).collect())
             .unwrap_or_default();
-        let Some(best) = self.best(now, demand, &chains) else {
+        let Some(best) = self.best(now, demand, &parts) else {
             return Decision::Refuse {
                 reason: Reason::NoServer,
                 return_ms: NO_SERVER_RETURN_MS,
@@ -372,7 +388,7 @@
             self.servers[best.at].link_until = until;
             self.servers[fetch.from].server.address
         });
-        self.enter(now, demand, best.at, &chains, best.kept);
+        self.enter(now, demand, best.at, &parts, best.kept);
         Decision::Place {
             fetch_from,
             server,
@@ -394,13 +410,13 @@
             self.shares.ask(now, account, prompt.cost());
             self.shares.admit(now, account, prompt.cost());
         }
-        let chains: Vec<(u64, u32)> = demand
+        let parts: Vec<(u64, u32)> = demand
             .prompt
             .as_ref()
-            .map(|prompt| cache::chains(prompt).collect())
+            .map(|prompt| cache::keys(prompt).collect())
             .unwrap_or_default();
-        let kept = self.servers[at].cache.hit(&chains);
-        self.enter(now, demand, at, &chains, kept);
+        let kept = self.servers[at].cache.hit(&parts);
+        self.enter(now, demand, at, &parts, kept);
     }
 
     /// Records the first event of an answer.
@@ -446,15 +462,13 @@
         }
     }
 
-    fn enter(&mut self, now: Time, demand: &Demand, at: usize, chains: &[(u64, u32)], kept: u32) {
-        let capacity = self
-            .engine(&demand.pool)
-            .map_or(u64::MAX, |engine| engine.cache_tokens);
+    fn enter(&mut self, now: Time, demand: &Demand, at: usize, parts: &[(u64, u32)], kept: u32) {
+        let capacity = self.cache_tokens(&demand.pool);
         let state = &mut self.servers[at];
         if let Some(prompt) = &demand.prompt {
             let reading = self.settings.speed.reading(prompt.input, kept);
             state.load.book(now, demand.key, reading);
-            state.cache.touch(now, chains, capacity);
+            state.cache.touch(now, parts, capacity);
         } else {
             let reading = self.settings.speed.reading(0, 0);
             state.load.book(now, demand.key, reading);
@@ -472,7 +486,7 @@
         }
     }
 
-    fn best(&self, now: Time, demand: &Demand, chains: &[(u64, u32)]) -> Option<Candidate> {
+    fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
         let usable = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
                 && !state.server.leaving
@@ -480,9 +494,9 @@
                 && !demand.tried.contains(&state.server.id)
                 && !state.health.is_paused(now, &demand.domain)
         });
-        let keeper = self.keeper(now, demand, chains);
+        let keeper = self.keeper(now, demand, parts);
         usable
-            .map(|(at, state)| self.candidate(now, demand, chains, at, state, keeper))
+            .map(|(at, state)| self.candidate(now, demand, parts, at, state, keeper))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
@@ -490,7 +504,7 @@
         &self,
         now: Time,
         demand: &Demand,
-        chains: &[(u64, u32)],
+        parts: &[(u64, u32)],
         at: usize,
         state: &State,
         keeper: Option<Keeper>,
@@ -535,7 +549,7 @@
             let begin = wait_ms.max(arrival);
             // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
             // parts in the same places.
-            let home = tie(chains, &state.server.id);
+            let home = tie(parts, &state.server.id);
             let tie = home * (4.0 + settings.home_weight * own_ms);
             let cost = begin + settings.reading_weight * own_ms + settings.fetch_weight * arrival;
             Candidate {
@@ -548,7 +562,7 @@
                 score: (cost + load) * failing + remote_ms + tie,
             }
         };
-        let kept = state.cache.hit(chains);
+        let kept = state.cache.hit(parts);
         let read = candidate(kept, None);
         let fetch = keeper.and_then(|keeper| self.fetch(now, demand, keeper, at, kept));
         match fetch {
@@ -564,13 +578,18 @@
         }
     }
 
+    fn cache_tokens(&self, pool: &str) -> u64 {
+        self.engine(pool)
+            .map_or(u64::MAX, |engine| engine.cache_tokens)
+    }
+
     fn engine(&self, pool: &str) -> Option<&Engine> {
         let mut pools = self.document.pools.iter();
         pools.find(|known| &*known.name == pool)?.engine.as_ref()
     }
 
     /// The engine that keeps the most of the prompt.
-    fn keeper(&self, now: Time, demand: &Demand, chains: &[(u64, u32)]) -> Option<Keeper> {
+    fn keeper(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Keeper> {
         self.engine(&demand.pool)?.token_bytes?;
         let keepers = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
@@ -580,7 +599,7 @@
         keepers
             .map(|(at, state)| Keeper {
                 at,
-                kept: state.cache.hit(chains),
+                kept: state.cache.hit(parts),
             })
             .max_by_key(|keeper| {
                 (
@@ -694,9 +713,9 @@
 }
 
 /// A number below 1 that depends on the shared parts of the prompt and the server.
-fn tie(chains: &[(u64, u32)], server: &str) -> f64 {
-    let shared = chains.len().saturating_sub(2);
-    let chain = chains.get(shared).map(|chain| chain.0);
-    let hash = FixedState::default().hash_one((chain, server));
+fn tie(parts: &[(u64, u32)], server: &str) -> f64 {
+    let shared = parts.len().saturating_sub(2);
+    let part = parts.get(shared).map(|part| part.0);
+    let hash = FixedState::default().hash_one((part, server));
     (hash % 4_096) as f64 / 4_096.0
 }
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -171,3 +171,26 @@
     }
     assert!(fetched >= 1);
 }
+
+// After all processes were killed, a placer that does not know what the engines keep takes every prompt for unread and
+// refuses requests that could be on time.
+#[test]
+fn a_restarted_placer_learns_what_is_kept() {
+    let now = Time::from_ms(1_000);
+    let admitted = |placer: &mut Placer| {
+        let requests = (1..200).map(|sequence| demand(sequence, sequence % 10, 13_300, 500));
+        let placed =
+            requests.filter(|request| matches!(placer.place(now, request), Decision::Place { .. }));
+        placed.count()
+    };
+    let mut ignorant = placer(4);
+    let mut informed = placer(4);
+    for thing in 0..10 {
+        let prompt = demand(0, thing, 13_300, 500).prompt.expect("a generation");
+        let parts: Vec<(u64, u32)> = primrose_place::cache::keys(&prompt).take(1).collect();
+        let server = format!("engine-{:02}", 1 + thing % 4);
+        informed.learn_kept(now, &server, &parts);
+    }
+    let (before, after) = (admitted(&mut ignorant), admitted(&mut informed));
+    assert!(after >= before * 3 / 2, "{before} and {after} of 199");
+}
