--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// All counters.
-pub const ALL: [&str; 40] = [
+pub const ALL: [&str; 41] = [
     "answer_foreign",
     "answer_broken",
     "ask_local",
@@ -16,6 +16,7 @@
     "directory_fetched",
     "document_fetched",
     "hopeless_deadline",
+    "host_behind",
     "malformed_request",
     "no_retry_attempts",
     "no_retry_budget",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod link;
 pub mod listener;
+pub mod pace;
 pub mod refusal;
 pub mod request;
 mod stream;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -36,8 +36,11 @@
 /// A core host that was silent for so long, and that no other one names, is forgotten, in ms.
 const FORGET_MS: u64 = 20_000;
 
-/// Time for the answer to a question: a few round trips between failure domains.
-const ASK_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time for the answer to a question, in ms: a few round trips between failure domains.
+const ASK_TIMEOUT_MS: u64 = 40;
+
+/// Interval at which unanswered questions are looked for.
+const ASK_CHECK: Duration = Duration::from_millis(20);
 
 /// How often a question is asked before the host decides for itself.
 const ASKS: usize = 2;
@@ -85,7 +88,6 @@
     state: watch::Receiver<State>,
     /// Identifies this life of the process.
     pub incarnation: u64,
-    meter: Arc<Meter>,
 }
 
 /// What is known about the fleet.
@@ -100,7 +102,6 @@
 enum Command {
     Ask {
         demand: Arc<Demand>,
-        round: usize,
         reply: oneshot::Sender<Decision>,
     },
     Note(Note),
@@ -124,24 +125,17 @@
 
     /// Asks for a server. Always returns a decision: if no core host answers, that of this host.
     pub async fn place(&self, demand: &Arc<Demand>) -> Decision {
-        for round in 0..=ASKS {
-            let (reply, decision) = oneshot::channel();
-            // The task ends only with the process.
-            let _ = self.commands.send(Command::Ask {
-                demand: Arc::clone(demand),
-                round,
-                reply,
-            });
-            if let Ok(Ok(decision)) = tokio::time::timeout(ASK_TIMEOUT, decision).await {
-                return decision;
-            }
-            self.meter.count("ask_repeated");
-        }
-        Decision::Refuse {
+        let (reply, decision) = oneshot::channel();
+        // The task ends only with the process.
+        let _ = self.commands.send(Command::Ask {
+            demand: Arc::clone(demand),
+            reply,
+        });
+        decision.await.unwrap_or(Decision::Refuse {
             reason: placer::Reason::NoServer,
-            return_ms: ASK_TIMEOUT.as_millis() as u32,
+            return_ms: ASK_TIMEOUT_MS as u32,
             wait_ms: 0,
-        }
+        })
     }
 
     /// Tells what became of a request.
@@ -166,7 +160,6 @@
     });
     let (events, happened) = mpsc::channel(64);
     let incarnation = rand::random();
-    let meter = Arc::clone(&inputs.meter);
     let link = Link {
         links: peers::links(inputs.key.clone()),
         placer: Placer::new(inputs.placing.clone()),
@@ -191,7 +184,6 @@
         table,
         state,
         incarnation,
-        meter,
     })
 }
 
@@ -214,8 +206,11 @@
 
 /// A question that waits for its answer.
 struct Asked {
-    key: Key,
+    demand: Arc<Demand>,
     core: Name,
+    sent: Time,
+    /// How often it has been asked before.
+    round: usize,
     reply: oneshot::Sender<Decision>,
 }
 
@@ -259,9 +254,15 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let socket = Arc::clone(&self.socket);
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        let mut check = tokio::time::interval(ASK_CHECK);
+        check.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let flush_at = self.flush_at;
+            let has_asked = !self.asked.is_empty();
             tokio::select! {
+                // Answers that have arrived are read before anything counts as unanswered: on a host that is short of
+                // processor time the questions would otherwise be asked again, which takes more of it.
+                biased;
                 received = socket.recv_from(&mut buffer) => {
                     // An error reports an earlier datagram that could not be delivered.
                     if let Ok((length, _)) = received {
@@ -271,6 +272,7 @@
                 Some(command) = commands.recv() => self.take(command),
                 Some(event) = events.recv() => self.happened(event),
                 _ = tick.tick() => self.tick(),
+                _ = check.tick(), if has_asked => self.ask_again(),
                 () = async { tokio::time::sleep_until(flush_at.unwrap_or_else(Instant::now)).await },
                     if flush_at.is_some() => self.flush(),
             }
@@ -279,18 +281,13 @@
 
     fn take(&mut self, command: Command) {
         match command {
-            Command::Ask {
-                demand,
-                round,
-                reply,
-            } => self.ask(&demand, round, reply),
+            Command::Ask { demand, reply } => self.ask(demand, 0, reply),
             Command::Note(note) => self.note(note),
         }
     }
 
-    fn ask(&mut self, demand: &Arc<Demand>, round: usize, reply: oneshot::Sender<Decision>) {
+    fn ask(&mut self, demand: Arc<Demand>, round: usize, reply: oneshot::Sender<Decision>) {
         let now = Time::now();
-        self.missed(now, demand.key);
         let candidates = self.candidates(now);
         // A host that has just been suspected is no candidate any more, so the first one may be another than before.
         let chosen = if round < ASKS {
@@ -300,36 +297,49 @@
         };
         let Some(&at) = chosen else {
             self.inputs.meter.count("ask_local");
-            let decision = self.placer.place(now, demand);
+            let decision = self.placer.place(now, &demand);
             // The request may have ended meanwhile.
             let _ = reply.send(decision);
             return;
         };
         let core = &self.cores[at];
+        self.send(core.address, &Packet::Ask((*demand).clone()));
         self.asked.push(Asked {
-            key: demand.key,
+            demand,
             core: core.host.clone(),
+            sent: now,
+            round,
             reply,
         });
-        self.send(core.address, &Packet::Ask((**demand).clone()));
     }
 
-    /// Counts a question that is asked again against the host that left it unanswered.
-    fn missed(&mut self, now: Time, key: Key) {
-        let Some(at) = self.asked.iter().position(|asked| asked.key == key) else {
+    /// Asks again what was not answered in time.
+    fn ask_again(&mut self) {
+        let now = Time::now();
+        let is_due = |asked: &mut Asked| now.since(asked.sent) >= ASK_TIMEOUT_MS;
+        let due: Vec<Asked> = self.asked.extract_if(.., is_due).collect();
+        for asked in due {
+            self.missed(now, &asked);
+            if !asked.reply.is_closed() {
+                self.inputs.meter.count("ask_repeated");
+                self.ask(asked.demand, asked.round + 1, asked.reply);
+            }
+        }
+    }
+
+    /// Counts an unanswered question against the host that was asked.
+    fn missed(&mut self, now: Time, asked: &Asked) {
+        let Ok(at) = self.find(&asked.core) else {
             return;
         };
-        let asked = self.asked.swap_remove(at);
-        if let Ok(at) = self.find(&asked.core) {
-            let core = &mut self.cores[at];
-            core.misses += 1;
-            if core.misses >= MISSES {
-                core.misses = 0;
-                core.suspect_until = now.plus_ms(SUSPECT_MS);
-                self.inputs.meter.count("core_suspected");
-                warn!(self.inputs.log, "core host does not answer"; "core" => %asked.core,
-                    "heard_ms_ago" => now.since(self.cores[at].heard));
-            }
+        let core = &mut self.cores[at];
+        core.misses += 1;
+        if core.misses >= MISSES && now >= core.suspect_until {
+            core.misses = 0;
+            core.suspect_until = now.plus_ms(SUSPECT_MS);
+            self.inputs.meter.count("core_suspected");
+            warn!(self.inputs.log, "core host does not answer"; "core" => %asked.core,
+                "heard_ms_ago" => now.since(self.cores[at].heard));
         }
     }
 
@@ -447,7 +457,7 @@
         match packet {
             Packet::Welcome(welcome) => self.welcome(welcome),
             Packet::Answer { key, decision } => {
-                let position = self.asked.iter().position(|asked| asked.key == key);
+                let position = self.asked.iter().position(|asked| asked.demand.key == key);
                 if let Some(at) = position {
                     let asked = self.asked.swap_remove(at);
                     if let Ok(at) = self.find(&asked.core) {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -47,14 +47,24 @@
     }
 }
 
-/// Listens on `address` and answers each request with `handle`. A connection that is idle for `idle` is closed.
+/// Limits of the connections of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A connection that is idle for so long is closed.
+    pub idle: Duration,
+    /// The most connections. Beyond half of them each answer ends its connection, so that a host that callers press on
+    /// keeps descriptors and memory for the requests; beyond all of them new ones are closed at once.
+    pub max_connections: usize,
+}
+
+/// Listens on `address` and answers each request with `handle`.
 ///
 /// # Errors
 ///
 /// Returns the error of the socket.
 pub async fn bind<F, R>(
     address: SocketAddr,
-    idle: Duration,
+    limits: Limits,
     phase: watch::Receiver<Phase>,
     handle: F,
 ) -> io::Result<Handle>
@@ -78,9 +88,21 @@
                 _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
             };
             match accepted {
+                // Callers retry a connection that is closed unread at another host.
+                Ok((stream, _))
+                    if connections.load(Ordering::Relaxed) >= limits.max_connections =>
+                {
+                    drop(stream);
+                }
                 Ok((stream, _)) => {
                     let open = Open::new(&connections);
-                    let served = serve(stream, idle, phase.clone(), handle.clone());
+                    let served = serve(
+                        stream,
+                        limits,
+                        Arc::clone(&connections),
+                        phase.clone(),
+                        handle.clone(),
+                    );
                     tokio::spawn(async move {
                         served.await;
                         drop(open);
@@ -110,8 +132,13 @@
     }
 }
 
-async fn serve<F, R>(stream: TcpStream, idle: Duration, phase: watch::Receiver<Phase>, handle: F)
-where
+async fn serve<F, R>(
+    stream: TcpStream,
+    limits: Limits,
+    connections: Arc<AtomicUsize>,
+    phase: watch::Receiver<Phase>,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Response<Body>>,
 {
@@ -121,9 +148,11 @@
     let service = service_fn(|request| {
         let answer = handle(request);
         let phase = answering.clone();
+        let connections = &connections;
         async move {
             let mut response = answer.await;
-            if *phase.borrow() != Phase::Serving {
+            let is_pressed = connections.load(Ordering::Relaxed) > limits.max_connections / 2;
+            if is_pressed || *phase.borrow() != Phase::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -132,7 +161,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(limits.idle)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -32,6 +32,7 @@
 use crate::budget::Budget;
 use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
 use crate::link;
+use crate::pace::Pace;
 use crate::refusal::Refusal;
 use crate::stream;
 use crate::ticket::Ticket;
@@ -43,6 +44,9 @@
 /// When a caller comes back to a host that is not ready, in ms: another host is chosen then.
 const NOT_READY_RETURN_MS: u32 = 400;
 
+/// When a caller comes back to a host that does not keep up, in ms: retries reach other hosts.
+const BEHIND_RETURN_MS: u32 = 50;
+
 /// When a caller comes back whose server was full, in ms: some requests have ended by then.
 const FULL_RETURN_MS: u32 = 500;
 
@@ -66,6 +70,8 @@
     pub domain: Arc<str>,
     /// The retry budget.
     pub budget: Mutex<Budget>,
+    /// Whether this host keeps up.
+    pub pace: Pace,
     /// Counters and histograms.
     pub meter: Arc<Meter>,
     /// Log.
@@ -83,6 +89,7 @@
         dialect: Dialect,
         domain: Arc<str>,
         budget: Budget,
+        pace: Pace,
         meter: Arc<Meter>,
         log: Logger,
     ) -> Shared {
@@ -91,6 +98,7 @@
             dialect,
             domain,
             budget: Mutex::new(budget),
+            pace,
             meter,
             log,
             pool: Pool::default(),
@@ -176,6 +184,10 @@
             return Err(Refusal::improper("unknown_key", status, message));
         }
     };
+    if shared.pace.is_behind() {
+        let message = "this host does not keep up with its callers";
+        return Err(Refusal::not_run("host_behind", BEHIND_RETURN_MS, message));
+    }
     let route = route.clone();
     let wait_ms = intent
         .deadline_ms
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -7,6 +7,7 @@
 use primrose_entry::budget::{Budget, Settings};
 use primrose_entry::counter;
 use primrose_entry::event::Cutter;
+use primrose_entry::pace::Pace;
 use primrose_entry::refusal::Refusal;
 
 // A stream that goes on at another server must neither lose, double nor tear an event, wherever it was cut.
@@ -107,3 +108,17 @@
         );
     }
 }
+
+// A host that falls behind must stop asking for callers before it refuses them, and a host that waits for its quota of
+// processor time must do neither.
+#[test]
+fn a_host_that_falls_behind_turns_callers_away() {
+    let states: Vec<(bool, bool)> = [40, 100, 200]
+        .into_iter()
+        .map(|delay_ms| {
+            let pace = Pace::fixed(delay_ms);
+            (pace.is_pressed(), pace.is_behind())
+        })
+        .collect();
+    assert_eq!(states, [(false, false), (true, false), (true, true)]);
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -27,6 +27,8 @@
     pub limit: f64,
     /// The same for accounts beyond their share.
     pub excess_limit: f64,
+    /// How much of `excess_limit` is taken away for each further share that an account has got.
+    pub excess_slope: f64,
     /// The same for callers that were refused before and came back: they are late already, so that only their deadline
     /// counts, and a second refusal would have cost them the wait in vain.
     pub return_limit: f64,
@@ -56,6 +58,7 @@
             speed: Speed::default(),
             limit: 0.9,
             excess_limit: 0.35,
+            excess_slope: 0.15,
             return_limit: 2.0,
             own_cap: 0.2,
             reading_weight: 3.0,
@@ -93,6 +96,7 @@
                 self.speed.step_ms_per_thousand,
             ),
             ("speed.first_ms", self.speed.first_ms),
+            ("excess_slope", self.excess_slope),
             ("own_cap", self.own_cap),
             ("reading_weight", self.reading_weight),
             ("home_weight", self.home_weight),
@@ -114,6 +118,9 @@
     }
 }
 
+/// The least part of `excess_limit` that is left for an account far beyond its share: idle servers still serve it.
+const MIN_EXCESS_PART: f64 = 0.6;
+
 /// How long a server is left alone after it said that it is full, in ms: a few of its steps.
 const FULL_PAUSE_MS: u64 = 60;
 
@@ -656,7 +663,10 @@
             _ => 0.0,
         };
         let (limit, reason) = if excess > 1.0 {
-            (self.settings.excess_limit, Reason::OverShare)
+            // The further beyond, the later: or an account that floods gets more than one that asks for little more than
+            // its share.
+            let part = (1.0 + self.settings.excess_slope * (1.0 - excess)).max(MIN_EXCESS_PART);
+            (self.settings.excess_limit * part, Reason::OverShare)
         } else if demand.returning {
             (self.settings.return_limit, Reason::Overload)
         } else {
