entry: End the connections of callers while this host is pressed

It left the rotation when it fell behind, but its callers kept their connections. Answers now end them while the runtime is 50 ms late.

--- a/crates/entry/src/pace.rs
+++ b/crates/entry/src/pace.rs
@@ -18,7 +18,7 @@
 const BEHIND_MS: u64 = 130;
 
 /// Mean delay beyond which the host asks for no more callers, in ms.
-const PRESSED_MS: u64 = 90;
+const PRESSED_MS: u64 = 50;
 
 /// The delay of the runtime of this process.
 #[derive(Clone, Debug, Default)]
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -10,8 +10,8 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
@@ -140,7 +140,7 @@
         .as_ref()
         .ok()
         .map(|intent| Arc::clone(&intent.attempt));
-    match admit(&shared, head, body, intent, started, start).await {
+    let mut response = match admit(&shared, head, body, intent, started, start).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             shared.meter.count(refusal.code);
@@ -148,7 +148,13 @@
                 "status" => refusal.status.as_u16(), "message" => &refusal.message);
             refusal.response()
         }
+    };
+    if shared.pace.is_pressed() {
+        // The caller's next connection goes to a host that is ready.
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 /// Looks a request up and reads its body.
