--- a/crates/cli/tests/primrose.rs
+++ b/crates/cli/tests/primrose.rs
@@ -243,7 +243,7 @@
 #[test]
 fn every_command_on_the_operations_page_exists() {
     let folder = folder();
-    let page = include_str!("../../../docs/operations.md");
+    let page = include_str!("../../../docs/OPERATIONS.md");
     let commands = page
         .lines()
         .filter_map(|line| line.trim_start().strip_prefix("primrose "));
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -1,14 +1,21 @@
 //! Events, the retry budget, refusals and counters.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use primrose_base::clock::Time;
+use primrose_entry::body::Body;
 use primrose_entry::budget::{Budget, Settings};
 use primrose_entry::counter;
 use primrose_entry::event::Cutter;
+use primrose_entry::listener::{self, Limits, Phase};
 use primrose_entry::pace::Pace;
 use primrose_entry::refusal::Refusal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 // A stream that goes on at another server must neither lose, double nor tear an event, wherever it was cut.
 #[test]
@@ -122,3 +129,63 @@
         .collect();
     assert_eq!(states, [(false, false), (true, false), (true, true)]);
 }
+
+// Callers that press on a host must not use up its descriptors and memory: from half of the limit on, answers end their
+// connections, and beyond the limit a connection is closed unread.
+#[tokio::test]
+async fn connections_of_callers_are_bounded() {
+    let limits = Limits {
+        idle: Duration::from_secs(5),
+        max_connections: 4,
+    };
+    let (_phase, followed) = watch::channel(Phase::Serving);
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let listener = listener::bind(address, limits, followed, |_| async {
+        hyper::Response::new(Body::whole("here"))
+    })
+    .await
+    .expect("binds");
+    let mut open = Vec::new();
+    let mut heads = Vec::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(listener.address)
+            .await
+            .expect("connects");
+        heads.push(ask(&mut stream).await);
+        open.push(stream);
+    }
+    assert!(!heads[0].contains("connection: close"), "{}", heads[0]);
+    assert!(heads[2].contains("connection: close"), "{}", heads[2]);
+    let held: Vec<TcpStream> = {
+        let mut held = Vec::new();
+        while listener.connections() < 4 {
+            held.push(
+                TcpStream::connect(listener.address)
+                    .await
+                    .expect("connects"),
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        held
+    };
+    let mut beyond = TcpStream::connect(listener.address)
+        .await
+        .expect("connects");
+    assert_eq!(ask(&mut beyond).await, "");
+    drop(held);
+}
+
+/// The head of an answer in lower case; empty if the connection is closed unread.
+async fn ask(stream: &mut TcpStream) -> String {
+    let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    let mut bytes = Vec::new();
+    if stream.write_all(request).await.is_ok() {
+        while !bytes.ends_with(b"here") {
+            // A reset is as good as a close here.
+            if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).to_lowercase()
+}
