entry: Refuse a growing part of the requests from the first delays on

A part of the requests is now refused before anything else is done for them, from 20 ms on, and all from 80 ms; retries reach other hosts.

--- a/crates/entry/src/pace.rs
+++ b/crates/entry/src/pace.rs
@@ -13,17 +13,21 @@
 /// Weight of one measurement.
 const WEIGHT: f64 = 0.2;
 
-/// Mean delay beyond which requests are refused, in ms: more than a host with a quota of processor time waits for the
-/// next one, and a good part of the shortest objectives.
-const BEHIND_MS: u64 = 130;
+/// Mean delay from which on a part of the requests is refused, in ms: a fraction of the shortest objectives.
+const SHED_FROM_MS: f64 = 20.0;
+
+/// Mean delay at which all requests are refused, in ms.
+const SHED_ALL_MS: f64 = 80.0;
 
 /// Mean delay beyond which the host asks for no more callers, in ms.
-const PRESSED_MS: u64 = 50;
+const PRESSED_MS: u64 = 40;
 
 /// The delay of the runtime of this process.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
     delay_ms: Arc<AtomicU64>,
+    /// Parts of requests that were not refused yet, in thousandths.
+    owed: Arc<AtomicU64>,
 }
 
 impl Pace {
@@ -50,9 +54,16 @@
         pace
     }
 
-    /// Whether requests that have just arrived are better served by another host.
-    pub fn is_behind(&self) -> bool {
-        self.delay_ms.load(Ordering::Relaxed) > BEHIND_MS
+    /// Whether a request that has just arrived is better served by another host. The part of the requests for which this
+    /// holds grows with the delay, so that the host goes on serving what it can.
+    pub fn sheds(&self) -> bool {
+        let delay = self.delay_ms.load(Ordering::Relaxed) as f64;
+        let part = ((delay - SHED_FROM_MS) / (SHED_ALL_MS - SHED_FROM_MS)).clamp(0.0, 1.0);
+        let owed = self.owed.load(Ordering::Relaxed) + (part * 1_000.0) as u64;
+        let sheds = owed >= 1_000;
+        let rest = if sheds { owed - 1_000 } else { owed };
+        self.owed.store(rest, Ordering::Relaxed);
+        sheds
     }
 
     /// Whether the host should get no more callers.
@@ -65,6 +76,6 @@
 fn smoothed(mean: f64, slept: Duration) -> f64 {
     let delay = slept.saturating_sub(INTERVAL).as_secs_f64() * 1_000.0;
     // One long stop, such as a suspended machine, says nothing about the load.
-    let delay = delay.min(4.0 * BEHIND_MS as f64);
+    let delay = delay.min(4.0 * SHED_ALL_MS);
     mean + WEIGHT * (delay - mean)
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -166,6 +166,10 @@
     started: Time,
     start: Instant,
 ) -> Result<Job, Refusal> {
+    if shared.pace.sheds() {
+        let message = "this host does not keep up with its callers";
+        return Err(Refusal::not_run("host_behind", BEHIND_RETURN_MS, message));
+    }
     let Some(table) = shared.link.table() else {
         let message = "this host has no configuration yet";
         return Err(Refusal::not_run("not_ready", NOT_READY_RETURN_MS, message));
@@ -190,10 +194,6 @@
             return Err(Refusal::improper("unknown_key", status, message));
         }
     };
-    if shared.pace.is_behind() {
-        let message = "this host does not keep up with its callers";
-        return Err(Refusal::not_run("host_behind", BEHIND_RETURN_MS, message));
-    }
     let route = route.clone();
     let wait_ms = intent
         .deadline_ms
