Split the settings of placement, missed sends and hop-by-hop headers into files of their own

Read as a newcomer: placer.rs and request.rs held several subjects, and the greeting of an entry host carried fields that nobody read. The reason of every broken stream is logged, not only of those that may be resumed. A test holds that reads without the lease wait for a majority. Placement behaves as before.

--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -112,7 +112,12 @@
 
 /// Three connected nodes, of which the first leads.
 fn trio() -> ([Node; 3], Time) {
-    let mut nodes = [node(1, 3), node(2, 3), node(3, 3)];
+    trio_with(&Options::default())
+}
+
+fn trio_with(options: &Options) -> ([Node; 3], Time) {
+    let member = |id| Node::new(recovered(id, 3, &[]), options.clone(), at(1), id);
+    let mut nodes = [member(1), member(2), member(3)];
     let mut now = at(700);
     let [first, second, third] = &mut nodes;
     // Only the first one's timer runs out; the others vote as they have not heard from a leader since their start.
@@ -335,6 +340,31 @@
     assert_eq!(ready.reads, [7]);
 }
 
+// Where the monotonic clock stops with the machine, a lease outlives its time: a leader that wakes up must not answer a read
+// before a majority has confirmed it.
+#[test]
+fn without_lease_reads_a_leader_with_a_lease_asks_a_majority() {
+    let options = Options {
+        lease_reads: false,
+        ..Options::default()
+    };
+    let ([mut leader, mut second, third], now) = trio_with(&options);
+    drop(third);
+    assert!(leader.has_lease(now));
+    leader.read(now, 7).expect("leads");
+    let ready = leader.ready().expect("a heartbeat");
+    leader.persisted();
+    assert!(ready.reads.is_empty());
+    for message in ready.messages {
+        second.step(now, message);
+    }
+    for message in flush(&mut second) {
+        leader.step(now, message);
+    }
+    let ready = leader.ready().expect("confirmed");
+    assert_eq!(ready.reads, [7]);
+}
+
 // Disk loss: the old replica id must never come back, and the new one must not count before its promotion.
 #[test]
 fn a_lost_disk_gets_a_new_id() {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -12,12 +12,12 @@
 use primrose_base::name::Name;
 use primrose_fleet::directory::{self, Directory, Freshness, Step};
 use primrose_fleet::ledger::address_of;
-use primrose_fleet::message::{Hello, Note, Packet, Welcome};
+use primrose_fleet::message::{Note, Packet, Welcome};
 use primrose_fleet::peers::{self, Links};
 use primrose_observe::Meter;
 use primrose_place::demand::{Demand, Key};
-use primrose_place::placer::{Decision, Settings};
-use primrose_place::{Placer, placer};
+use primrose_place::placer::Decision;
+use primrose_place::{Placer, Settings, placer};
 use primrose_route::{Document, Table};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key as FleetKey;
@@ -164,7 +164,6 @@
         links: peers::links(inputs.key.clone()),
         placer: Placer::new(inputs.placing.clone()),
         socket,
-        incarnation,
         events,
         table: table_sender,
         state: state_sender,
@@ -224,7 +223,6 @@
 
 struct Link {
     inputs: Inputs,
-    incarnation: u64,
     socket: Arc<UdpSocket>,
     links: Links,
     placer: Placer,
@@ -605,13 +603,8 @@
             .retain(|core| now.since(core.heard.max(core.named)) < FORGET_MS);
         // Questions whose requests have ended.
         self.asked.retain(|asked| !asked.reply.is_closed());
-        let hello = Packet::Hello(Hello {
-            incarnation: self.incarnation,
-            domain: Arc::clone(&self.inputs.domain),
-            version: self.version(),
-        });
         for core in &self.cores {
-            self.send(core.address, &hello);
+            self.send(core.address, &Packet::Hello);
         }
     }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -9,10 +9,7 @@
 use foldhash::quality::FixedState;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
-    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
 use primrose_base::clock::Time;
@@ -31,7 +28,9 @@
 use crate::body::Body;
 use crate::budget::Budget;
 use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
+use crate::hop;
 use crate::link;
+use crate::miss::{FULL_RETURN_MS, Miss};
 use crate::pace::Pace;
 use crate::refusal::Refusal;
 use crate::stream;
@@ -47,9 +46,6 @@
 /// When a caller comes back to a host that does not keep up, in ms: retries reach other hosts.
 const BEHIND_RETURN_MS: u32 = 50;
 
-/// When a caller comes back whose server was full, in ms: some requests have ended by then.
-const FULL_RETURN_MS: u32 = 500;
-
 /// The largest answer that is held until it is complete, in bytes. A larger one is passed on as it comes.
 const MAX_HELD_BYTES: u64 = 512 << 10;
 
@@ -302,16 +298,6 @@
     failed: bool,
 }
 
-/// Why a send got no answer that can be passed on.
-struct Miss {
-    /// Name of the counter if the request is sent again.
-    retry: &'static str,
-    /// The answer to the caller if it is not.
-    refusal: Refusal,
-    /// Whether the server took notice of the request.
-    was_sent: bool,
-}
-
 impl Job {
     async fn run(mut self) -> Response<Body> {
         self.count_request();
@@ -615,7 +601,7 @@
 
     fn request(&self, server: &Server, resume_after: Option<&str>) -> Request<Full<Bytes>> {
         let mut headers = self.head.headers.clone();
-        remove_hop_by_hop(&mut headers);
+        hop::remove(&mut headers);
         headers.remove(EXPECT);
         headers.remove(CONTENT_LENGTH);
         let passage = Passage {
@@ -696,7 +682,7 @@
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
-        remove_hop_by_hop(response.headers_mut());
+        hop::remove(response.headers_mut());
         response
     }
 
@@ -706,7 +692,7 @@
         let mut response = Response::new(Body::Pieces(received));
         *response.status_mut() = answered.head.status;
         *response.headers_mut() = answered.head.headers.clone();
-        remove_hop_by_hop(response.headers_mut());
+        hop::remove(response.headers_mut());
         let resumes = answered.head.status.is_success()
             && self.route.kind.is_stream()
             && self.route.kind.is_repeatable();
@@ -718,11 +704,11 @@
         response
     }
 
-    /// Whether a stream that broke off for `reason` goes on at another server.
-    pub(crate) fn may_resume(&mut self, reason: &str) -> bool {
+    /// Whether a stream that broke off for `reason` goes on at another server, if its route allows that at all.
+    pub(crate) fn may_resume(&mut self, reason: &str, resumes: bool) -> bool {
         self.may_have_run = true;
         let miss = Miss::unknown("stream_resumed", "stream_broken", reason);
-        let may_go_on = self.may_go_on(&miss).is_ok();
+        let may_go_on = resumes && self.may_go_on(&miss).is_ok();
         info!(self.shared.log, "stream broke off"; "id" => &*self.intent.attempt,
             "server" => self.server.as_deref(), "reason" => reason, "goes_on" => may_go_on);
         if may_go_on {
@@ -751,64 +737,8 @@
     }
 }
 
-impl Miss {
-    fn not_run(retry: &'static str, code: &'static str, message: &str) -> Miss {
-        Miss {
-            retry,
-            refusal: Refusal::not_run(code, FULL_RETURN_MS, message),
-            was_sent: false,
-        }
-    }
-
-    fn sent(mut self) -> Miss {
-        self.was_sent = true;
-        self
-    }
-
-    fn full(server: &str) -> Miss {
-        let message = format!("server {server} is full");
-        Miss::not_run("retry_server_full", "server_full", &message).sent()
-    }
-
-    fn unknown(retry: &'static str, code: &'static str, message: &str) -> Miss {
-        Miss {
-            retry,
-            refusal: Refusal::unknown(code, StatusCode::BAD_GATEWAY, message),
-            was_sent: true,
-        }
-    }
-}
-
 fn is_large(answered: &Answered) -> bool {
     let length = answered.head.headers.get(CONTENT_LENGTH);
     let length = length.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
     length.is_some_and(|length| length > MAX_HELD_BYTES)
 }
-
-/// Removes the headers that concern only one connection.
-fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let fixed = [
-        CONNECTION,
-        TRANSFER_ENCODING,
-        TE,
-        TRAILER,
-        UPGRADE,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in fixed {
-        headers.remove(name);
-    }
-}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -87,7 +87,7 @@
         };
         drop(connection);
         ticket.end(Outcome::Answered { failed: true });
-        if !resumes || !job.may_resume(&reason) {
+        if !job.may_resume(&reason, resumes) {
             break_off(&job, &pieces, "stream_broken").await;
             return;
         }
--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/hub.rs
@@ -9,8 +9,8 @@
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_observe::Meter;
-use primrose_place::placer::{Decision, Settings};
-use primrose_place::{Demand, Placer, Server};
+use primrose_place::placer::{Decision, Reason};
+use primrose_place::{Demand, Placer, Server, Settings};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key;
 use slog::{Logger, info, warn};
@@ -21,7 +21,7 @@
 
 use crate::directory::{self, Directory, Freshness, Step};
 use crate::ledger::{self, Input, Outgoing, Standing};
-use crate::message::{Beat, Hello, Introduction, Note, Packet, Welcome};
+use crate::message::{Beat, Introduction, Note, Packet, Welcome};
 use crate::peers::{self, Links, Shown};
 use crate::store::Stored;
 
@@ -224,7 +224,7 @@
             return;
         };
         match packet {
-            Packet::Hello(hello) => self.hello(source, &hello),
+            Packet::Hello => self.hello(source),
             Packet::Ask(demand) => self.ask(source, &demand),
             Packet::Notes(notes) => self.notes(notes),
             Packet::Beat(beat) => self.beat(&beat),
@@ -237,7 +237,7 @@
         }
     }
 
-    fn hello(&mut self, source: SocketAddr, _: &Hello) {
+    fn hello(&mut self, source: SocketAddr) {
         let now = Time::now();
         match self.entries.binary_search_by_key(&source, |e| e.address) {
             Ok(at) => self.entries[at].heard = now,
@@ -260,10 +260,10 @@
         self.inputs.meter.count(match &decision {
             Decision::Place { .. } => "ask_placed",
             Decision::Refuse { reason, .. } => match reason {
-                primrose_place::placer::Reason::NoServer => "ask_refused_no_server",
-                primrose_place::placer::Reason::Overload => "ask_refused_overload",
-                primrose_place::placer::Reason::OverShare => "ask_refused_over_share",
-                primrose_place::placer::Reason::Deadline => "ask_refused_hopeless_deadline",
+                Reason::NoServer => "ask_refused_no_server",
+                Reason::Overload => "ask_refused_overload",
+                Reason::OverShare => "ask_refused_over_share",
+                Reason::Deadline => "ask_refused_hopeless_deadline",
             },
         });
         let key = demand.key;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -18,8 +18,8 @@
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Packet {
-    /// An entry host makes itself known to a core host.
-    Hello(Hello),
+    /// An entry host makes itself known to a core host, which answers with a [`Welcome`].
+    Hello,
     /// A core host answers, or tells that something changed.
     Welcome(Welcome),
     /// An entry host asks for a server.
@@ -44,17 +44,6 @@
     },
 }
 
-/// An entry host makes itself known.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
-    /// Identifies this life of the process.
-    pub incarnation: u64,
-    /// Its failure domain.
-    pub domain: Arc<str>,
-    /// The version of its document; 0 for none.
-    pub version: u64,
-}
-
 /// What a core host tells an entry host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Welcome {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -15,8 +15,10 @@
 pub mod health;
 pub mod placer;
 pub mod server;
+pub mod settings;
 pub mod share;
 
 pub use demand::Demand;
 pub use placer::Placer;
 pub use server::Server;
+pub use settings::Settings;
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -6,8 +6,9 @@
 
 use load::{Replay, Tally};
 use primrose_base::clock::Time;
+use primrose_place::Settings;
 use primrose_place::demand::Demand;
-use primrose_place::placer::{Decision, Outcome, Placer, Reason, Settings};
+use primrose_place::placer::{Decision, Outcome, Placer, Reason};
 use support::{demand, document, engines, placer, server_of};
 
 fn from(account: &str, demand: Demand) -> Demand {
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/support/mod.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use primrose_place::Server;
+use primrose_place::Settings;
 use primrose_place::demand::{Demand, Key, Part, Prompt};
-use primrose_place::placer::{Decision, Placer, Settings};
+use primrose_place::placer::{Decision, Placer};
 use primrose_route::Document;
 use primrose_route::document::{Engine, Pool};
 
