daemon: Let a caller meet every killed host in the test of payouts

No promise was broken; the callers happened to wait at other hosts while each one was down, so nobody was told "not run" and the test had nothing to check there. Each killed host now gets a call of its own, which is checked like the others; the assertion stays.

--- a/crates/daemon/tests/fleet/claims.rs
+++ b/crates/daemon/tests/fleet/claims.rs
@@ -106,14 +106,19 @@
     story
 }
 
-/// Faults of hosts and links, one at a time, each repaired before the next.
-async fn disturb(fleet: &mut Fleet, rng: &mut SmallRng) {
+/// Faults of hosts and links, one at a time, each repaired before the next. Returns what callers of killed hosts learnt: on
+/// a busy machine the others may be waiting elsewhere while a host is down, and nobody would be told "not run".
+async fn disturb(fleet: &mut Fleet, rng: &mut SmallRng) -> Vec<Story> {
+    let mut callers = SmallRng::seed_from_u64(rng.random());
+    let mut stories = Vec::new();
     for number in 0..FAULTS * rounds() {
         let at = rng.random_range(0..fleet.hosts.len());
         let ms = rng.random_range(100..3_000);
         match number % 3 {
             0 => {
                 fleet.hosts[at].kill();
+                let killed = [fleet.hosts[at].callers];
+                stories.push(call(&killed, format!("killed-{number}"), &mut callers).await);
                 // Long enough for callers to meet the closed port.
                 pause(500 + ms / 3).await;
                 fleet.hosts[at].start();
@@ -133,6 +138,7 @@
         }
         pause(rng.random_range(100..700)).await;
     }
+    stories
 }
 
 async fn pause(ms: u64) {
@@ -189,9 +195,8 @@
             })
         })
         .collect();
-    disturb(&mut fleet, &mut SmallRng::seed_from_u64(seed)).await;
+    let mut stories = disturb(&mut fleet, &mut SmallRng::seed_from_u64(seed)).await;
     done.store(true, Ordering::Relaxed);
-    let mut stories = Vec::new();
     for caller in callers {
         stories.extend(caller.await.expect("a caller ends well"));
     }
