--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -10,8 +10,8 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
@@ -32,6 +32,7 @@
 use crate::budget::Budget;
 use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
 use crate::link;
+use crate::pace::Pace;
 use crate::refusal::Refusal;
 use crate::stream;
 use crate::ticket::Ticket;
@@ -43,6 +44,9 @@
 /// When a caller comes back to a host that is not ready, in ms: another host is chosen then.
 const NOT_READY_RETURN_MS: u32 = 400;
 
+/// When a caller comes back to a host that does not keep up, in ms: retries reach other hosts.
+const BEHIND_RETURN_MS: u32 = 50;
+
 /// When a caller comes back whose server was full, in ms: some requests have ended by then.
 const FULL_RETURN_MS: u32 = 500;
 
@@ -66,6 +70,8 @@
     pub domain: Arc<str>,
     /// The retry budget.
     pub budget: Mutex<Budget>,
+    /// Whether this host keeps up.
+    pub pace: Pace,
     /// Counters and histograms.
     pub meter: Arc<Meter>,
     /// Log.
@@ -83,6 +89,7 @@
         dialect: Dialect,
         domain: Arc<str>,
         budget: Budget,
+        pace: Pace,
         meter: Arc<Meter>,
         log: Logger,
     ) -> Shared {
@@ -91,6 +98,7 @@
             dialect,
             domain,
             budget: Mutex::new(budget),
+            pace,
             meter,
             log,
             pool: Pool::default(),
@@ -132,7 +140,7 @@
         .as_ref()
         .ok()
         .map(|intent| Arc::clone(&intent.attempt));
-    match admit(&shared, head, body, intent, started, start).await {
+    let mut response = match admit(&shared, head, body, intent, started, start).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             shared.meter.count(refusal.code);
@@ -140,7 +148,13 @@
                 "status" => refusal.status.as_u16(), "message" => &refusal.message);
             refusal.response()
         }
+    };
+    if shared.pace.is_pressed() {
+        // The caller's next connection goes to a host that is ready.
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 /// Looks a request up and reads its body.
@@ -176,6 +190,10 @@
             return Err(Refusal::improper("unknown_key", status, message));
         }
     };
+    if shared.pace.is_behind() {
+        let message = "this host does not keep up with its callers";
+        return Err(Refusal::not_run("host_behind", BEHIND_RETURN_MS, message));
+    }
     let route = route.clone();
     let wait_ms = intent
         .deadline_ms
@@ -302,7 +320,9 @@
                 Ok(answered) => answered,
                 Err(refusal) => return self.give_up(&refusal),
             };
-            if self.route.kind.is_stream() || is_large(&answered) {
+            // A failure of the server is short, also where the answer would be a stream.
+            let comes_in_pieces = self.route.kind.is_stream() && !answered.failed;
+            if comes_in_pieces || is_large(&answered) {
                 return self.pass_on(answered);
             }
             match self.hold(answered).await {
