place: Look every cache up once for a request, and keep one copy of small steps

Found by reading the whole change again: the placer hashed the tie and looked each server's kept parts up twice for a request, collected the parts of a prompt in two places and had the time of a booking that is not measured yet twice. The comment on learn_kept claimed that known parts keep their age; they count as used now.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -136,7 +136,7 @@
     load: Load,
     cache: Cache,
     health: Health,
-    /// Mean time that a request is booked, in ms.
+    /// Mean time that a request is booked, in ms; 0 until one has been measured.
     hold_ms: f64,
     /// Whether another server was found at its address.
     gone: bool,
@@ -144,6 +144,17 @@
     link_until: f64,
 }
 
+impl State {
+    /// The mean time of a booking, or `initial` until one has been measured.
+    fn hold_ms_or(&self, initial: f64) -> f64 {
+        if self.hold_ms > 0.0 {
+            self.hold_ms
+        } else {
+            initial
+        }
+    }
+}
+
 /// Books requests on the servers of all pools.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -240,8 +251,8 @@
         self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
     }
 
-    /// Takes over what a server says that it keeps, as pairs of the key of a part and its length in tokens. Parts that
-    /// are known already stay as recently used as they were.
+    /// Takes over what a server says that it keeps, as pairs of the key of a part and its length in tokens. All of them
+    /// count as used now.
     pub fn learn_kept(&mut self, now: Time, server: &str, parts: &[(u64, u32)]) {
         let Ok(at) = self.find(server) else {
             return;
@@ -270,11 +281,7 @@
         {
             self.shares.ask(now, account, cost);
         }
-        let parts: Vec<(u64, u32)> = demand
-            .prompt
-            .as_ref()
-            .map(|prompt| cache::keys(prompt).collect())
-            .unwrap_or_default();
+        let parts = parts_of(demand);
         let Some(best) = self.best(now, demand, &parts) else {
             return Decision::Refuse {
                 reason: Reason::NoServer,
@@ -317,11 +324,7 @@
             self.shares.ask(now, account, prompt.cost());
             self.shares.admit(now, account, prompt.cost());
         }
-        let parts: Vec<(u64, u32)> = demand
-            .prompt
-            .as_ref()
-            .map(|prompt| cache::keys(prompt).collect())
-            .unwrap_or_default();
+        let parts = parts_of(demand);
         let kept = self.servers[at].cache.hit(&parts);
         self.enter(now, demand, at, &parts, kept);
     }
@@ -401,9 +404,14 @@
                 && !demand.tried.contains(&state.server.id)
                 && !state.health.is_paused(now, &demand.domain)
         });
-        let keeper = self.keeper(now, demand, parts);
+        let kept: Vec<u32> = self
+            .servers
+            .iter()
+            .map(|state| state.cache.hit(parts))
+            .collect();
+        let keeper = self.keeper(now, demand, &kept);
         usable
-            .map(|(at, state)| self.candidate(now, demand, parts, at, state, keeper))
+            .map(|(at, _)| self.candidate(now, demand, parts, at, kept[at], keeper))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
@@ -413,9 +421,10 @@
         demand: &Demand,
         parts: &[(u64, u32)],
         at: usize,
-        state: &State,
+        kept: u32,
         keeper: Option<Keeper>,
     ) -> Candidate {
+        let state = &self.servers[at];
         let settings = &self.settings;
         let remote_ms = if state.server.domain == demand.domain {
             0.0
@@ -424,11 +433,7 @@
         };
         let failing = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
-            let hold = if state.hold_ms > 0.0 {
-                state.hold_ms
-            } else {
-                INITIAL_WORK_MS
-            };
+            let hold = state.hold_ms_or(INITIAL_WORK_MS);
             let wait_ms = slot_wait_ms(state, hold);
             // Before all slots are taken, spreading still keeps the bursts of other hosts apart.
             let spread = state.load.len() as f64 * hold / f64::from(state.server.slots.max(1));
@@ -442,21 +447,17 @@
                 score: (wait_ms + spread + hold) * failing + remote_ms,
             };
         };
-        let hold = if state.hold_ms > 0.0 {
-            state.hold_ms
-        } else {
-            INITIAL_HOLD_MS
-        };
+        let hold = state.hold_ms_or(INITIAL_HOLD_MS);
         let wait_ms = state.load.wait_ms(now, &settings.speed) + slot_wait_ms(state, hold);
         let load = state.load.len() as f64;
+        // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the parts
+        // in the same places.
+        let home = tie(parts, &state.server.id);
         let candidate = |kept: u32, fetch: Option<Fetch>| {
             let reading = settings.speed.reading(prompt.input, kept);
             let own_ms = state.load.own_ms(&reading, &settings.speed);
             let arrival = fetch.map_or(0.0, |fetch| fetch.arrival_ms);
             let begin = wait_ms.max(arrival);
-            // Servers that are alike are told apart by the prompt, so that placers that do not know of each other keep the
-            // parts in the same places.
-            let home = tie(parts, &state.server.id);
             let tie = home * (4.0 + settings.home_weight * own_ms);
             let cost = begin + settings.reading_weight * own_ms + settings.fetch_weight * arrival;
             Candidate {
@@ -469,19 +470,14 @@
                 score: (cost + load) * failing + remote_ms + tie,
             }
         };
-        let kept = state.cache.hit(parts);
         let read = candidate(kept, None);
-        let fetch = keeper.and_then(|keeper| self.fetch(now, demand, keeper, at, kept));
-        match fetch {
-            Some((keeper, fetch)) => {
-                let fetched = candidate(keeper.kept, Some(fetch));
-                if fetched.score < read.score {
-                    fetched
-                } else {
-                    read
-                }
-            }
-            None => read,
+        let fetched = keeper.and_then(|keeper| {
+            let fetch = self.fetch(now, demand, keeper, at, kept)?;
+            Some(candidate(keeper.kept, Some(fetch)))
+        });
+        match fetched {
+            Some(fetched) if fetched.score < read.score => fetched,
+            _ => read,
         }
     }
 
@@ -495,8 +491,8 @@
         pools.find(|known| &*known.name == pool)?.engine.as_ref()
     }
 
-    /// The engine that keeps the most of the prompt.
-    fn keeper(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Keeper> {
+    /// The engine that keeps the most of the prompt; `kept` has the tokens that each server keeps.
+    fn keeper(&self, now: Time, demand: &Demand, kept: &[u32]) -> Option<Keeper> {
         self.engine(&demand.pool)?.token_bytes?;
         let keepers = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
@@ -504,10 +500,7 @@
                 && !state.health.is_paused(now, &demand.domain)
         });
         keepers
-            .map(|(at, state)| Keeper {
-                at,
-                kept: state.cache.hit(parts),
-            })
+            .map(|(at, _)| Keeper { at, kept: kept[at] })
             .max_by_key(|keeper| {
                 (
                     keeper.kept,
@@ -524,7 +517,7 @@
         keeper: Keeper,
         to: usize,
         kept: u32,
-    ) -> Option<(Keeper, Fetch)> {
+    ) -> Option<Fetch> {
         let engine = self.engine(&demand.pool)?;
         let tokens = keeper.kept.saturating_sub(kept);
         if keeper.at == to || tokens < self.settings.min_fetch_tokens {
@@ -538,13 +531,10 @@
         }
         let start = from.link_until.max(into.link_until) - now.as_ms() as f64;
         let arrival_ms = start.max(0.0) + TRANSFER_SETUP_MS + transfer_ms;
-        arrival_ms.is_finite().then_some((
-            keeper,
-            Fetch {
-                from: keeper.at,
-                arrival_ms,
-            },
-        ))
+        arrival_ms.is_finite().then_some(Fetch {
+            from: keeper.at,
+            arrival_ms,
+        })
     }
 
     fn refusal(&mut self, now: Time, demand: &Demand, best: &Candidate) -> Option<Decision> {
@@ -606,6 +596,11 @@
     }
 }
 
+/// The keys and lengths of the prompt parts; none for a plain service.
+fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
+    demand.prompt.iter().flat_map(cache::keys).collect()
+}
+
 fn refuse(reason: Reason, wait_ms: f64, missing_ms: f64) -> Decision {
     let return_ms = (missing_ms + RETURN_MS.start()).clamp(*RETURN_MS.start(), *RETURN_MS.end());
     Decision::Refuse {
