daemon: Give the daemons of tests ports that the kernel does not hand out

Cause: orders.rs learnt a free port by binding it, freed it and let the daemon bind it again.

Ruled out: a second bind of the same address by the daemon (peers are its first sockets), the source port of a client (connections to 127.0.0.0/8 leave from 127.0.0.1, which does not collide), a statsd socket on all addresses (none is opened without the setting).

Conclusion: every daemon of a test has an address of its own, so fixed ports below the range of the kernel need no reservation. Assertions are unchanged.

--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -1,7 +1,7 @@
 //! Starts daemons as processes, sends them signals, and talks to them.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -28,13 +28,20 @@
 pub(crate) const LIMIT: Duration = Duration::from_secs(60);
 
 const POLL: Duration = Duration::from_millis(20);
+
+/// Ports of every daemon, each on an address of its own. They lie below the ports that the kernel hands out: a port that
+/// is learnt by binding it and freed again can stay in use while another test starts a process.
+const CALLER_PORT: u16 = 7201;
+const OPERATOR_PORT: u16 = 7202;
+const PEER_PORT: u16 = 7203;
+
 const FLEET_KEY: &str = "a fleet key for tests, 32 bytes or more";
 pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 
 /// The API key of the account that [`Fleet::set_up`] adds.
 pub(crate) const API_KEY: &str = "api-key-of-the-tests";
 
-/// Starts of a fleet whose reserved ports another process took in the meantime.
+/// Starts of a fleet one of whose addresses another process uses.
 const START_ATTEMPTS: u32 = 5;
 
 /// What tells a host from the others.
@@ -111,15 +118,14 @@
 }
 
 impl Host {
-    fn reserve(plan: Plan, ip: Ipv4Addr, folder: PathBuf) -> Host {
-        let taken = [reserve(ip), reserve(ip), reserve(ip)];
-        let address = |at: usize| taken[at].0.local_addr().expect("a bound socket");
+    fn new(plan: Plan, ip: Ipv4Addr, folder: PathBuf) -> Host {
+        let peers = (ip, PEER_PORT).into();
         Host {
             plan,
-            callers: address(0),
-            operators: address(1),
-            peers: address(2),
-            listed: address(2),
+            callers: (ip, CALLER_PORT).into(),
+            operators: (ip, OPERATOR_PORT).into(),
+            peers,
+            listed: peers,
             network: Network::default(),
             folder,
             process: None,
@@ -253,17 +259,6 @@
     }
 }
 
-/// A port that is free for TCP and UDP, held until the sockets are dropped.
-fn reserve(ip: Ipv4Addr) -> (TcpListener, UdpSocket) {
-    loop {
-        let listener = TcpListener::bind((ip, 0)).expect("a free port");
-        let address = listener.local_addr().expect("a bound socket");
-        if let Ok(socket) = UdpSocket::bind(address) {
-            return (listener, socket);
-        }
-    }
-}
-
 /// The second byte of the loopback addresses of one fleet, so that fleets seldom meet on an address.
 fn number_of_fleet() -> u8 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -301,7 +296,7 @@
 
     async fn start_with(plans: &[Plan], relayed: bool) -> Fleet {
         for _ in 0..START_ATTEMPTS {
-            let mut fleet = Fleet::reserve(plans);
+            let mut fleet = Fleet::plan(plans);
             if relayed {
                 fleet.attach().await;
             }
@@ -312,14 +307,14 @@
                 return fleet;
             }
         }
-        panic!("the reserved ports were taken {START_ATTEMPTS} times");
+        panic!("the ports were taken {START_ATTEMPTS} times");
     }
 
-    fn reserve(plans: &[Plan]) -> Fleet {
+    fn plan(plans: &[Plan]) -> Fleet {
         let folder = tempfile::tempdir().expect("a folder");
         let number = number_of_fleet();
         let hosts = plans.iter().enumerate().map(|(at, plan)| {
-            Host::reserve(*plan, host_ip(number, *plan, at), folder.path().to_owned())
+            Host::new(*plan, host_ip(number, *plan, at), folder.path().to_owned())
         });
         Fleet {
             hosts: hosts.collect(),
@@ -378,7 +373,7 @@
         let at = self.hosts.len();
         let ip = host_ip(self.number, plan, at);
         self.hosts
-            .push(Host::reserve(plan, ip, self.folder.path().to_owned()));
+            .push(Host::new(plan, ip, self.folder.path().to_owned()));
         self.write_settings();
         at
     }
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a step that fails also fails the test")]
 
 use std::fmt::Write as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -46,6 +46,12 @@
 
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Ports of every daemon, each on an address of its own. They lie below the ports that the kernel hands out. A port that
+/// the test binds, learns and frees again stays in use for a moment if another test starts a process meanwhile: the child
+/// holds the socket until it executes its program.
+const PEER_PORT: u16 = 7101;
+const OPERATOR_PORT: u16 = 7102;
+
 const OPERATOR_KEY: &str = "the-key-of-the-operators";
 
 struct Host {
@@ -98,8 +104,8 @@
             let ip = own_ip();
             Host {
                 name: format!("h{number}"),
-                peer: free_address(ip),
-                operator: free_address(ip),
+                peer: (ip, PEER_PORT).into(),
+                operator: (ip, OPERATOR_PORT).into(),
                 settings: folder.path().join(format!("h{number}.yaml")),
             }
         };
@@ -172,17 +178,6 @@
     Ipv4Addr::new(127, high as u8, process as u8, number)
 }
 
-/// A port that the kernel chose and that is free for TCP and UDP.
-fn free_address(ip: Ipv4Addr) -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn client<'a>(hosts: impl Iterator<Item = &'a Host>, key: &str) -> Client {
     let addresses = hosts.map(|host| host.operator.to_string()).collect();
     Client::new(addresses, Key::new(key).unwrap(), Timeouts::default())
