entry: Turn callers away when they connect, from a few ms of delay on

The delay of the runtime was measured as one pass of its run queue, but a request waits for about eight passes, so a measured 20 to 80 ms was 160 to 640 ms for callers. A refusal cost an accept, a parse, an answer and a log line.

Change: callers are turned away from 2 ms of delay on (all at 12 ms), by a close of the new connection before anything is read, which callers may repeat whatever the request was. A counter and a log line say so. A stream moves its timer only when it fires, and sends without a future while its caller keeps up.

Test: a_host_that_is_behind_closes_ connections_unread and new bounds in a_host_that_falls_behind_turns_callers_ away (both fail on the code before).

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// All counters.
-pub const ALL: [&str; 41] = [
+pub const ALL: [&str; 42] = [
     "answer_foreign",
     "answer_broken",
     "ask_local",
@@ -11,6 +11,7 @@
     "caller_gone",
     "connection_opened",
     "connection_reused",
+    "connection_turned_away",
     "core_suspected",
     "datagram_refused",
     "directory_fetched",
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::body::Body;
+use crate::pace::Pace;
 
 /// The largest head of a request, in bytes, as far as the listener is concerned.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -48,13 +49,16 @@
 }
 
 /// Limits of the connections of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// A connection that is idle for so long is closed.
     pub idle: Duration,
     /// The most connections. Beyond half of them each answer ends its connection, so that a host that callers press on
     /// keeps descriptors and memory for the requests; beyond all of them new ones are closed at once.
     pub max_connections: usize,
+    /// Whether the host keeps up. One that does not closes new connections unread: that takes far less of it than a
+    /// refusal, and callers go to another host at once.
+    pub pace: Pace,
 }
 
 /// Listens on `address` and answers each request with `handle`.
@@ -89,16 +93,12 @@
             };
             match accepted {
                 // Callers retry a connection that is closed unread at another host.
-                Ok((stream, _))
-                    if connections.load(Ordering::Relaxed) >= limits.max_connections =>
-                {
-                    drop(stream);
-                }
+                Ok((stream, _)) if limits.turns_away(&connections) => drop(stream),
                 Ok((stream, _)) => {
                     let open = Open::new(&connections);
                     let served = serve(
                         stream,
-                        limits,
+                        limits.clone(),
                         Arc::clone(&connections),
                         phase.clone(),
                         handle.clone(),
@@ -116,6 +116,12 @@
     Ok(running)
 }
 
+impl Limits {
+    fn turns_away(&self, connections: &AtomicUsize) -> bool {
+        connections.load(Ordering::Relaxed) >= self.max_connections || self.pace.turns_away()
+    }
+}
+
 /// Counts a connection while it is open.
 struct Open(Arc<AtomicUsize>);
 
--- a/crates/entry/src/pace.rs
+++ b/crates/entry/src/pace.rs
@@ -7,20 +7,28 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use primrose_observe::Meter;
+use slog::{Logger, info};
+
 /// Interval at which the delay of the runtime is measured.
 const INTERVAL: Duration = Duration::from_millis(25);
 
 /// Weight of one measurement.
 const WEIGHT: f64 = 0.2;
 
-/// Mean delay from which on a part of the requests is refused, in ms: a fraction of the shortest objectives.
-const SHED_FROM_MS: f64 = 20.0;
+/// Mean delay from which on a part of the callers is turned away, in ms. A request waits about eight times for its turn
+/// between its arrival and its answer, and the shortest objectives are 100 ms.
+const SHED_FROM_MS: f64 = 2.0;
 
-/// Mean delay at which all requests are refused, in ms.
-const SHED_ALL_MS: f64 = 80.0;
+/// Mean delay at which all callers are turned away, in ms.
+const SHED_ALL_MS: f64 = 12.0;
 
 /// Mean delay beyond which the host asks for no more callers, in ms.
-const PRESSED_MS: u64 = 40;
+const PRESSED_MS: u64 = 8;
+
+/// The longest delay that one measurement counts, in ms: a long stop, such as a suspended machine, says nothing about the
+/// load.
+const MAX_DELAY_MS: f64 = 320.0;
 
 /// The delay of the runtime of this process.
 #[derive(Clone, Debug, Default)]
@@ -28,20 +36,31 @@
     delay_ms: Arc<AtomicU64>,
     /// Parts of requests that were not refused yet, in thousandths.
     owed: Arc<AtomicU64>,
+    /// Counts callers that are turned away; `None` where nobody reads it.
+    meter: Option<Arc<Meter>>,
 }
 
 impl Pace {
     /// Starts to measure.
-    pub fn spawn() -> Pace {
-        let pace = Pace::default();
-        let measured = pace.clone();
+    pub fn spawn(meter: &Arc<Meter>, log: &Logger) -> Pace {
+        let pace = Pace {
+            meter: Some(Arc::clone(meter)),
+            ..Pace::default()
+        };
+        let (measured, log) = (pace.clone(), log.clone());
         tokio::spawn(async move {
             let mut mean = 0.0;
+            let mut was_pressed = false;
             loop {
                 let start = Instant::now();
                 tokio::time::sleep(INTERVAL).await;
                 mean = smoothed(mean, start.elapsed());
                 measured.delay_ms.store(mean as u64, Ordering::Relaxed);
+                let is_pressed = measured.is_pressed();
+                if is_pressed != was_pressed {
+                    was_pressed = is_pressed;
+                    info!(log, "load of this host changed"; "behind" => is_pressed, "delay_ms" => mean as u64);
+                }
             }
         });
         pace
@@ -66,6 +85,16 @@
         sheds
     }
 
+    /// Whether a caller that has just connected is turned away. Its connection is closed unread, which takes far less of
+    /// this host than a refusal; callers repeat at another host what was not read, whatever it was.
+    pub fn turns_away(&self) -> bool {
+        let sheds = self.sheds();
+        if let (true, Some(meter)) = (sheds, &self.meter) {
+            meter.count("connection_turned_away");
+        }
+        sheds
+    }
+
     /// Whether the host should get no more callers.
     pub fn is_pressed(&self) -> bool {
         self.delay_ms.load(Ordering::Relaxed) > PRESSED_MS
@@ -75,7 +104,6 @@
 /// The mean after one more sleep of [`INTERVAL`] that took `slept`.
 fn smoothed(mean: f64, slept: Duration) -> f64 {
     let delay = slept.saturating_sub(INTERVAL).as_secs_f64() * 1_000.0;
-    // One long stop, such as a suspended machine, says nothing about the load.
-    let delay = delay.min(4.0 * SHED_ALL_MS);
+    let delay = delay.min(MAX_DELAY_MS);
     mean + WEIGHT * (delay - mean)
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,5 +1,6 @@
 //! Carries streams from backend servers to callers.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::Instant;
 
 use crate::body::Broken;
@@ -127,21 +129,33 @@
 impl Passage<'_> {
     async fn carry(&mut self, mut body: Incoming, ticket: &mut Ticket) -> End {
         let silence = self.silence();
+        let pieces = self.pieces;
+        let mut closed = pin!(pieces.closed());
+        // The timer is moved only when it fires, since most events come long before.
+        let mut timer = pin!(tokio::time::sleep_until(self.ends(silence)));
         loop {
-            let ends = match silence {
-                Some(silence) => (Instant::now() + silence).min(self.job.ends),
-                None => self.job.ends,
-            };
-            let frame = tokio::select! {
-                frame = tokio::time::timeout_at(ends, body.frame()) => frame,
-                () = self.pieces.closed() => return End::CallerGone,
+            let ends = self.ends(silence);
+            let frame = loop {
+                tokio::select! {
+                    biased;
+                    frame = body.frame() => break frame,
+                    () = &mut closed => return End::CallerGone,
+                    () = &mut timer => {
+                        let now = Instant::now();
+                        if now >= self.job.ends {
+                            return End::TimedOut;
+                        }
+                        if now >= ends {
+                            return End::Silent;
+                        }
+                        timer.as_mut().reset(ends);
+                    }
+                }
             };
             let data = match frame {
-                Err(_) if Instant::now() >= self.job.ends => return End::TimedOut,
-                Err(_) => return End::Silent,
-                Ok(None) => return self.finish().await,
-                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                None => return self.finish().await,
+                Some(Err(error)) => return End::Broken(error.to_string()),
+                Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     // Trailers say nothing to the caller.
                     Err(_) => continue,
@@ -165,13 +179,23 @@
         }
     }
 
+    /// When the server has to have sent more.
+    fn ends(&self, silence: Option<Duration>) -> Instant {
+        let ends = self.job.ends;
+        silence.map_or(ends, |silence| (Instant::now() + silence).min(ends))
+    }
+
     async fn pass(&mut self, bytes: Bytes) -> bool {
         if self.first_ms.is_none() {
             let latency = Time::now().since(self.job.started);
             *self.first_ms = Some(latency);
             self.job.shared.meter.record("first_event", latency);
         }
-        self.pieces.send(Ok(bytes)).await.is_ok()
+        match self.pieces.try_send(Ok(bytes)) {
+            Ok(()) => true,
+            Err(TrySendError::Full(bytes)) => self.pieces.send(bytes).await.is_ok(),
+            Err(TrySendError::Closed(_)) => false,
+        }
     }
 
     /// The server has ended the stream.
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -116,15 +116,39 @@
     }
 }
 
-// A host that falls behind must turn away the part of its callers that it cannot serve, and not one more.
+// A host that falls behind must turn away the part of its callers that it cannot serve, and not one more. A request waits
+// for its turn about eight times, so a delay of 12 ms has used up an objective of 100 ms.
 #[test]
 fn a_host_that_falls_behind_turns_callers_away() {
     let shed = |delay_ms| {
         let pace = Pace::fixed(delay_ms);
         (0..100).filter(|_| pace.sheds()).count()
     };
-    assert_eq!([shed(10), shed(50), shed(300)], [0, 50, 100]);
-    assert!(!Pace::fixed(30).is_pressed() && Pace::fixed(50).is_pressed());
+    assert_eq!([shed(1), shed(7), shed(12)], [0, 50, 100]);
+    assert!(!Pace::fixed(6).is_pressed() && Pace::fixed(10).is_pressed());
+}
+
+// A caller that connects to a host that is behind must learn it at once, by a close before anything is read: reading and
+// refusing took the processor time of the requests that the host could have served.
+#[tokio::test]
+async fn a_host_that_is_behind_closes_connections_unread() {
+    let limits = Limits {
+        idle: Duration::from_secs(5),
+        max_connections: 4,
+        pace: Pace::fixed(50),
+    };
+    let (_phase, followed) = watch::channel(Phase::Serving);
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let listener = listener::bind(address, limits, followed, |_| async {
+        hyper::Response::new(Body::whole("here"))
+    })
+    .await
+    .expect("binds");
+    let mut stream = TcpStream::connect(listener.address)
+        .await
+        .expect("connects");
+    assert_eq!(ask(&mut stream).await, "");
+    assert_eq!(listener.connections(), 0);
 }
 
 // Callers that press on a host must not use up its descriptors and memory: from half of the limit on, answers end their
@@ -134,6 +158,7 @@
     let limits = Limits {
         idle: Duration::from_secs(5),
         max_connections: 4,
+        pace: Pace::default(),
     };
     let (_phase, followed) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("an address");
