place: Leave a plain request its whole objective

Cause: the fixed time between the end of reading and an engine's first event (85 ms) was taken off the objective of every request, also of those of pools without engines. With an objective of 100 or 120 ms nothing was left, so an order or a stock check that had to wait 4 ms for a slot was refused as overload and came back a third of its deadline later.

Ruled out: the delay of the entry host (a median of 18 ms from arrival to answer), too few slots (18 of them, under 4 busy), Retry-After (clients came back after a third of their time whatever it said).

Conclusion: only what follows the wait at that server counts. Test: crates/place/tests/plain.rs (both tests failed before).

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -562,8 +562,9 @@
         } else {
             (self.settings.limit, Reason::Overload)
         };
-        let first =
-            self.settings.speed.first_ms + best.own_ms.min(self.settings.own_cap * objective);
+        // After the wait and its own work, an engine takes a fixed time until the first event; a plain service takes none.
+        let rest = (best.total_ms - best.wait_ms - best.own_ms).max(0.0);
+        let first = rest + best.own_ms.min(self.settings.own_cap * objective);
         let room = (limit * objective - waited - first).max(0.0);
         (best.wait_ms > room).then(|| refuse(reason, best.wait_ms, best.wait_ms - room))
     }
--- /dev/null
+++ b/crates/place/tests/plain.rs
@@ -0,0 +1,84 @@
+//! Placement on pools without engines, where a request holds a slot until it is answered.
+
+mod support;
+
+use std::sync::Arc;
+
+use primrose_base::clock::Time;
+use primrose_place::demand::Demand;
+use primrose_place::placer::{Decision, Outcome, Placer, Reason};
+use primrose_place::{Server, Settings};
+use primrose_route::Document;
+use primrose_route::document::Pool;
+
+const POOL: &str = "desk";
+
+/// Three servers of six slots.
+fn placer() -> Placer {
+    let server = |number: u32| Server {
+        pool: POOL.into(),
+        slots: 6,
+        ..support::engine(number)
+    };
+    let pool = Pool {
+        name: POOL.into(),
+        max_connections: 110,
+        engine: None,
+    };
+    let mut placer = Placer::new(Settings::default());
+    placer.set_servers(&(1..=3).map(server).collect::<Vec<_>>());
+    placer.set_document(&Arc::new(Document {
+        pools: vec![pool],
+        ..Document::default()
+    }));
+    placer
+}
+
+fn plain(sequence: u64) -> Demand {
+    Demand {
+        pool: POOL.into(),
+        account: None,
+        prompt: None,
+        objective_ms: 100,
+        left_ms: 1_000,
+        ..support::demand(sequence, 0, 0, 0)
+    }
+}
+
+/// Answers requests in 15 ms each until the placer knows how long they hold a slot.
+fn learn(placer: &mut Placer) -> Time {
+    let mut now = Time::from_ms(1_000);
+    for sequence in 0..60 {
+        support::server_of(placer.place(now, &plain(sequence)));
+        now = now.plus_ms(15);
+        let key = plain(sequence).key;
+        placer.end(now, key, Outcome::Answered { failed: false });
+    }
+    now
+}
+
+// A request that waits some ms for a slot is answered well within an objective of 100 ms. It was refused, because the
+// fixed time of an engine's first event was taken off its objective as well.
+#[test]
+fn a_short_wait_for_a_slot_is_no_overload() {
+    let mut placer = placer();
+    let now = learn(&mut placer);
+    for sequence in 100..130 {
+        support::server_of(placer.place(now, &plain(sequence)));
+    }
+}
+
+// A request that would be late because of the wait must be refused at once.
+#[test]
+fn a_wait_beyond_the_objective_is_overload() {
+    let mut placer = placer();
+    let now = learn(&mut placer);
+    let refused = (100..400).find_map(|sequence| match placer.place(now, &plain(sequence)) {
+        Decision::Place { .. } => None,
+        Decision::Refuse { reason, .. } => Some((sequence - 100, reason)),
+    });
+    let (placed, reason) = refused.expect("a refusal");
+    assert_eq!(reason, Reason::Overload);
+    // In 100 ms, 18 slots answer 120 requests of 15 ms.
+    assert!((60..=120).contains(&placed), "{placed}");
+}
