place: Forget parts one by one in the order of their last use

Cause: a placer that has just started learns all parts that an engine keeps with one time of use, and eviction drops everything up to a time. The first prompt that did not fit made the placer forget all of them, after which every shared part was read again somewhere.

Change: parts are ordered by a count of uses, the first part of a prompt as the last used one, since the others are worth nothing without it.

Test: parts_that_were_learnt_together_are_not_forgotten_together (failed before).

--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/hub.rs
@@ -397,7 +397,7 @@
                     info!(self.inputs.log, "engine told what it keeps"; "server" => &*server,
                         "parts" => parts.len());
                     self.inputs.meter.count("kept_read");
-                    self.placer.learn_kept(now, &server, &parts);
+                    self.placer.learn_kept(&server, &parts);
                 }
                 Err(error) => {
                     self.inputs.meter.count("kept_read_failed");
--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -6,7 +6,6 @@
 use std::hash::BuildHasher;
 
 use foldhash::quality::FixedState;
-use primrose_base::clock::Time;
 
 use crate::demand::Prompt;
 
@@ -17,13 +16,16 @@
     kept: Vec<Kept>,
     /// Sum of the tokens in `kept`.
     tokens: u64,
+    /// The order of the last use. Times would not do: parts that are learnt from an engine have one time.
+    last: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     key: u64,
     tokens: u32,
-    used: Time,
+    /// Differs from that of every other part.
+    used: u64,
 }
 
 /// Identifies a part as a model has read it.
@@ -47,12 +49,14 @@
     }
 
     /// Records that the engine reads the prompt, and forgets the least recently used parts beyond `capacity` tokens.
-    pub fn touch(&mut self, now: Time, parts: &[(u64, u32)], capacity: u64) {
-        for &(key, tokens) in parts {
+    pub fn touch(&mut self, parts: &[(u64, u32)], capacity: u64) {
+        // The first part is used last, since the others are worth nothing without it.
+        for &(key, tokens) in parts.iter().rev() {
+            self.last += 1;
+            let used = self.last;
             match self.position(key) {
-                Ok(at) => self.kept[at].used = now,
+                Ok(at) => self.kept[at].used = used,
                 Err(at) => {
-                    let used = now;
                     self.kept.insert(at, Kept { key, tokens, used });
                     self.tokens += u64::from(tokens);
                 }
@@ -72,10 +76,10 @@
     /// Frees an eighth at a time, so that a full cache is not sorted for every request.
     fn evict(&mut self, capacity: u64) {
         let goal = capacity - capacity / 8;
-        let mut ages: Vec<(Time, u32)> = self.kept.iter().map(|k| (k.used, k.tokens)).collect();
+        let mut ages: Vec<(u64, u32)> = self.kept.iter().map(|k| (k.used, k.tokens)).collect();
         ages.sort_unstable();
         let mut excess = self.tokens.saturating_sub(goal);
-        let mut limit = Time::ZERO;
+        let mut limit = 0;
         for (used, tokens) in ages {
             if excess == 0 {
                 break;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -253,12 +253,12 @@
 
     /// Takes over what a server says that it keeps, as pairs of the key of a part and its length in tokens. All of them
     /// count as used now.
-    pub fn learn_kept(&mut self, now: Time, server: &str, parts: &[(u64, u32)]) {
+    pub fn learn_kept(&mut self, server: &str, parts: &[(u64, u32)]) {
         let Ok(at) = self.find(server) else {
             return;
         };
         let capacity = self.cache_tokens(&self.servers[at].server.pool);
-        self.servers[at].cache.touch(now, parts, capacity);
+        self.servers[at].cache.touch(parts, capacity);
     }
 
     /// The servers that keep prompt parts.
@@ -378,7 +378,7 @@
         if let Some(prompt) = &demand.prompt {
             let reading = self.settings.speed.reading(prompt.input, kept);
             state.load.book(now, demand.key, reading);
-            state.cache.touch(now, parts, capacity);
+            state.cache.touch(parts, capacity);
         } else {
             let reading = self.settings.speed.reading(0, 0);
             state.load.book(now, demand.key, reading);
--- a/crates/place/tests/engine.rs
+++ b/crates/place/tests/engine.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use primrose_base::clock::Time;
-use primrose_place::demand::Key;
+use primrose_place::cache::keys;
+use primrose_place::demand::{Demand, Key, Prompt};
 use primrose_place::engine::{Load, Speed};
-use primrose_place::placer::Decision;
+use primrose_place::placer::{Decision, Outcome};
 use support::{demand, placer};
 
 fn key(sequence: u64) -> Key {
@@ -94,3 +95,40 @@
     let warm = predicted(placer.place(later, &demand(2, 7, 13_300, 1_000)));
     assert!(cold > warm + 140, "{cold} {warm}");
 }
+
+// After a restart a placer learns all parts of an engine at once. The first one that no longer fits must push out the
+// oldest of them, not all: they had the same time of use and were forgotten together.
+#[test]
+fn parts_that_were_learnt_together_are_not_forgotten_together() {
+    let mut placer = placer(1);
+    let now = Time::from_ms(1_000);
+    let server = support::engine(1).id;
+    // 40 of these fill the memory of 444,000 tokens to nine tenths.
+    let shared: Vec<u64> = (1..=40).collect();
+    for &thing in &shared {
+        let parts: Vec<(u64, u32)> = keys(&prompt(thing)).take(1).collect();
+        placer.learn_kept(&server, &parts);
+    }
+    let mut place = |at: u64, demand: Demand| {
+        let now = now.plus_ms(500 * at);
+        let decision = placer.place(now, &demand);
+        placer.end(now, demand.key, Outcome::Answered { failed: false });
+        match decision {
+            Decision::Place { kept, .. } => kept,
+            Decision::Refuse { reason, .. } => panic!("{reason:?}"),
+        }
+    };
+    for sequence in 1..=40 {
+        place(sequence, demand(sequence, 1_000 + sequence, 0, 2_000));
+    }
+    // The newest first, since reading a forgotten part again pushes out others.
+    let kept = shared.iter().rev().filter(|&&thing| {
+        let sequence = 100 - thing;
+        place(sequence, demand(sequence, thing, 10_000, 1)) > 0
+    });
+    assert!(kept.count() > 25);
+}
+
+fn prompt(thing: u64) -> Prompt {
+    demand(0, thing, 10_000, 1).prompt.expect("a prompt")
+}
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -190,7 +190,7 @@
         let prompt = demand(0, thing, 13_300, 500).prompt.expect("a generation");
         let parts: Vec<(u64, u32)> = primrose_place::cache::keys(&prompt).take(1).collect();
         let server = format!("engine-{:02}", 1 + thing % 4);
-        informed.learn_kept(now, &server, &parts);
+        informed.learn_kept(&server, &parts);
     }
     let (before, after) = (admitted(&mut ignorant), admitted(&mut informed));
     assert!(after >= before * 3 / 2, "{before} and {after} of 199");
