entry: Accept all waiting connections in one turn

Cause: the task that accepts gives way after 128 connections, and its next turn comes after all other tasks. On the entry host of a large account 3,700 connections a second arrive while it is behind; they waited unaccepted, where their callers can neither be served nor go elsewhere.

Change: that task is not made to give way.

Conclusion: waiting to be accepted is the worst place to wait.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::unconstrained;
 
 use crate::body::Body;
 use crate::pace::Pace;
@@ -83,7 +84,9 @@
         address: listener.local_addr()?,
     };
     let mut closing = phase.clone();
-    tokio::spawn(async move {
+    // All connections that wait are accepted in one turn: on a busy host the next turn is far off, and callers whose
+    // connection is not accepted cannot go to another host.
+    tokio::spawn(unconstrained(async move {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -112,7 +115,7 @@
                 Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
             }
         }
-    });
+    }));
     Ok(running)
 }
 
