place: Learn how long work takes from answers alone

Cause: a server that fails at once held its slot for 1 ms, and the placer took that for its speed. While nothing was known of the others, as after a restart, its failure rate (weight 6) did not outweigh that: it got 100 of 100 requests.

Ruled out: the weight of failures (measured servers are told apart with it), late notes of ends (the test tells them at once).

Conclusion: a failure says nothing about the time of the work. Test: a_server_that_fails_fast_is_avoided (failed before).

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -353,13 +353,16 @@
         state.load.end(key);
         match outcome {
             Outcome::Answered { failed } => {
-                let hold = now.since(booking.booked) as f64;
-                let weight = if state.hold_ms > 0.0 {
-                    HOLD_WEIGHT
-                } else {
-                    1.0
-                };
-                state.hold_ms += weight * (hold - state.hold_ms);
+                // How long a failure takes says nothing about the work: a server that fails at once would look fast.
+                if !failed {
+                    let hold = now.since(booking.booked) as f64;
+                    let weight = if state.hold_ms > 0.0 {
+                        HOLD_WEIGHT
+                    } else {
+                        1.0
+                    };
+                    state.hold_ms += weight * (hold - state.hold_ms);
+                }
                 state.health.answered(&booking.domain, failed);
             }
             Outcome::Unreachable => {
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -82,3 +82,21 @@
     // In 100 ms, 18 slots answer 120 requests of 15 ms.
     assert!((60..=120).contains(&placed), "{placed}");
 }
+
+// A server that fails at once looks fast. It must not draw the requests of those that answer, also while nothing is known
+// of any of them, as after a restart.
+#[test]
+fn a_server_that_fails_fast_is_avoided() {
+    let mut placer = placer();
+    let mut now = Time::from_ms(1_000);
+    let broken = support::engine(1).id;
+    let mut failed = 0;
+    for sequence in 100..200 {
+        let request = plain(sequence);
+        let is_broken = support::server_of(placer.place(now, &request)) == broken;
+        failed += u32::from(is_broken);
+        now = now.plus_ms(if is_broken { 1 } else { 15 });
+        placer.end(now, request.key, Outcome::Answered { failed: is_broken });
+    }
+    assert!(failed <= 15, "{failed} of 100 requests failed");
+}
