entry: Pass an answer on in the task of its caller's connection

Cause: an event of a stream woke three tasks (the connection to the server, the stream's own, the connection to the caller) and went through a channel.

Change: a stream that cannot go on at another server, and a large answer, are read where they are written. Streams that can be resumed keep their task.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -29,12 +29,13 @@
 }
 
 /// A body.
-#[derive(Debug)]
 pub enum Body {
     /// All of it is known.
     Whole(Option<Bytes>),
     /// Pieces that are passed on as they come.
     Pieces(mpsc::Receiver<Result<Bytes, Broken>>),
+    /// An answer that is read as it is written.
+    Direct(Pin<Box<dyn HttpBody<Data = Bytes, Error = Broken> + Send>>),
 }
 
 impl Body {
@@ -58,6 +59,7 @@
             Body::Pieces(pieces) => pieces
                 .poll_recv(context)
                 .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            Body::Direct(answer) => answer.as_mut().poll_frame(context),
         }
     }
 
@@ -70,7 +72,7 @@
             Body::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Body::Pieces(_) => SizeHint::default(),
+            Body::Pieces(_) | Body::Direct(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -28,6 +28,7 @@
 use crate::body::Body;
 use crate::budget::Budget;
 use crate::dialect::{Dialect, Intent, Judgement, Malformed, Passage};
+use crate::direct;
 use crate::hop;
 use crate::link;
 use crate::miss::{FULL_RETURN_MS, Miss};
@@ -688,8 +689,7 @@
 
     /// Passes an answer on as it comes.
     fn pass_on(self, answered: Answered) -> Response<Body> {
-        let (pieces, received) = mpsc::channel(stream::PIECES);
-        let mut response = Response::new(Body::Pieces(received));
+        let mut response = Response::new(Body::whole(Bytes::new()));
         *response.status_mut() = answered.head.status;
         *response.headers_mut() = answered.head.headers.clone();
         hop::remove(response.headers_mut());
@@ -699,24 +699,41 @@
         if resumes {
             // The rest may come from another server.
             response.headers_mut().remove(CONTENT_LENGTH);
+            let (pieces, received) = mpsc::channel(stream::PIECES);
+            tokio::spawn(stream::carry(self, answered, pieces));
+            *response.body_mut() = Body::Pieces(received);
+        } else {
+            let answer = direct::Answer::new(self, answered);
+            *response.body_mut() = Body::Direct(Box::pin(answer));
         }
-        tokio::spawn(stream::carry(self, answered, pieces, resumes));
         response
     }
 
-    /// Whether a stream that broke off for `reason` goes on at another server, if its route allows that at all.
-    pub(crate) fn may_resume(&mut self, reason: &str, resumes: bool) -> bool {
+    /// Whether a stream that broke off for `reason` goes on at another server.
+    pub(crate) fn may_resume(&mut self, reason: &str) -> bool {
         self.may_have_run = true;
         let miss = Miss::unknown("stream_resumed", "stream_broken", reason);
-        let may_go_on = resumes && self.may_go_on(&miss).is_ok();
-        info!(self.shared.log, "stream broke off"; "id" => &*self.intent.attempt,
-            "server" => self.server.as_deref(), "reason" => reason, "goes_on" => may_go_on);
+        let may_go_on = self.may_go_on(&miss).is_ok();
+        self.broke_off(reason, may_go_on);
         if may_go_on {
             self.shared.meter.count(miss.retry);
         }
         may_go_on
     }
 
+    pub(crate) fn broke_off(&self, reason: &str, goes_on: bool) {
+        info!(self.shared.log, "stream broke off"; "id" => &*self.intent.attempt,
+            "server" => self.server.as_deref(), "reason" => reason, "goes_on" => goes_on);
+    }
+
+    /// Counts and logs an answer that is complete.
+    pub(crate) fn served(&self) {
+        self.shared.meter.count("served");
+        let latency = Time::now().since(self.started);
+        self.shared.meter.record("answer", latency);
+        self.log("served", None);
+    }
+
     pub(crate) fn keep(&self, connection: Connection) {
         self.shared.pool.keep(connection);
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,4 +1,4 @@
-//! Carries streams from backend servers to callers.
+//! Carries streams that go on at another server if theirs breaks off.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -36,13 +36,11 @@
     CallerGone,
 }
 
-/// Carries the answer of a request. If `resumes`, only whole events are passed on, and the stream goes on at another
-/// server if it breaks off.
+/// Carries the answer of a request. Only whole events are passed on.
 pub(crate) async fn carry(
     mut job: Job,
     answered: Answered,
     pieces: mpsc::Sender<Result<Bytes, Broken>>,
-    resumes: bool,
 ) {
     let mut part = answered;
     let mut cutter = Cutter::default();
@@ -57,7 +55,7 @@
         let mut passage = Passage {
             job: &job,
             pieces: &pieces,
-            cutter: resumes.then_some(&mut cutter),
+            cutter: &mut cutter,
             first_ms: &mut first_ms,
         };
         let end = passage.carry(body, &mut ticket).await;
@@ -66,11 +64,7 @@
             End::Complete => {
                 job.keep(connection);
                 ticket.end(Outcome::Answered { failed: false });
-                job.shared.meter.count("served");
-                job.shared
-                    .meter
-                    .record("answer", Time::now().since(job.started));
-                job.log("served", None);
+                job.served();
                 return;
             }
             End::CallerGone => {
@@ -89,7 +83,7 @@
         };
         drop(connection);
         ticket.end(Outcome::Answered { failed: true });
-        if !job.may_resume(&reason, resumes) {
+        if !job.may_resume(&reason) {
             break_off(&job, &pieces, "stream_broken").await;
             return;
         }
@@ -122,7 +116,7 @@
 struct Passage<'a> {
     job: &'a Job,
     pieces: &'a mpsc::Sender<Result<Bytes, Broken>>,
-    cutter: Option<&'a mut Cutter>,
+    cutter: &'a mut Cutter,
     first_ms: &'a mut Option<u64>,
 }
 
@@ -162,15 +156,8 @@
                 },
             };
             ticket.first();
-            let passed = match self.cutter.as_deref_mut() {
-                Some(cutter) => cutter.push(&data),
-                None => data,
-            };
-            if self
-                .cutter
-                .as_ref()
-                .is_some_and(|cutter| cutter.is_too_large())
-            {
+            let passed = self.cutter.push(&data);
+            if self.cutter.is_too_large() {
                 return End::Broken("an event is too large".to_owned());
             }
             if !passed.is_empty() && !self.pass(passed).await {
@@ -200,10 +187,10 @@
 
     /// The server has ended the stream.
     async fn finish(&mut self) -> End {
-        let rest = match self.cutter.as_deref_mut() {
-            Some(cutter) if cutter.is_torn() => cutter.finish(),
-            _ => return End::Complete,
-        };
+        if !self.cutter.is_torn() {
+            return End::Complete;
+        }
+        let rest = self.cutter.finish();
         if self.pass(rest).await {
             End::Complete
         } else {
@@ -212,7 +199,6 @@
     }
 
     fn silence(&self) -> Option<Duration> {
-        self.cutter.as_ref()?;
         let gap = self.job.route.max_gap_ms?;
         Some(Duration::from_millis(
             (gap * SILENT_GAPS).max(MIN_SILENCE_MS),
