entry: Count an empty answer as complete

Cause: an answer on a stream route that announces a length of 0 is not asked for its body, so its end was taken for the caller's leaving: counted as caller_gone, its connection closed, its server not credited.

Test: answers_with_a_length_are_complete (1 of 2 counted as served before).

--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -31,11 +31,20 @@
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
         let timer = Box::pin(tokio::time::sleep_until(job.ends));
-        Answer {
+        let mut answer = Answer {
             job,
             body: answered.body,
             timer,
             open: Some((answered.connection, answered.ticket)),
+        };
+        answer.complete_if_all();
+        answer
+    }
+
+    /// The body of an answer is not asked again after as many bytes as its head announces, nor at all if these are none.
+    fn complete_if_all(&mut self) {
+        if self.body.is_end_stream() {
+            self.complete();
         }
     }
 
@@ -92,10 +101,7 @@
                     // Trailers say nothing to the caller.
                     if let Ok(data) = frame.into_data() {
                         answer.first();
-                        // The body is not asked again after as many bytes as its head announces.
-                        if answer.body.is_end_stream() {
-                            answer.complete();
-                        }
+                        answer.complete_if_all();
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
