schedule: Split the borrower and the lender by what they do

Events, types and what others call stay; decisions, the exchange with owners, grants, answers and the books move into modules of their own. Code is moved, and visibility added where a sibling calls; nothing else changes.

cargo test -p primrose-schedule: all passed, as before.

--- /dev/null
+++ b/crates/schedule/src/borrower/book.rs
@@ -0,0 +1,177 @@
+//! The books of a host: accounts and slots of its pools, and its links to owners.
+
+use super::*;
+
+impl Borrower {
+    pub(super) fn pool_at(&mut self, pool: id::Pool) -> usize {
+        let at = self.pools.binary_search_by_key(&pool, |p| p.pool);
+        at.unwrap_or_else(|at| {
+            let pool = Pool {
+                pool,
+                ledger: Ledger::new(self.settings.cap, &self.shares),
+                queue: Queue::default(),
+                accounts: Vec::new(),
+                sums_at: Time::ZERO,
+            };
+            self.pools.insert(at, pool);
+            at
+        })
+    }
+
+    pub(super) fn slot(&mut self, now: Time, server: id::Server, domain: &Name) -> &mut Slot {
+        let at = self.slots.binary_search_by_key(&server, |s| s.server);
+        let at = at.unwrap_or_else(|at| {
+            let slot = Slot {
+                server,
+                pool: None,
+                domain: domain.clone(),
+                granted: 0,
+                returned: 0,
+                running: 0,
+                fresh: 0,
+                keep: None,
+                leaving: false,
+                idle_since: now,
+                reported_idle: 0,
+                changed: 0,
+            };
+            self.slots.insert(at, slot);
+            at
+        });
+        &mut self.slots[at]
+    }
+
+    pub(super) fn link(&mut self, now: Time, domain: &Name) -> usize {
+        let at = self.links.binary_search_by(|l| l.domain.cmp(domain));
+        at.unwrap_or_else(|at| {
+            let link = Link {
+                domain: domain.clone(),
+                owner: None,
+                lender: 0,
+                epoch: 0,
+                void: false,
+                lease_end: Time::ZERO,
+                seen: 0,
+                sums_seen: 0,
+                confirmed: 0,
+                heard_at: None,
+                sent_at: None,
+                next_exchange: now,
+                urgent: true,
+                floors: Vec::new(),
+                past: Vec::new(),
+            };
+            self.links.insert(at, link);
+            at
+        })
+    }
+}
+
+impl Pool {
+    pub(super) fn account(&mut self, account: id::Account) -> &mut Account {
+        let at = self.accounts.binary_search_by_key(&account, |a| a.account);
+        let at = at.unwrap_or_else(|at| {
+            let account = Account {
+                account,
+                changed: 0,
+                has_flowed: false,
+                reported: 0,
+                last_waiting: None,
+                waits_elsewhere: false,
+            };
+            self.accounts.insert(at, account);
+            at
+        });
+        &mut self.accounts[at]
+    }
+
+    /// Records that the line of `account` changed.
+    pub(super) fn touch(&mut self, now: Time, account: id::Account, number: u64) {
+        let state = self.account(account);
+        state.last_waiting = Some(now);
+        state.changed = number;
+    }
+
+    /// The waiting account of least `v`.
+    pub(super) fn least(&self) -> Option<id::Account> {
+        let accounts = self.queue.accounts();
+        accounts.min_by_key(|&account| (self.ledger.v(account), account))
+    }
+
+    pub(super) fn usage(&self, now: Time, origin: Origin, confirmed: u64) -> Usage {
+        let accounts = self.accounts.iter().filter(|a| a.changed > confirmed);
+        let entries = self.ledger.entries().iter();
+        let lifted = entries.filter(|e| e.offset_changed > confirmed);
+        let offsets = lifted.map(|entry| Offset {
+            account: entry.account,
+            offset: entry.offset,
+        });
+        Usage {
+            pool: self.pool,
+            virtual_time: self.ledger.virtual_time(),
+            accounts: accounts.map(|a| self.row(now, origin, a.account)).collect(),
+            offsets: offsets.collect(),
+        }
+    }
+
+    pub(super) fn row(&self, now: Time, origin: Origin, account: id::Account) -> Row {
+        let entry = self.ledger.get(account);
+        let counter = entry.and_then(|e| e.counters.iter().find(|c| c.origin == origin));
+        let first = self.queue.first(account);
+        Row {
+            account,
+            charge: counter.map_or(0, |c| c.charge),
+            in_flight: counter.map_or(0, |c| c.in_flight),
+            waiting: self.queue.count(account) as u32,
+            estimate: first.map_or(0, |request| request.estimate),
+            age_s: (self.queue.age_ms(account, now) / 1_000) as u32,
+        }
+    }
+
+    pub(super) fn snapshot(&self) -> Vec<snapshot::Account> {
+        let entries = self.ledger.entries().iter();
+        let accounts = entries.map(|entry| snapshot::Account {
+            account: entry.account,
+            share: entry.share,
+            v: self.ledger.v(entry.account),
+            waiting: self.queue.count(entry.account) as u64,
+            in_flight: entry.in_flight(),
+            service: entry.service(),
+        });
+        accounts.collect()
+    }
+}
+
+impl Slot {
+    pub(super) fn held(&self) -> u32 {
+        self.granted - self.returned
+    }
+
+    pub(super) fn idle(&self) -> u32 {
+        self.held().saturating_sub(self.running)
+    }
+
+    pub(super) fn is_usable(&self) -> bool {
+        let is_kept = self.keep.is_none_or(|keep| self.held() <= keep);
+        self.idle() > 0 && !self.leaving && is_kept
+    }
+
+    pub(super) fn row(&self) -> Slots {
+        Slots {
+            server: self.server,
+            granted: self.granted,
+            returned: self.returned,
+            running: self.running,
+        }
+    }
+
+    pub(super) fn snapshot(&self) -> snapshot::Server {
+        snapshot::Server {
+            server: self.server,
+            slots: self.held(),
+            lent: self.held(),
+            idle: self.idle(),
+            leaving: self.leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/borrower/decision.rs
@@ -0,0 +1,231 @@
+//! What a host decides when it is polled: which requests are refused, which begin, and which slots go back.
+
+use super::*;
+
+impl Borrower {
+    pub(super) fn expire_leases(&mut self, now: Time) {
+        for at in 0..self.links.len() {
+            let link = &mut self.links[at];
+            if link.epoch == 0 || link.void || now < link.lease_end {
+                continue;
+            }
+            link.void = true;
+            link.urgent = true;
+            link.floors.clear();
+            let domain = link.domain.clone();
+            self.drop_slots(now, &domain);
+        }
+    }
+
+    /// Forgets what other hosts had in flight and waiting once no owner has confirmed it for the length of a lease.
+    pub(super) fn expire_sums(&mut self, now: Time) {
+        let limit = self.settings.owner_lease_ms;
+        for pool in &mut self.pools {
+            if now.since(pool.sums_at) <= limit {
+                continue;
+            }
+            for entry in pool.ledger.entries_mut() {
+                entry.elsewhere_in_flight = 0;
+            }
+            for account in &mut pool.accounts {
+                account.waits_elsewhere = false;
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let number = self.number + 1;
+        for at in 0..self.pools.len() {
+            let mut refused = self.pools[at].queue.expire(now);
+            let mut reason = Reason::Expired;
+            if refused.is_empty() && !self.has_server(self.pools[at].pool) {
+                refused = self.pools[at].queue.clear();
+                reason = Reason::NoServer;
+            }
+            for request in refused {
+                self.forget(request.id);
+                self.pools[at].touch(now, request.account, number);
+                let request = request.id;
+                actions.push(Action::Refuse { request, reason });
+            }
+        }
+    }
+
+    pub(super) fn forget(&mut self, request: u64) {
+        if let Ok(at) = self.places.binary_search_by_key(&request, |p| p.id) {
+            self.places.remove(at);
+        }
+    }
+
+    pub(super) fn dispatch<F>(
+        &mut self,
+        now: Time,
+        at: usize,
+        choose: &mut F,
+        actions: &mut Vec<Action>,
+    ) where
+        F: FnMut(&Request, &[Candidate]) -> id::Server,
+    {
+        loop {
+            let pool = &self.pools[at];
+            let Some(account) = pool.least() else {
+                return;
+            };
+            let candidates = self.candidates(pool.pool, pool.ledger.v(account));
+            let Some(first) = candidates.first() else {
+                return;
+            };
+            let Some(request) = pool.queue.first(account) else {
+                return;
+            };
+            let chosen = choose(request, &candidates);
+            let is_offered = candidates.iter().any(|c| c.server == chosen);
+            let server = if is_offered { chosen } else { first.server };
+            let request = *request;
+            self.start(now, at, &request, server);
+            let request = request.id;
+            actions.push(Action::Dispatch { request, server });
+        }
+    }
+
+    /// The servers whose idle slots an account with `v` may use.
+    pub(super) fn candidates(&self, pool: id::Pool, v: u64) -> Vec<Candidate> {
+        let slots = self.slots.iter().filter(|s| s.pool == Some(pool));
+        let usable = slots.filter(|slot| {
+            slot.is_usable() && (slot.fresh > 0 || !self.must_yield(&slot.domain, pool, v))
+        });
+        let candidates = usable.map(|slot| Candidate {
+            server: slot.server,
+            idle: slot.idle(),
+            running: slot.running,
+        });
+        candidates.collect()
+    }
+
+    /// Whether an account that waits elsewhere has a claim on the next free slot of the domain.
+    pub(super) fn must_yield(&self, domain: &Name, pool: id::Pool, v: u64) -> bool {
+        let floor = self.floor(domain, pool);
+        floor.is_some_and(|floor| floor + self.settings.quantum < v)
+    }
+
+    pub(super) fn floor(&self, domain: &Name, pool: id::Pool) -> Option<u64> {
+        let at = self.links.binary_search_by(|l| l.domain.cmp(domain)).ok()?;
+        let floors = &self.links[at].floors;
+        let at = floors.binary_search_by_key(&pool, |f| f.pool).ok()?;
+        Some(floors[at].v)
+    }
+
+    /// Takes the request from the queue, charges the estimate and marks the slot as busy.
+    pub(super) fn start(&mut self, now: Time, at: usize, request: &Request, server: id::Server) {
+        let account = request.account;
+        let number = self.number + 1;
+        let origin = self.origin;
+        let is_contended = self.links.iter().any(|link| {
+            let pool = self.pools[at].pool;
+            link.floors.iter().any(|floor| floor.pool == pool)
+        });
+        let pool = &mut self.pools[at];
+        pool.queue.pop(account);
+        if !is_contended && pool.queue.is_empty() {
+            let v = pool.ledger.v(account);
+            pool.ledger.advance(v);
+        }
+        pool.ledger.entry(account).counter(origin).in_flight += request.estimate;
+        let state = pool.account(account);
+        state.reported = state.reported.saturating_sub(1);
+        pool.touch(now, account, number);
+        self.forget(request.id);
+        let flight = Flight {
+            id: request.id,
+            pool: request.pool,
+            account,
+            server,
+            estimate: request.estimate,
+            flowed: 0,
+        };
+        if let Err(at) = self.flights.binary_search_by_key(&flight.id, |f| f.id) {
+            self.flights.insert(at, flight);
+        }
+        if let Ok(at) = self.slots.binary_search_by_key(&server, |s| s.server) {
+            let slot = &mut self.slots[at];
+            slot.running += 1;
+            slot.fresh = slot.fresh.saturating_sub(1);
+            slot.changed = number;
+        }
+    }
+
+    /// Returns the idle slots that are recalled, wanted elsewhere, or were idle for the hold time.
+    pub(super) fn return_slots(&mut self, now: Time) {
+        let number = self.number + 1;
+        for at in 0..self.slots.len() {
+            let slot = &self.slots[at];
+            let idle = slot.idle();
+            if idle == 0 {
+                continue;
+            }
+            let recalled = slot.held().saturating_sub(slot.keep.unwrap_or(u32::MAX));
+            let is_unused = self.is_leaving
+                || slot.leaving
+                || now.since(slot.idle_since) >= self.settings.hold_ms;
+            let returned = match slot.pool {
+                None => idle,
+                Some(_) if is_unused => idle,
+                // Whatever is idle after the dispatch has no use here or must yield.
+                Some(pool) if self.floor(&slot.domain, pool).is_some() => idle,
+                Some(_) => recalled.min(idle),
+            };
+            if returned == 0 {
+                continue;
+            }
+            let slot = &mut self.slots[at];
+            slot.returned += returned;
+            slot.fresh = slot.fresh.min(slot.idle());
+            slot.changed = number;
+            let domain = slot.domain.clone();
+            let link = self.link(now, &domain);
+            self.links[link].urgent = true;
+        }
+        self.slots
+            .retain(|s| s.pool.is_some() || s.held() > 0 || s.running > 0 || s.granted > 0);
+    }
+
+    /// Reports at once if the owner believes that nothing is idle here; it recalls idle slots only if it knows of them.
+    pub(super) fn mark_idle(&mut self) {
+        for slot in self.slots.iter().filter(|slot| slot.idle() > 0) {
+            let mut same = self.slots.iter();
+            let is_known = same.any(|other| {
+                other.reported_idle > 0 && other.pool == slot.pool && other.domain == slot.domain
+            });
+            if is_known {
+                continue;
+            }
+            let link = self.links.binary_search_by(|l| l.domain.cmp(&slot.domain));
+            if let Ok(link) = link {
+                self.links[link].urgent = true;
+            }
+        }
+    }
+
+    /// Asks for slots at once if the owners know of less than half of the requests that wait.
+    pub(super) fn mark_demand(&mut self) {
+        for at in 0..self.pools.len() {
+            let pool = &mut self.pools[at];
+            let mut is_urgent = false;
+            for account in pool.queue.accounts() {
+                let waiting = pool.queue.count(account);
+                let known = pool.accounts.binary_search_by_key(&account, |a| a.account);
+                let reported = known.map_or(0, |at| pool.accounts[at].reported);
+                is_urgent |= waiting > 2 * reported;
+            }
+            if !is_urgent {
+                continue;
+            }
+            let pool = self.pools[at].pool;
+            for link in 0..self.links.len() {
+                if self.serves(&self.links[link].domain, pool) {
+                    self.links[link].urgent = true;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/borrower/exchange.rs
@@ -0,0 +1,213 @@
+//! What a host tells the owners of slots, and what it learns from their answers.
+
+use super::*;
+
+impl Borrower {
+    /// All slots of earlier epochs are void; the owner wants all rows again.
+    pub(super) fn begin_epoch(&mut self, now: Time, link: usize, epoch: u32) {
+        let link = &mut self.links[link];
+        link.epoch = epoch;
+        link.void = false;
+        link.lease_end = Time::ZERO;
+        link.confirmed = 0;
+        link.urgent = true;
+        let domain = link.domain.clone();
+        self.drop_slots(now, &domain);
+    }
+
+    pub(super) fn drop_slots(&mut self, now: Time, domain: &Name) {
+        let number = self.number + 1;
+        for slot in self.slots.iter_mut().filter(|s| s.domain == *domain) {
+            slot.granted = 0;
+            slot.returned = 0;
+            slot.fresh = 0;
+            slot.keep = None;
+            slot.leaving = false;
+            slot.idle_since = now;
+            slot.changed = number;
+        }
+    }
+
+    /// Merges the figures of an answer into the ledgers.
+    pub(super) fn learn(&mut self, now: Time, link: usize, answer: &Answer) {
+        let number = self.number + 1;
+        self.links[link].floors.clear();
+        for level in &answer.pools {
+            if let Some(v) = level.floor {
+                let floor = Floor {
+                    pool: level.pool,
+                    v,
+                };
+                self.links[link].floors.push(floor);
+            }
+            let at = self.pool_at(level.pool);
+            let pool = &mut self.pools[at];
+            pool.ledger.advance(level.virtual_time);
+            for sum in &level.sums {
+                let entry = pool.ledger.entry(sum.account);
+                entry.elsewhere = entry.elsewhere.max(sum.charge);
+                entry.elsewhere_in_flight = sum.in_flight();
+                pool.account(sum.account).waits_elsewhere = sum.is_waiting();
+            }
+            for offset in &level.offsets {
+                let entry = pool.ledger.entry(offset.account);
+                entry.merge_offset(offset.offset, number);
+            }
+        }
+        if answer.has_sums {
+            let domain = self.links[link].domain.clone();
+            for at in 0..self.pools.len() {
+                if self.serves(&domain, self.pools[at].pool) {
+                    self.pools[at].sums_at = now;
+                }
+            }
+        }
+        for retired in &answer.retired {
+            self.retire(*retired);
+        }
+    }
+
+    pub(super) fn retire(&mut self, retired: Retired) {
+        let key = |r: &Retired| (r.pool, r.account, r.host, r.incarnation);
+        match self.retired.binary_search_by_key(&key(&retired), key) {
+            Ok(at) => {
+                let charge = &mut self.retired[at].charge;
+                *charge = (*charge).max(retired.charge);
+            }
+            Err(at) => self.retired.insert(at, retired),
+        }
+    }
+
+    /// Takes over the grants and recalls of an answer.
+    pub(super) fn take(&mut self, now: Time, link: usize, answer: &Answer) {
+        let number = self.number + 1;
+        let domain = self.links[link].domain.clone();
+        for grant in &answer.grants {
+            let slot = self.slot(now, grant.server, &domain);
+            if grant.granted > slot.granted {
+                slot.fresh += grant.granted - slot.granted;
+                slot.granted = grant.granted;
+                slot.idle_since = now;
+            }
+            slot.keep = grant.keep;
+            slot.leaving = grant.leaving;
+            slot.changed = number;
+        }
+    }
+
+    pub(super) fn send_time(&self, link: &Link) -> Time {
+        let Some(sent_at) = link.sent_at else {
+            return Time::ZERO;
+        };
+        let urgent = sent_at.plus_ms(self.settings.urgent_ms);
+        if link.urgent {
+            urgent.min(link.next_exchange)
+        } else {
+            link.next_exchange
+        }
+    }
+
+    pub(super) fn send(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let mut has_sent = false;
+        for at in 0..self.links.len() {
+            let link = &self.links[at];
+            let Some(to) = link.owner else {
+                continue;
+            };
+            if now < self.send_time(link) {
+                continue;
+            }
+            let report = self.report(now, at);
+            actions.push(Action::Send { to, report });
+            has_sent = true;
+        }
+        if has_sent {
+            for pool in &mut self.pools {
+                for account in &mut pool.accounts {
+                    account.reported = pool.queue.count(account.account);
+                }
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self, now: Time, at: usize) -> Report {
+        self.number += 1;
+        let link = &mut self.links[at];
+        if now >= link.next_exchange {
+            link.next_exchange = now.plus_ms(self.settings.exchange_ms);
+            for account in self.pools.iter_mut().flat_map(|p| &mut p.accounts) {
+                if account.has_flowed {
+                    account.changed = self.number;
+                    account.has_flowed = false;
+                }
+            }
+        }
+        let link = &mut self.links[at];
+        link.sent_at = Some(now);
+        link.urgent = false;
+        for slot in self.slots.iter_mut().filter(|s| s.domain == link.domain) {
+            slot.reported_idle = slot.idle();
+        }
+        let link = &self.links[at];
+        let pools = self.pools.iter().filter_map(|pool| {
+            let usage = pool.usage(now, self.origin, link.confirmed);
+            let is_needed = !usage.accounts.is_empty() || !usage.offsets.is_empty();
+            (is_needed && self.serves(&link.domain, pool.pool)).then_some(usage)
+        });
+        let slots = self.slots.iter();
+        let slots = slots.filter(|s| s.domain == link.domain && s.changed > link.confirmed);
+        let lease = match link {
+            Link { lender: 0, .. } => Lease::None,
+            Link { void: true, .. } => Lease::Void(link.epoch),
+            Link { .. } => Lease::Held(link.epoch),
+        };
+        let retired = match link.confirmed {
+            0 => self.retired.clone(),
+            _ => Vec::new(),
+        };
+        Report {
+            host: self.origin.host,
+            incarnation: self.origin.incarnation,
+            number: self.number,
+            lender: link.lender,
+            lease,
+            sent: now,
+            seen: link.seen,
+            sums: self.wants_sums(now, at).then_some(link.sums_seen),
+            pools: pools.collect(),
+            slots: slots.map(Slot::row).collect(),
+            retired,
+        }
+    }
+
+    /// Whether the owner is the source of the sums of a pool: the home domain's if it answers, else the first that does.
+    ///
+    /// All owners know the same sums, and sending them is the greatest part of the control traffic.
+    pub(super) fn wants_sums(&self, now: Time, at: usize) -> bool {
+        let domain = &self.links[at].domain;
+        self.pools.iter().any(|pool| {
+            let source = self.source(now, pool.pool);
+            self.serves(domain, pool.pool) && source.is_none_or(|source| source == at)
+        })
+    }
+
+    pub(super) fn source(&self, now: Time, pool: id::Pool) -> Option<usize> {
+        let limit = 2 * self.settings.exchange_ms;
+        let is_source = |link: &Link| {
+            let is_fresh = link.heard_at.is_some_and(|at| now.since(at) <= limit);
+            is_fresh && self.serves(&link.domain, pool)
+        };
+        let home = self.links.iter().position(|l| l.domain == self.home);
+        let home = home.filter(|&at| is_source(&self.links[at]));
+        home.or_else(|| self.links.iter().position(is_source))
+    }
+
+    pub(super) fn serves(&self, domain: &Name, pool: id::Pool) -> bool {
+        let mut slots = self.slots.iter();
+        slots.any(|s| s.pool == Some(pool) && s.domain == *domain)
+    }
+
+    pub(super) fn has_server(&self, pool: id::Pool) -> bool {
+        self.slots.iter().any(|s| s.pool == Some(pool))
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/lender/book.rs
@@ -0,0 +1,240 @@
+//! The books of an owner: demand by account and host, and what is lent.
+
+use super::*;
+
+impl Lender {
+    /// The position of the pool of a server.
+    pub(super) fn pool_of(&self, server: id::Server) -> Option<usize> {
+        let at = self.servers.binary_search_by_key(&server, |s| s.server);
+        let pool = self.servers[at.ok()?].pool;
+        self.pools.binary_search_by_key(&pool, |p| p.pool).ok()
+    }
+
+    pub(super) fn pool_at(&mut self, pool: id::Pool) -> usize {
+        let at = self.pools.binary_search_by_key(&pool, |p| p.pool);
+        at.unwrap_or_else(|at| {
+            let pool = Pool {
+                pool,
+                ledger: Ledger::new(self.settings.cap, &self.shares),
+                demands: Vec::new(),
+            };
+            self.pools.insert(at, pool);
+            at
+        })
+    }
+
+    pub(super) fn host_at(&mut self, now: Time, report: &Report) -> usize {
+        let at = self.hosts.binary_search_by_key(&report.host, |h| h.host);
+        at.unwrap_or_else(|at| {
+            let host = Host {
+                host: report.host,
+                incarnation: report.incarnation,
+                number: 0,
+                complete: 0,
+                epoch: 1,
+                knows_epoch: false,
+                lease_end: None,
+                sent: Time::ZERO,
+                seen: 0,
+                sums: None,
+                loans: Vec::new(),
+                pending: Vec::new(),
+                paced_until: now.plus_ms(self.settings.pacing_duration_ms),
+                granted_at: None,
+                answered_at: None,
+                reply_due: false,
+                urgent: false,
+            };
+            self.hosts.insert(at, host);
+            at
+        })
+    }
+
+    pub(super) fn server_snapshot(&self, server: &Server) -> snapshot::Server {
+        let loans = self.hosts.iter().flat_map(|host| &host.loans);
+        let loans = loans.filter(|loan| loan.server == server.server);
+        snapshot::Server {
+            server: server.server,
+            slots: self.capacity(server),
+            lent: self.lent(server.server),
+            idle: loans.map(Loan::idle).sum(),
+            leaving: server.leaving,
+        }
+    }
+}
+
+impl Pool {
+    pub(super) fn demand(&mut self, account: id::Account, host: id::Host) -> &mut Demand {
+        let key = (account, host);
+        let at = self
+            .demands
+            .binary_search_by_key(&key, |d| (d.account, d.host));
+        let at = at.unwrap_or_else(|at| {
+            let demand = Demand {
+                account,
+                host,
+                waiting: 0,
+                granted: 0,
+                estimate: 0,
+                age_s: 0,
+            };
+            self.demands.insert(at, demand);
+            at
+        });
+        &mut self.demands[at]
+    }
+
+    /// Order in which demands are served: least `v`, then the oldest.
+    pub(super) fn rank(
+        &self,
+        demand: &Demand,
+    ) -> (u64, std::cmp::Reverse<u32>, id::Account, id::Host) {
+        (
+            self.ledger.v(demand.account),
+            std::cmp::Reverse(demand.age_s),
+            demand.account,
+            demand.host,
+        )
+    }
+
+    /// The first of the demands that are not met by grants on their way.
+    pub(super) fn least(&self) -> Option<&Demand> {
+        let open = self.demands.iter().filter(|d| d.rest() > 0);
+        open.min_by_key(|d| self.rank(d))
+    }
+
+    pub(super) fn front(&self) -> Front {
+        let Some(first) = self.least() else {
+            return Front::default();
+        };
+        let others = self.demands.iter().filter(|d| d.rest() > 0);
+        let others = others.filter(|d| d.host != first.host);
+        Front {
+            host: Some(first.host),
+            v: self.ledger.v(first.account),
+            other: others.map(|d| self.ledger.v(d.account)).min(),
+        }
+    }
+
+    /// The sums that changed since the answer `seen`, over all origins but the receiver.
+    pub(super) fn sums(&self, receiver: Origin, seen: u64) -> Vec<Sum> {
+        let entries = self.ledger.entries().iter();
+        let changed = entries.filter(|entry| {
+            let mut others = entry.counters.iter().filter(|c| c.origin != receiver);
+            others.any(|c| c.changed > seen)
+        });
+        changed.map(|entry| self.sum(entry, receiver)).collect()
+    }
+
+    pub(super) fn sum(&self, entry: &Entry, receiver: Origin) -> Sum {
+        let others = entry.counters.iter().filter(|c| c.origin != receiver);
+        let in_flight: u64 = others.clone().map(|c| c.in_flight).sum();
+        let mut demands = self.demands.iter();
+        let is_waiting =
+            demands.any(|d| d.account == entry.account && d.host != receiver.host && d.waiting > 0);
+        Sum {
+            account: entry.account,
+            charge: others.map(|c| c.charge).sum(),
+            in_flight_and_waiting: in_flight << 1 | u64::from(is_waiting),
+        }
+    }
+
+    pub(super) fn retired(&self, origin: Origin, retired: &mut Vec<Retired>) {
+        for entry in self.ledger.entries() {
+            let counter = entry.counters.iter().find(|c| c.origin == origin);
+            if let Some(counter) = counter.filter(|c| c.charge > 0) {
+                retired.push(Retired {
+                    pool: self.pool,
+                    account: entry.account,
+                    host: origin.host,
+                    incarnation: origin.incarnation,
+                    charge: counter.charge,
+                });
+            }
+        }
+    }
+
+    pub(super) fn snapshot(&self) -> Vec<snapshot::Account> {
+        let entries = self.ledger.entries().iter();
+        let accounts = entries.map(|entry| {
+            let demands = self.demands.iter().filter(|d| d.account == entry.account);
+            snapshot::Account {
+                account: entry.account,
+                share: entry.share,
+                v: self.ledger.v(entry.account),
+                waiting: demands.map(|d| u64::from(d.waiting)).sum(),
+                in_flight: entry.in_flight(),
+                service: entry.service(),
+            }
+        });
+        accounts.collect()
+    }
+}
+
+impl Demand {
+    /// Requests for which no grant is on its way.
+    pub(super) fn rest(&self) -> u32 {
+        self.waiting.saturating_sub(self.granted)
+    }
+}
+
+impl Loan {
+    pub(super) fn new(server: id::Server) -> Loan {
+        Loan {
+            server,
+            granted: 0,
+            returned: 0,
+            confirmed: 0,
+            running: 0,
+            keep: None,
+            leaving: false,
+            changed: 0,
+        }
+    }
+
+    pub(super) fn lent(&self) -> u32 {
+        self.granted - self.returned
+    }
+
+    /// Slots of the server that the host takes: lent, or running without a slot.
+    pub(super) fn taken(&self) -> u32 {
+        self.lent().max(self.running)
+    }
+
+    /// Slots that the host has reported as idle.
+    pub(super) fn idle(&self) -> u32 {
+        self.confirmed.saturating_sub(self.returned + self.running)
+    }
+}
+
+impl Host {
+    pub(super) fn origin(&self) -> Origin {
+        Origin {
+            host: self.host,
+            incarnation: self.incarnation,
+        }
+    }
+
+    pub(super) fn loan(&mut self, server: id::Server) -> &mut Loan {
+        let at = self.loans.binary_search_by_key(&server, |l| l.server);
+        let at = at.unwrap_or_else(|at| {
+            self.loans.insert(at, Loan::new(server));
+            at
+        });
+        &mut self.loans[at]
+    }
+
+    pub(super) fn existing_loan(&mut self, server: id::Server) -> Option<&mut Loan> {
+        let at = self.loans.binary_search_by_key(&server, |l| l.server);
+        at.ok().map(|at| &mut self.loans[at])
+    }
+
+    pub(super) fn lent(&self, server: id::Server) -> u32 {
+        let at = self.loans.binary_search_by_key(&server, |l| l.server);
+        at.map_or(0, |at| self.loans[at].lent())
+    }
+
+    pub(super) fn has_idle(&self) -> bool {
+        self.loans.iter().any(|loan| loan.idle() > 0)
+    }
+}
