--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry hosts: they take requests from callers and carry them to backend servers.
 //!
 //! An entry host keeps nothing that must survive. What it needs to know comes from the core hosts ([`link`]); a request
-//! is looked up, placed, sent and answered in [`request`]. Streams are passed on by [`direct`], or by [`stream`] if they can
-//! go on at another server, and [`upstream`] keeps the connections to backend servers. How the platform names things on the
+//! is looked up, placed, sent and answered in [`request`]. Streams are passed on by `direct`, or by `stream` if they can
+//! go on at another server, and `upstream` keeps the connections to backend servers. How the platform names things on the
 //! wire is left to a [`Dialect`].
 
 pub mod body;
--- a/crates/schedule/src/borrower.rs
+++ b/crates/schedule/src/borrower.rs
@@ -3,7 +3,7 @@
 //! Events only record what happened; [`Borrower::poll`] makes the decisions. A daemon calls `poll` after each batch of
 //! events and no later than [`Borrower::next_wake`].
 //!
-//! This module has the types and records events; [`decision`] decides, [`exchange`] speaks with owners, and [`book`] keeps
+//! This module has the types and records events; `decision` decides, `exchange` speaks with owners, and `book` keeps
 //! accounts, slots and links.
 
 mod book;
--- a/crates/schedule/src/lender.rs
+++ b/crates/schedule/src/lender.rs
@@ -3,8 +3,8 @@
 //! Reports only record what happened; [`Lender::poll`] makes the decisions and returns the answers to send. A daemon
 //! calls `poll` after each report, whose reply is among the answers, and no later than [`Lender::next_wake`].
 //!
-//! This module has the types; [`report`] reads what hosts say, [`grant`] lends and asks back, [`answer`] composes answers, and
-//! [`book`] keeps demand and loans.
+//! This module has the types; `report` reads what hosts say, `grant` lends and asks back, `answer` composes answers, and
+//! `book` keeps demand and loans.
 
 mod answer;
 mod book;
