place: Share what engines do beyond the promised capacity

Ruled out: the processor of the entry host alone. It turns callers of such an account away too, but the requests that it passed on were refused at the placer.

Change: a second level is computed in what has been admitted, if that is more than promised.

Conclusion: the promise decides who may be refused, the real capacity how much.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -555,13 +555,17 @@
             &demand.prompt,
             self.document.limits.tokens_per_s,
         ) {
-            (Some(account), Some(_), Some(capacity)) => self.shares.excess(now, account, capacity),
-            _ => 0.0,
+            (Some(account), Some(_), Some(capacity)) => {
+                Some(self.shares.excess(now, account, capacity))
+            }
+            _ => None,
         };
-        let (limit, reason) = if excess > 1.0 {
+        let beyond = excess.filter(|excess| excess.promised > 1.0);
+        let (limit, reason) = if let Some(excess) = beyond {
             // The further beyond, the later: or an account that floods gets more than one that asks for little more than
             // its share.
-            let part = (1.0 + self.settings.excess_slope * (1.0 - excess)).max(MIN_EXCESS_PART);
+            let slope = self.settings.excess_slope;
+            let part = (1.0 + slope * (1.0 - excess.actual)).max(MIN_EXCESS_PART);
             (self.settings.excess_limit * part, Reason::OverShare)
         } else if demand.returning {
             (self.settings.return_limit, Reason::Overload)
--- a/crates/place/src/share.rs
+++ b/crates/place/src/share.rs
@@ -2,7 +2,9 @@
 //!
 //! The capacity of all engines is shared max-min: every account gets what it asks for up to a common level, and the level
 //! is as high as the capacity allows. What an account asks beyond the level is the first to be refused in an overload;
-//! while there is room it is served like everything else.
+//! while there is room it is served like everything else. Among accounts beyond the level that the promised capacity
+//! gives, those that got the most go first: engines may do more than is promised, and what they do beyond it is shared
+//! evenly too.
 
 use std::sync::Arc;
 
@@ -20,10 +22,28 @@
 pub struct Meter {
     /// Sorted by name.
     usages: Vec<Usage>,
-    level: Option<f64>,
+    levels: Levels,
     leveled_at: Time,
 }
 
+/// Common levels, in decayed tokens; `None` where all that is asked for fits.
+#[derive(Clone, Copy, Debug, Default)]
+struct Levels {
+    /// In the promised capacity.
+    promised: Option<f64>,
+    /// In what has been admitted, if that is more. Invariant: at least the promised one.
+    actual: Option<f64>,
+}
+
+/// What an account got against the common levels.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Excess {
+    /// Against the level in the promised capacity: over 1 if the account is beyond its share; 0 while all fits.
+    pub promised: f64,
+    /// Against the level in what the engines turn out to do; 0 while all fits.
+    pub actual: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Usage {
     name: Arc<str>,
@@ -56,26 +76,33 @@
         usage.admitted += tokens;
     }
 
-    /// What the account got against the common level: over 1 if it is beyond its share; 0 while all that is asked for
-    /// fits into the capacity.
-    pub fn excess(&mut self, now: Time, account: &Arc<str>, tokens_per_s: f64) -> f64 {
+    /// What the account got against the common levels.
+    pub fn excess(&mut self, now: Time, account: &Arc<str>, tokens_per_s: f64) -> Excess {
         if now.since(self.leveled_at) >= LEVEL_INTERVAL_MS {
-            self.level = self.compute(now, tokens_per_s);
+            self.levels = self.compute(now, tokens_per_s);
             self.leveled_at = now;
         }
-        let Some(level) = self.level else {
-            return 0.0;
-        };
-        self.usage(now, account).admitted / level.max(1.0)
+        let levels = self.levels;
+        let admitted = self.usage(now, account).admitted;
+        let against = |level: Option<f64>| level.map_or(0.0, |level| admitted / level.max(1.0));
+        Excess {
+            promised: against(levels.promised),
+            actual: against(levels.actual),
+        }
     }
 
-    /// The level in decayed tokens, or `None` if everything fits.
-    fn compute(&mut self, now: Time, tokens_per_s: f64) -> Option<f64> {
+    fn compute(&mut self, now: Time, tokens_per_s: f64) -> Levels {
         for usage in &mut self.usages {
             usage.decay(now);
         }
         let mut asked: Vec<f64> = self.usages.iter().map(|usage| usage.asked).collect();
-        level(&mut asked, tokens_per_s * DECAY_MS / 1_000.0)
+        asked.sort_by(f64::total_cmp);
+        let promised = tokens_per_s * DECAY_MS / 1_000.0;
+        let admitted: f64 = self.usages.iter().map(|usage| usage.admitted).sum();
+        Levels {
+            promised: level(&asked, promised),
+            actual: level(&asked, promised.max(admitted)),
+        }
     }
 
     fn usage(&mut self, now: Time, account: &Arc<str>) -> &mut Usage {
@@ -97,12 +124,11 @@
     }
 }
 
-/// The max-min level of `asked` in `capacity`, or `None` if all of it fits.
-fn level(asked: &mut [f64], capacity: f64) -> Option<f64> {
+/// The max-min level of `asked`, which is sorted, in `capacity`, or `None` if all of it fits.
+fn level(asked: &[f64], capacity: f64) -> Option<f64> {
     if asked.iter().sum::<f64>() <= capacity {
         return None;
     }
-    asked.sort_by(f64::total_cmp);
     let mut rest = capacity;
     let count = asked.len();
     for (at, &amount) in asked.iter().enumerate() {
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -54,6 +54,33 @@
     assert!(busy > 0.9, "the engines read for {busy} of the time");
 }
 
+// Where the engines do more than is promised, the rest must be shared too: an account that asks for somewhat more than its
+// promised share was refused as often as one that floods, and got less than half of what the other one got.
+#[test]
+fn what_is_beyond_the_promise_is_shared() {
+    let mut placer = placer(4);
+    placer.set_document(&document(Some(100_000.0)));
+    let mut replay = Replay::new(placer);
+    let (mut flood, mut middle) = (Tally::default(), Tally::default());
+    for at in 0..20_000 {
+        replay.step();
+        if at % 4 == 0 {
+            let request = from("flood", demand(at, at % 20, 10_000, 3_000));
+            replay.send(&request, &mut flood);
+        }
+        if at % 16 == 2 {
+            let request = from("middle", demand(at, 30 + at % 5, 10_000, 3_000));
+            replay.send(&request, &mut middle);
+        }
+    }
+    let served = |tally: Tally| tally.asked - tally.refused;
+    let even = (served(flood) + served(middle)) / 2;
+    assert!(
+        served(middle) * 10 >= even * 9,
+        "middle: {middle:?}, flood: {flood:?}"
+    );
+}
+
 // The lower limit beyond the share must pay: with one limit for all, the queues that the flood builds make others late.
 #[test]
 fn a_lower_limit_beyond_the_share_keeps_queues_short() {
