entry: Draw once whether a caller is taken, and do not register others

Two things were paid for nothing: each connection was registered with the runtime and deregistered before it was closed, and a request on a connection that had been taken was drawn again for refusal, so that up to 118 requests a second were read and refused as host_behind beside 33 that were served. In the test with one caller after the other the shared draw even refused every request that was taken.

Change: after the first connection of a turn the others are accepted from the socket itself, and only those that are taken are registered. The first request of a connection is not drawn again.

Conclusion: cheaper, but the flood itself still takes half of the host.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -3,8 +3,9 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -13,6 +14,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::io::Errno;
+use rustix::net::{SocketFlags, accept_with};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::unconstrained;
@@ -34,6 +37,10 @@
     Closing,
 }
 
+/// An extension of the first request of a connection. Whether the host takes it was decided when it took the connection.
+#[derive(Clone, Copy, Debug)]
+pub struct First;
+
 /// A running listener.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -84,6 +91,25 @@
         address: listener.local_addr()?,
     };
     let mut closing = phase.clone();
+    let door = Door {
+        max_connections: limits.max_connections,
+        pace: limits.pace.clone(),
+        connections: Arc::clone(&connections),
+    };
+    let take = move |stream: TcpStream| {
+        let open = Open::new(&connections);
+        let served = serve(
+            stream,
+            limits.clone(),
+            Arc::clone(&connections),
+            phase.clone(),
+            handle.clone(),
+        );
+        tokio::spawn(async move {
+            served.await;
+            drop(open);
+        });
+    };
     // All connections that wait are accepted in one turn: on a busy host the next turn is far off, and callers whose
     // connection is not accepted cannot go to another host.
     tokio::spawn(unconstrained(async move {
@@ -96,32 +122,47 @@
             };
             match accepted {
                 // Callers retry a connection that is closed unread at another host.
-                Ok((stream, _)) if limits.turns_away(&connections) => drop(stream),
-                Ok((stream, _)) => {
-                    let open = Open::new(&connections);
-                    let served = serve(
-                        stream,
-                        limits.clone(),
-                        Arc::clone(&connections),
-                        phase.clone(),
-                        handle.clone(),
-                    );
-                    tokio::spawn(async move {
-                        served.await;
-                        drop(open);
-                    });
-                }
+                Ok((stream, _)) if door.turns_away() => drop(stream),
+                Ok((stream, _)) => take(stream),
                 // Out of file descriptors, for example; the pause keeps the loop from spinning.
                 Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
             }
+            while let Some(socket) = waiting(&listener) {
+                if door.turns_away() {
+                    drop(socket);
+                } else if let Ok(stream) = TcpStream::from_std(socket.into()) {
+                    take(stream);
+                }
+            }
         }
     }));
     Ok(running)
 }
 
-impl Limits {
-    fn turns_away(&self, connections: &AtomicUsize) -> bool {
-        connections.load(Ordering::Relaxed) >= self.max_connections || self.pace.turns_away()
+/// A connection that waits to be accepted. It is not registered with the runtime, which would be in vain for one that is
+/// turned away.
+fn waiting(listener: &TcpListener) -> Option<OwnedFd> {
+    loop {
+        match accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+            Ok(socket) => return Some(socket),
+            // The caller has left already, or a signal came.
+            Err(Errno::CONNABORTED | Errno::INTR) => {}
+            // None waits. Other errors are met again by the next accept of the runtime.
+            Err(_) => return None,
+        }
+    }
+}
+
+/// Decides whether a connection is taken.
+struct Door {
+    max_connections: usize,
+    pace: Pace,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Door {
+    fn turns_away(&self) -> bool {
+        self.connections.load(Ordering::Relaxed) >= self.max_connections || self.pace.turns_away()
     }
 }
 
@@ -154,7 +195,11 @@
     // Without it answers wait for acknowledgements; an error shows in the next read.
     let _ = stream.set_nodelay(true);
     let answering = phase.clone();
-    let service = service_fn(|request| {
+    let is_first = AtomicBool::new(true);
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if is_first.swap(false, Ordering::Relaxed) {
+            request.extensions_mut().insert(First);
+        }
         let answer = handle(request);
         let phase = answering.clone();
         let connections = &connections;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -31,6 +31,7 @@
 use crate::direct;
 use crate::hop;
 use crate::link;
+use crate::listener;
 use crate::miss::{FULL_RETURN_MS, Miss};
 use crate::pace::Pace;
 use crate::refusal::Refusal;
@@ -163,7 +164,9 @@
     started: Time,
     start: Instant,
 ) -> Result<Job, Refusal> {
-    if shared.pace.sheds() {
+    // A caller that has just connected was taken or turned away then.
+    let is_first = head.extensions.get::<listener::First>().is_some();
+    if !is_first && shared.pace.sheds() {
         let message = "this host does not keep up with its callers";
         return Err(Refusal::not_run("host_behind", BEHIND_RETURN_MS, message));
     }
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -1,18 +1,26 @@
 //! Events, the retry budget, refusals and counters.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use primrose_base::clock::Time;
 use primrose_entry::body::Body;
 use primrose_entry::budget::{Budget, Settings};
 use primrose_entry::counter;
+use primrose_entry::dialect::{Dialect, Judgement, Malformed};
 use primrose_entry::event::Cutter;
+use primrose_entry::link;
 use primrose_entry::listener::{self, Limits, Phase};
 use primrose_entry::pace::Pace;
 use primrose_entry::refusal::Refusal;
+use primrose_entry::request::{self, Shared};
+use primrose_observe::Meter;
+use primrose_wire::key::Key;
+use slog::Logger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -140,6 +148,84 @@
     assert_eq!(listener.connections(), 0);
 }
 
+// A request on a connection that was taken must not be refused because the host is behind: that was decided when the
+// caller connected, and being drawn twice the host refused half of what it had already paid for.
+#[tokio::test]
+async fn a_connection_that_is_taken_is_served() {
+    let pace = Pace::fixed(7);
+    let meter = Arc::new(Meter::new(&counter::ALL, &counter::LATENCIES));
+    let shared = shared(pace.clone(), &meter).await;
+    let limits = Limits {
+        idle: Duration::from_secs(5),
+        max_connections: 100,
+        pace,
+    };
+    let (_phase, followed) = watch::channel(Phase::Serving);
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let listener = listener::bind(address, limits, followed, move |request| {
+        request::handle(Arc::clone(&shared), request)
+    });
+    let listener = listener.await.expect("binds");
+    let mut heads = Vec::new();
+    for _ in 0..40 {
+        let mut stream = TcpStream::connect(listener.address)
+            .await
+            .expect("connects");
+        heads.push(ask(&mut stream).await);
+    }
+    let taken = heads.iter().filter(|head| !head.is_empty()).count();
+    assert_eq!(taken, 20);
+    // There is no configuration yet.
+    let counts = ["host_behind", "not_ready"].map(|name| meter.value(name));
+    assert_eq!(counts, [0, 20]);
+}
+
+/// What the requests of a host share that knows no other host.
+async fn shared(pace: Pace, meter: &Arc<Meter>) -> Arc<Shared> {
+    let log = Logger::root(slog::Discard, slog::o!());
+    let (_, seeds) = watch::channel(Vec::new());
+    let link = link::bind(link::Inputs {
+        address: "127.0.0.1:0".parse().expect("an address"),
+        domain: "north".into(),
+        core_port: 1,
+        seeds,
+        key: Key::new(&[7; 32]).expect("a key"),
+        placing: primrose_place::Settings::default(),
+        meter: Arc::clone(meter),
+        log: log.clone(),
+    });
+    let dialect = Dialect {
+        read: |_| Err(Malformed("not understood".to_owned())),
+        write: |_, _| {},
+        judge: |_, _| Judgement::Foreign,
+    };
+    let budget = Budget::new(Settings {
+        ratio: 0.2,
+        slack: 10.0,
+        window_ms: 10_000,
+    });
+    Arc::new(Shared::new(
+        link.await.expect("binds"),
+        dialect,
+        "north".into(),
+        budget,
+        pace,
+        Arc::clone(meter),
+        log,
+    ))
+}
+
+// Only the first request of a connection is exempt.
+#[tokio::test]
+async fn later_requests_of_a_connection_are_told_apart() {
+    let (_phase, listener) = listen(Pace::default()).await;
+    let mut stream = TcpStream::connect(listener.address)
+        .await
+        .expect("connects");
+    assert!(ask(&mut stream).await.contains("first: true"));
+    assert!(ask(&mut stream).await.contains("first: false"));
+}
+
 // Callers that press on a host must not use up its descriptors and memory: from half of the limit on, answers end their
 // connections, and beyond the limit a connection is closed unread.
 #[tokio::test]
@@ -184,8 +270,12 @@
     };
     let (phase, followed) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("an address");
-    let listener = listener::bind(address, limits, followed, |_| async {
-        hyper::Response::new(Body::whole("here"))
+    let listener = listener::bind(address, limits, followed, |request| async move {
+        let is_first = request.extensions().get::<listener::First>().is_some();
+        let mut response = hyper::Response::new(Body::whole("here"));
+        let value = HeaderValue::from_static(if is_first { "true" } else { "false" });
+        response.headers_mut().insert("first", value);
+        response
     });
     (phase, listener.await.expect("binds"))
 }
@@ -195,7 +285,7 @@
     let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     let mut bytes = Vec::new();
     if stream.write_all(request).await.is_ok() {
-        while !bytes.ends_with(b"here") {
+        while !bytes.ends_with(b"here") && !bytes.ends_with(b"}") {
             // A reset is as good as a close here.
             if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
                 break;
