entry: Stop listening for a while in a flood of connections

Cause: callers that are turned away come back at once, to the same host as long as it is in rotation.

Ruled out: holding connections until there is room (callers must learn at once); waiting in the queue of the kernel (a full queue drops the opening packet, and callers wait for seconds).

Change: a host that turns away eight connections in one turn closes its listener for 25 ms, the interval in which its delay is measured; the kernel refuses connections meanwhile. Below a flood nothing changes. It is counted as listener_closed.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// All counters.
-pub const ALL: [&str; 42] = [
+pub const ALL: [&str; 43] = [
     "answer_foreign",
     "answer_broken",
     "ask_local",
@@ -18,6 +18,7 @@
     "document_fetched",
     "hopeless_deadline",
     "host_behind",
+    "listener_closed",
     "malformed_request",
     "no_retry_attempts",
     "no_retry_budget",
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -21,11 +21,19 @@
 use tokio::task::unconstrained;
 
 use crate::body::Body;
-use crate::pace::Pace;
+use crate::pace::{self, Pace};
 
 /// The largest head of a request, in bytes, as far as the listener is concerned.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// So many connections are turned away in one turn; then the listener is closed for a while. Callers that are turned away
+/// come back at once, and in a flood of thousands a second closing their connections took half of the processor time of
+/// a host; the kernel refuses them for nothing.
+const MAX_TURNED_AWAY: usize = 8;
+
+/// How long the listener is closed: until the pace has been measured anew.
+const REST: Duration = pace::INTERVAL;
+
 /// How far a process is with leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -110,9 +118,11 @@
             drop(open);
         });
     };
+    let address = running.address;
     // All connections that wait are accepted in one turn: on a busy host the next turn is far off, and callers whose
     // connection is not accepted cannot go to another host.
     tokio::spawn(unconstrained(async move {
+        let mut listener = listener;
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -120,25 +130,50 @@
                 // end before the process does.
                 _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
             };
+            let mut turned_away = 0;
             match accepted {
                 // Callers retry a connection that is closed unread at another host.
-                Ok((stream, _)) if door.turns_away() => drop(stream),
+                Ok((stream, _)) if door.turns_away() => {
+                    drop(stream);
+                    turned_away += 1;
+                }
                 Ok((stream, _)) => take(stream),
                 // Out of file descriptors, for example; the pause keeps the loop from spinning.
                 Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
             }
-            while let Some(socket) = waiting(&listener) {
+            while turned_away < MAX_TURNED_AWAY
+                && let Some(socket) = waiting(&listener)
+            {
                 if door.turns_away() {
                     drop(socket);
+                    turned_away += 1;
                 } else if let Ok(stream) = TcpStream::from_std(socket.into()) {
                     take(stream);
                 }
             }
+            if turned_away == MAX_TURNED_AWAY {
+                drop(listener);
+                door.pace.count("listener_closed");
+                listener = tokio::select! {
+                    listener = reopen(address) => listener,
+                    _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+                };
+            }
         }
     }));
     Ok(running)
 }
 
+/// Listens again after a pause. An address that cannot be had yet is tried again: the host is of no use without it.
+async fn reopen(address: SocketAddr) -> TcpListener {
+    loop {
+        tokio::time::sleep(REST).await;
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+    }
+}
+
 /// A connection that waits to be accepted. It is not registered with the runtime, which would be in vain for one that is
 /// turned away.
 fn waiting(listener: &TcpListener) -> Option<OwnedFd> {
--- a/crates/entry/src/pace.rs
+++ b/crates/entry/src/pace.rs
@@ -11,7 +11,7 @@
 use slog::{Logger, info};
 
 /// Interval at which the delay of the runtime is measured.
-const INTERVAL: Duration = Duration::from_millis(25);
+pub(crate) const INTERVAL: Duration = Duration::from_millis(25);
 
 /// Weight of one measurement.
 const WEIGHT: f64 = 0.2;
@@ -89,12 +89,19 @@
     /// this host than a refusal; callers repeat at another host what was not read, whatever it was.
     pub fn turns_away(&self) -> bool {
         let sheds = self.sheds();
-        if let (true, Some(meter)) = (sheds, &self.meter) {
-            meter.count("connection_turned_away");
+        if sheds {
+            self.count("connection_turned_away");
         }
         sheds
     }
 
+    /// Counts what is done to keep up.
+    pub(crate) fn count(&self, name: &'static str) {
+        if let Some(meter) = &self.meter {
+            meter.count(name);
+        }
+    }
+
     /// Whether the host should get no more callers.
     pub fn is_pressed(&self) -> bool {
         self.delay_ms.load(Ordering::Relaxed) > PRESSED_MS
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -1,5 +1,6 @@
 //! Events, the retry budget, refusals and counters.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 // A stream that goes on at another server must neither lose, double nor tear an event, wherever it was cut.
 #[test]
@@ -148,6 +150,39 @@
     assert_eq!(listener.connections(), 0);
 }
 
+// In a flood of connections a host that is behind must not spend its time on closing them: it stops listening for a while,
+// and listens again afterwards.
+#[tokio::test]
+async fn a_flood_closes_the_listener_for_a_while() {
+    let (_phase, listener) = listen(Pace::fixed(50)).await;
+    let mut is_refused = false;
+    for _ in 0..100 {
+        let mut flood = JoinSet::new();
+        for _ in 0..32 {
+            flood.spawn(TcpStream::connect(listener.address));
+        }
+        let connected = flood.join_all().await;
+        is_refused |= connected.iter().any(is_connection_refused);
+        if is_refused {
+            break;
+        }
+    }
+    assert!(is_refused, "the host goes on accepting");
+    let mut stream = loop {
+        match TcpStream::connect(listener.address).await {
+            Ok(stream) => break stream,
+            refused => assert!(is_connection_refused(&refused), "{refused:?}"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    assert_eq!(ask(&mut stream).await, "");
+}
+
+fn is_connection_refused(connected: &io::Result<TcpStream>) -> bool {
+    let error = connected.as_ref().err();
+    error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 // A request on a connection that was taken must not be refused because the host is behind: that was decided when the
 // caller connected, and being drawn twice the host refused half of what it had already paid for.
 #[tokio::test]
