model: Keep one copy of the fake engine

Cause: the tests of the scheduler and the experiment had each their own queue of events in virtual time and their own fake engine (how much callers ask for, what is charged, how tokens flow).

Ruled out: one simulator for both. The experiment counts in us and has baselines and sizes of messages, the tests count in ms and lose, repeat and delay messages; what is left in common is small.

Conclusion: the crate model holds both. The two simulators around it still resemble each other in the construction of hosts.

--- a/crates/bench/src/bin/experiment/desk.rs
+++ b/crates/bench/src/bin/experiment/desk.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use primrose_model::engine::Work;
+
 use crate::settings::{Deployment, Policy};
 
 /// A request.
@@ -10,26 +12,13 @@
     pub(crate) id: u64,
     pub(crate) host: usize,
     pub(crate) account: usize,
-    /// Input tokens.
-    pub(crate) input: u64,
-    /// Output tokens.
-    pub(crate) output: u64,
+    pub(crate) work: Work,
     /// Weighted tokens.
     pub(crate) estimate: u64,
     /// Time of arrival, in us.
     pub(crate) since: u64,
 }
 
-impl Job {
-    /// Weighted tokens after `tokens` output tokens.
-    pub(crate) fn charge(&self, tokens: u64) -> u64 {
-        if tokens == 0 {
-            return 0;
-        }
-        self.input + 2 * tokens
-    }
-}
-
 /// The service of one account in the books of a desk.
 #[derive(Clone, Default)]
 struct Line {
--- a/crates/bench/src/bin/experiment/fleet.rs
+++ b/crates/bench/src/bin/experiment/fleet.rs
@@ -1,11 +1,10 @@
 //! One run: real decision state machines or a baseline, a fake engine and a network, in virtual time.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::name::Name;
+use primrose_model::engine::{self, Work};
+use primrose_model::timeline;
 use primrose_schedule::borrower::{self, Action, Borrower};
 use primrose_schedule::ledger::{Origin, Share};
 use primrose_schedule::lender::{self, Lender, Support};
@@ -23,8 +22,7 @@
 const SAMPLE_US: u64 = 50_000;
 const WITHIN_DOMAIN_US: u64 = 200;
 const ACROSS_DOMAINS_US: u64 = 1_500;
-const FIRST_TOKEN_US: u64 = 200_000;
-const TOKENS_PER_FLOW: u64 = 10;
+const MS_US: u64 = 1_000;
 const MAX_TOKENS: u64 = 4_000;
 /// The domains notice the death of an owner after this time.
 const DETECTION_US: u64 = 3 * SECOND_US;
@@ -64,33 +62,10 @@
     },
 }
 
-struct Timed {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Timed) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Timed) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Timed) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 struct Run {
     job: Job,
     server: usize,
-    tokens: u64,
+    answer: engine::Answer,
 }
 
 struct Host {
@@ -142,8 +117,7 @@
     contended_since: Option<u64>,
     cut: Option<usize>,
     runs: Vec<Run>,
-    events: BinaryHeap<Reverse<Timed>>,
-    order: u64,
+    events: timeline::Queue<Event>,
     next_job: u64,
     arrivals: StdRng,
     network: StdRng,
@@ -188,8 +162,7 @@
             contended_since: None,
             cut: None,
             runs: Vec::new(),
-            events: BinaryHeap::new(),
-            order: 0,
+            events: timeline::Queue::default(),
             next_job: 1,
             arrivals: StdRng::seed_from_u64(settings.seed),
             network: StdRng::seed_from_u64(settings.seed + 1),
@@ -317,10 +290,8 @@
         let mut marks = vec![FAULT_S * SECOND_US, REPAIR_S * SECOND_US];
         while self.now < end {
             self.now = self.next_time().min(next_sample).max(self.now + 1);
-            while self.events.peek().is_some_and(|e| e.0.at <= self.now) {
-                if let Some(Reverse(timed)) = self.events.pop() {
-                    self.handle(timed.event);
-                }
+            while let Some(event) = self.events.pop_due(self.now) {
+                self.handle(event);
             }
             if marks.first().is_some_and(|&mark| mark <= self.now) {
                 marks.remove(0);
@@ -339,7 +310,7 @@
     }
 
     fn next_time(&self) -> u64 {
-        let event = self.events.peek().map_or(u64::MAX, |e| e.0.at);
+        let event = self.events.next_at().unwrap_or(u64::MAX);
         if self.policy != Policy::Ours {
             return event;
         }
@@ -442,13 +413,7 @@
     }
 
     fn schedule(&mut self, delay: u64, event: Event) {
-        self.order += 1;
-        let timed = Timed {
-            at: self.now + delay,
-            order: self.order,
-            event,
-        };
-        self.events.push(Reverse(timed));
+        self.events.push(self.now + delay, event);
     }
 
     fn is_apart(&self, a: usize, b: usize) -> bool {
@@ -483,17 +448,13 @@
     }
 
     fn arrive(&mut self, account: usize, host: usize) {
-        let input = self.arrivals.random_range(50..2_000);
-        // Pareto with a shape of 1.1: most answers are short, and a few take most of the tokens.
-        let uniform: f64 = self.arrivals.random_range(1e-6..1.0);
-        let output = ((100.0 * uniform.powf(-1.0 / 1.1)) as u64).min(MAX_TOKENS);
-        let estimate = input + 2 * self.arrivals.random_range(50..800);
+        let work = Work::draw(&mut self.arrivals, MAX_TOKENS);
+        let estimate = work.input + 2 * self.arrivals.random_range(50..800);
         let job = Job {
             id: self.next_job,
             host,
             account,
-            input,
-            output,
+            work,
             estimate,
             since: self.now,
         };
@@ -558,29 +519,26 @@
         };
         let run = &mut self.runs[at];
         let job = run.job;
-        let before = job.charge(run.tokens);
-        run.tokens = (run.tokens + TOKENS_PER_FLOW).min(job.output);
-        let charge = job.charge(run.tokens);
-        let is_end = run.tokens == job.output;
+        let flow = run.answer.flow();
         let server = run.server;
-        self.measure.tallies[job.account].service += charge - before;
+        self.measure.tallies[job.account].service += flow.flowed;
         for desk in &mut self.desks {
-            desk.flow(&job, charge - before, charge, is_end);
+            desk.flow(&job, flow.flowed, flow.total, flow.is_end);
         }
         let now = self.time();
         let host = &mut self.hosts[job.host];
-        match (host.is_frozen, is_end) {
-            (true, true) => host.unread.push((job.id, charge)),
+        match (host.is_frozen, flow.is_end) {
+            (true, true) => host.unread.push((job.id, flow.total)),
             (true, false) => {}
-            (false, true) => host.borrower.finish(now, job.id, charge),
-            (false, false) => host.borrower.flow(job.id, charge),
+            (false, true) => host.borrower.finish(now, job.id, flow.total),
+            (false, false) => host.borrower.flow(job.id, flow.total),
         }
-        if is_end {
+        if flow.is_end {
             host.wake_us = 0;
-            self.end(at, charge);
+            self.end(at, flow.total);
         } else {
-            let token_us = 1_000 * (20 + server as u64 % 11);
-            self.schedule(TOKENS_PER_FLOW * token_us, Event::Flow { run: job.id });
+            let interval = engine::flow_interval_ms(server) * MS_US;
+            self.schedule(interval, Event::Flow { run: job.id });
         }
     }
 
@@ -764,10 +722,10 @@
         let run = Run {
             job,
             server,
-            tokens: 0,
+            answer: engine::Answer::new(job.work),
         };
         self.runs.insert(at.unwrap_or_else(|at| at), run);
-        self.schedule(FIRST_TOKEN_US, Event::Flow { run: id });
+        self.schedule(engine::FIRST_TOKEN_MS * MS_US, Event::Flow { run: id });
     }
 
     fn sample(&mut self) {
--- a/crates/schedule/tests/fleet/mod.rs
+++ b/crates/schedule/tests/fleet/mod.rs
@@ -1,11 +1,10 @@
 //! A fleet in virtual time: real borrowers and lenders, fake engines and a network that loses, repeats and reorders.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-
 use primrose_base::clock::Time;
 use primrose_base::id;
 use primrose_base::name::Name;
+use primrose_model::engine::{self, Work};
+use primrose_model::timeline;
 use primrose_schedule::borrower::{self, Action, Borrower};
 use primrose_schedule::ledger::{Origin, Share};
 use primrose_schedule::lender::{self, Lender, Support};
@@ -17,8 +16,6 @@
 
 pub const POOL: id::Pool = id::Pool(1);
 const SAMPLE_MS: u64 = 50;
-const TOKENS_PER_FLOW: u64 = 10;
-const FIRST_TOKEN_MS: u64 = 200;
 /// Membership replaces a dead owner this long after its death.
 const DETECTION_MS: u64 = 3_000;
 
@@ -97,37 +94,20 @@
     },
 }
 
-struct Timed {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Timed) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Timed) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Timed) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 struct Run {
     id: u64,
     host: usize,
     account: usize,
     server: usize,
-    input: u64,
-    output: u64,
-    tokens: u64,
+    answer: engine::Answer,
+}
+
+/// A request that waits at a host.
+struct Waiting {
+    id: u64,
+    host: usize,
+    work: Work,
+    since: u64,
 }
 
 pub struct Host {
@@ -182,9 +162,8 @@
     pub measure_from: u64,
     pairs: Vec<Pair>,
     runs: Vec<Run>,
-    events: BinaryHeap<Reverse<Timed>>,
-    waiting: Vec<(u64, usize, u64, u64, u64)>,
-    order: u64,
+    events: timeline::Queue<Event>,
+    waiting: Vec<Waiting>,
     next_request: u64,
     rng: StdRng,
 }
@@ -216,9 +195,8 @@
             measure_from: 0,
             pairs: vec![Pair::default(); accounts * accounts],
             runs: Vec::new(),
-            events: BinaryHeap::new(),
+            events: timeline::Queue::default(),
             waiting: Vec::new(),
-            order: 0,
             next_request: 1,
             rng: StdRng::seed_from_u64(plan.seed),
             plan,
@@ -348,7 +326,7 @@
         self.hosts[host].is_live = false;
         self.hosts[host].lender = None;
         self.drop_runs(|run| run.host == host);
-        self.waiting.retain(|w| w.1 != host);
+        self.waiting.retain(|waiting| waiting.host != host);
         self.replace_owner(host);
     }
 
@@ -429,13 +407,7 @@
     }
 
     fn schedule(&mut self, delay: u64, event: Event) {
-        self.order += 1;
-        let timed = Timed {
-            at: self.now + delay,
-            order: self.order,
-            event,
-        };
-        self.events.push(Reverse(timed));
+        self.events.push(self.now + delay, event);
     }
 
     /// Sends a message with the faults of the plan. Delays are rounded up to whole ms.
@@ -456,11 +428,8 @@
     pub fn arrive(&mut self, account: usize, host: usize, wait_ms: u64) -> u64 {
         let id = self.next_request;
         self.next_request += 1;
-        let input = self.rng.random_range(50..2_000);
-        // Pareto with a shape of 1.1: most answers are short, and a few take most of the tokens.
-        let draw = 100.0 * self.rng.random_range(1e-6..1.0_f64).powf(-1.0 / 1.1);
-        let output = (draw as u64).min(self.plan.max_tokens);
-        let estimate = input + 2 * self.rng.random_range(self.plan.hint.clone());
+        let work = Work::draw(&mut self.rng, self.plan.max_tokens);
+        let estimate = work.input + 2 * self.rng.random_range(self.plan.hint.clone());
         self.largest_estimate = self.largest_estimate.max(estimate);
         let request = Request {
             id,
@@ -470,7 +439,12 @@
             deadline: Time::from_ms(self.now + wait_ms),
             affinity: id,
         };
-        self.waiting.push((id, host, input, output, self.now));
+        self.waiting.push(Waiting {
+            id,
+            host,
+            work,
+            since: self.now,
+        });
         let now = Time::from_ms(self.now);
         self.hosts[host].borrower.arrive(now, request);
         self.hosts[host].wake = 0;
@@ -491,15 +465,14 @@
             Some(_) => host.wake.min(host.lender_wake),
             None => host.wake,
         });
-        let event = self.events.peek().map(|event| event.0.at);
+        let event = self.events.next_at();
         let sample = (self.now / SAMPLE_MS + 1) * SAMPLE_MS;
         let next = wakes.chain(event).min().unwrap_or(sample);
         next.min(sample).max(self.now + 1)
     }
 
     fn step(&mut self) {
-        while self.events.peek().is_some_and(|e| e.0.at <= self.now) {
-            let event = self.events.pop().expect("peeked").0.event;
+        while let Some(event) = self.events.pop_due(self.now) {
             self.handle(event);
         }
         self.top_up();
@@ -560,31 +533,23 @@
         };
         let now = Time::from_ms(self.now);
         let run = &mut self.runs[at];
-        let before = if run.tokens == 0 {
-            0
-        } else {
-            run.input + 2 * run.tokens
-        };
-        run.tokens = (run.tokens + TOKENS_PER_FLOW).min(run.output);
-        let charge = run.input + 2 * run.tokens;
-        let is_end = run.tokens == run.output;
+        let flow = run.answer.flow();
         let (id, host, account, server) = (run.id, run.host, run.account, run.server);
-        self.tallies[account].service += charge - before;
+        self.tallies[account].service += flow.flowed;
         let host = &mut self.hosts[host];
-        match (host.is_frozen, is_end) {
-            (true, true) => host.unread.push((id, charge)),
+        match (host.is_frozen, flow.is_end) {
+            (true, true) => host.unread.push((id, flow.total)),
             (true, false) => {}
-            (false, true) => host.borrower.finish(now, id, charge),
-            (false, false) => host.borrower.flow(id, charge),
+            (false, true) => host.borrower.finish(now, id, flow.total),
+            (false, false) => host.borrower.flow(id, flow.total),
         }
-        if is_end {
+        if flow.is_end {
             host.wake = 0;
             self.runs.remove(at);
             self.tallies[account].running -= 1;
-            self.largest_charge = self.largest_charge.max(charge);
+            self.largest_charge = self.largest_charge.max(flow.total);
         } else {
-            let ms_per_token = 20 + (server as u64 % 11);
-            self.schedule(TOKENS_PER_FLOW * ms_per_token, Event::Flow { run: id });
+            self.schedule(engine::flow_interval_ms(server), Event::Flow { run: id });
         }
     }
 
@@ -637,34 +602,40 @@
     }
 
     fn expire(&mut self, request: u64) {
-        if let Some(at) = self.waiting.iter().position(|w| w.0 == request) {
+        if let Some(at) = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.id == request)
+        {
             self.waiting.swap_remove(at);
         }
     }
 
     fn start(&mut self, host: usize, request: u64, server: id::Server) {
-        let at = self.waiting.iter().position(|w| w.0 == request);
-        let (id, _, input, output, since) = self.waiting.swap_remove(at.expect("waits"));
+        let at = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.id == request);
+        let waiting = self.waiting.swap_remove(at.expect("waits"));
+        let id = waiting.id;
         let server = server.0 as usize;
         let account = self.account_of(host, id);
         let tally = &mut self.tallies[account];
         tally.dispatched += 1;
         tally.running += 1;
         tally.most_running = tally.most_running.max(tally.running);
-        tally.longest_wait_ms = tally.longest_wait_ms.max(self.now - since);
+        tally.longest_wait_ms = tally.longest_wait_ms.max(self.now - waiting.since);
         self.started_at[server] = self.now;
         let run = Run {
             id,
             host,
             account,
             server,
-            input,
-            output,
-            tokens: 0,
+            answer: engine::Answer::new(waiting.work),
         };
         let at = self.runs.binary_search_by_key(&id, |r| r.id);
         self.runs.insert(at.expect_err("starts once"), run);
-        self.schedule(FIRST_TOKEN_MS, Event::Flow { run: id });
+        self.schedule(engine::FIRST_TOKEN_MS, Event::Flow { run: id });
     }
 
     fn account_of(&self, host: usize, request: u64) -> usize {
