place: Never raise the limit of accounts beyond their share

Accounts below the second level had their limit raised by up to a half, so that more prompts were admitted beyond the promised capacity and pushed kept parts out.

Change: the limit of an account beyond its promised share is at most excess_limit, as before the second level; it falls with a slope of 1 and to 0.4 of it at least (0.5 and 0.6), so that the account that got most still gives way.

Conclusion: even shares do not need more admission.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -19,7 +19,7 @@
 use crate::share::Meter;
 
 /// The least part of `excess_limit` that is left for an account far beyond its share: idle servers still serve it.
-const MIN_EXCESS_PART: f64 = 0.6;
+const MIN_EXCESS_PART: f64 = 0.4;
 
 /// How long a server is left alone after it said that it is full, in ms: a few of its steps.
 const FULL_PAUSE_MS: u64 = 60;
@@ -565,7 +565,7 @@
             // The further beyond, the later: or an account that floods gets more than one that asks for little more than
             // its share.
             let slope = self.settings.excess_slope;
-            let part = (1.0 + slope * (1.0 - excess.actual)).max(MIN_EXCESS_PART);
+            let part = (1.0 + slope * (1.0 - excess.actual)).clamp(MIN_EXCESS_PART, 1.0);
             (self.settings.excess_limit * part, Reason::OverShare)
         } else if demand.returning {
             (self.settings.return_limit, Reason::Overload)
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -14,8 +14,7 @@
     pub limit: f64,
     /// The same for accounts beyond their share.
     pub excess_limit: f64,
-    /// How much of `excess_limit` is taken away for each share that an account has got beyond what all accounts could get,
-    /// and added for what it lacks.
+    /// How much of `excess_limit` is taken away for each share that an account has got beyond what all accounts could get.
     pub excess_slope: f64,
     /// The same for callers that were refused before and came back: they are late already, so that only their deadline
     /// counts, and a second refusal would have cost them the wait in vain.
@@ -46,7 +45,7 @@
             speed: Speed::default(),
             limit: 0.9,
             excess_limit: 0.35,
-            excess_slope: 0.5,
+            excess_slope: 1.0,
             return_limit: 2.0,
             own_cap: 0.2,
             reading_weight: 3.0,
