entry: Split accepting connections from binding

Ruled out: nothing.

One error that was passed over, a connection that cannot be registered, is counted as accept_failed. Tests of the crate pass unchanged. The module text of place::share says what the second level is for.

Conclusion: no change of behaviour besides the counter.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -101,7 +101,7 @@
         connections: Arc::clone(&connections),
         address: listener.local_addr()?,
     };
-    let mut closing = phase.clone();
+    let closing = phase.clone();
     let door = Door {
         max_connections: limits.max_connections,
         pace: limits.pace.clone(),
@@ -121,52 +121,64 @@
             drop(open);
         });
     };
-    let address = running.address;
-    // All connections that wait are accepted in one turn: on a busy host the next turn is far off, and callers whose
-    // connection is not accepted cannot go to another host.
-    tokio::spawn(unconstrained(async move {
-        let mut listener = listener;
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                // Callers that are turned away here reach another host at once; a request that is taken so late may not
-                // end before the process does.
-                _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
-            };
-            let mut turned_away = 0;
-            match accepted {
-                // Callers retry a connection that is closed unread at another host.
-                Ok((stream, _)) if door.turns_away() => {
-                    drop(stream);
-                    turned_away += 1;
-                }
-                Ok((stream, _)) => take(stream),
-                // Out of file descriptors, for example.
-                Err(_) => {
-                    door.pace.count("accept_failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
+    let accepting = accept(listener, running.address, closing, door, take);
+    tokio::spawn(unconstrained(accepting));
+    Ok(running)
+}
+
+/// Accepts connections until the process closes, and hands those that the door lets in to `take`.
+///
+/// All connections that wait are accepted in one turn: on a busy host the next turn is far off, and callers whose connection
+/// is not accepted cannot go to another host.
+async fn accept(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    mut closing: watch::Receiver<Phase>,
+    door: Door,
+    take: impl Fn(TcpStream),
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Callers that are turned away here reach another host at once; a request that is taken so late may not end
+            // before the process does.
+            _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        let mut turned_away = 0;
+        match accepted {
+            // Callers retry a connection that is closed unread at another host.
+            Ok((stream, _)) if door.turns_away() => {
+                drop(stream);
+                turned_away += 1;
             }
-            while turned_away < MAX_TURNED_AWAY
-                && let Some(socket) = waiting(&listener)
-            {
-                if door.turns_away() {
-                    drop(socket);
-                    turned_away += 1;
-                } else if let Ok(stream) = TcpStream::from_std(socket.into()) {
-                    take(stream);
-                }
+            Ok((stream, _)) => take(stream),
+            // Out of file descriptors, for example.
+            Err(_) => {
+                door.pace.count("accept_failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
-            if turned_away == MAX_TURNED_AWAY {
-                drop(listener);
-                listener = tokio::select! {
-                    listener = reopen(address, &door.pace) => listener,
-                    _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
-                };
+        }
+        while turned_away < MAX_TURNED_AWAY
+            && let Some(socket) = waiting(&listener)
+        {
+            if door.turns_away() {
+                drop(socket);
+                turned_away += 1;
+            } else {
+                match TcpStream::from_std(socket.into()) {
+                    Ok(stream) => take(stream),
+                    Err(_) => door.pace.count("accept_failed"),
+                }
             }
         }
-    }));
-    Ok(running)
+        if turned_away == MAX_TURNED_AWAY {
+            drop(listener);
+            listener = tokio::select! {
+                listener = reopen(address, &door.pace) => listener,
+                _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+            };
+        }
+    }
 }
 
 /// Listens again after a pause. An address that cannot be had is tried again and again: the host is of no use without it.
--- a/crates/place/src/share.rs
+++ b/crates/place/src/share.rs
@@ -2,9 +2,9 @@
 //!
 //! The capacity of all engines is shared max-min: every account gets what it asks for up to a common level, and the level
 //! is as high as the capacity allows. What an account asks beyond the level is the first to be refused in an overload;
-//! while there is room it is served like everything else. Among accounts beyond the level that the promised capacity
-//! gives, those that got the most go first: engines may do more than is promised, and what they do beyond it is shared
-//! evenly too.
+//! while there is room it is served like everything else. Engines may do more than is promised. A second level, in what
+//! has been admitted, tells how far beyond its share an account is: among those beyond the promised level the ones that
+//! got the most are refused first, so that what the engines do beyond the promise is shared evenly too.
 
 use std::sync::Arc;
 
@@ -31,7 +31,7 @@
 struct Levels {
     /// In the promised capacity.
     promised: Option<f64>,
-    /// In what has been admitted, if that is more. Invariant: at least the promised one.
+    /// In what has been admitted, if that is more. Invariant: not below the promised one.
     actual: Option<f64>,
 }
 
