proxy: Break the circle of files

Ruled out: splitting the crate; its modules are small and share the gate.

No module reaches itself through others any more. The crate has no tests of its own; those of crates/daemon drive it.

Conclusion: only code was moved.

--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -15,10 +15,11 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
-use crate::attempt::{Answer, Hold, Job, REQUEST_ID_HEADER, Runner, claim_failure, passed_headers};
+use crate::attempt::{Answer, Job, REQUEST_ID_HEADER, Runner, passed_headers};
 use crate::failure::Failure;
 use crate::gate::{Call, Claim};
 use crate::head::{Fields, Head};
+use crate::hold::{Hold, claim_failure};
 
 /// A caller marks a request that must not run twice with the value `true`.
 const NON_IDEMPOTENT_HEADER: HeaderName = HeaderName::from_static("x-primrose-non-idempotent");
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,8 +11,8 @@
 use primrose_base::verdict::Verdict;
 use tokio::time::{Instant, Sleep};
 
-use crate::attempt::Hold;
 use crate::gate::{End, Ticket};
+use crate::hold::Hold;
 use crate::meter::Meter;
 
 /// Token flow is reported to the scheduler at most this often per request.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -18,29 +18,9 @@
 use crate::failure::Failure;
 use crate::gate::Gate;
 use crate::handler::{Chat, Models, Plain, Shared, new_request_id};
+pub use crate::settings::Settings;
 use crate::upstream::Upstream;
 
-/// Limits of the caller-facing interface.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// The largest request body, in bytes.
-    pub max_body_bytes: u64,
-    /// A request that has waited this long for a slot is refused.
-    pub queue_timeout_ms: u64,
-    /// A backend server that sends no first byte within this time has failed.
-    pub answer_timeout_ms: u64,
-}
-
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
-            max_body_bytes: 16 << 20,
-            queue_timeout_ms: 60_000,
-            answer_timeout_ms: 120_000,
-        }
-    }
-}
-
 /// What the listener needs from the tasks that own the decisions.
 pub struct Inputs {
     /// Asks for slots and claims.
