entry: Keep the limits of a listener in one place

Cause: Door repeated two fields of Limits, which already stood for whether a caller is turned away, and the twin of that check, whether answers end their connections, counted the same connections in serve.

Ruled out: one path for the first connection of a turn and for those that wait. The runtime has registered the first one already, the others must not be.

Change: Door holds the limits and the count, answers both questions, and is handed to serve in place of the two.

The tests of the crate pass with their assertions as they were.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -101,21 +101,14 @@
         connections: Arc::clone(&connections),
         address: listener.local_addr()?,
     };
-    let closing = phase.clone();
     let door = Door {
-        max_connections: limits.max_connections,
-        pace: limits.pace.clone(),
-        connections: Arc::clone(&connections),
+        limits,
+        connections,
     };
+    let (inside, closing) = (door.clone(), phase.clone());
     let take = move |stream: TcpStream| {
-        let open = Open::new(&connections);
-        let served = serve(
-            stream,
-            limits.clone(),
-            Arc::clone(&connections),
-            phase.clone(),
-            handle.clone(),
-        );
+        let open = Open::new(&inside.connections);
+        let served = serve(stream, inside.clone(), phase.clone(), handle.clone());
         tokio::spawn(async move {
             served.await;
             drop(open);
@@ -154,7 +147,7 @@
             Ok((stream, _)) => take(stream),
             // Out of file descriptors, for example.
             Err(_) => {
-                door.pace.count("accept_failed");
+                door.limits.pace.count("accept_failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -167,14 +160,14 @@
             } else {
                 match TcpStream::from_std(socket.into()) {
                     Ok(stream) => take(stream),
-                    Err(_) => door.pace.count("accept_failed"),
+                    Err(_) => door.limits.pace.count("accept_failed"),
                 }
             }
         }
         if turned_away == MAX_TURNED_AWAY {
             drop(listener);
             listener = tokio::select! {
-                listener = reopen(address, &door.pace) => listener,
+                listener = reopen(address, &door.limits.pace) => listener,
                 _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
             };
         }
@@ -207,16 +200,26 @@
     }
 }
 
-/// Decides whether a connection is taken.
+/// Compares the connections that are open with the limits.
+#[derive(Clone)]
 struct Door {
-    max_connections: usize,
-    pace: Pace,
+    limits: Limits,
     connections: Arc<AtomicUsize>,
 }
 
 impl Door {
+    fn open(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Whether a new connection is closed unread.
     fn turns_away(&self) -> bool {
-        self.connections.load(Ordering::Relaxed) >= self.max_connections || self.pace.turns_away()
+        self.open() >= self.limits.max_connections || self.limits.pace.turns_away()
+    }
+
+    /// Whether answers end their connections.
+    fn is_pressed(&self) -> bool {
+        self.open() > self.limits.max_connections / 2
     }
 }
 
@@ -236,13 +239,8 @@
     }
 }
 
-async fn serve<F, R>(
-    stream: TcpStream,
-    limits: Limits,
-    connections: Arc<AtomicUsize>,
-    phase: watch::Receiver<Phase>,
-    handle: F,
-) where
+async fn serve<F, R>(stream: TcpStream, door: Door, phase: watch::Receiver<Phase>, handle: F)
+where
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Response<Body>>,
 {
@@ -256,11 +254,10 @@
         }
         let answer = handle(request);
         let phase = answering.clone();
-        let connections = &connections;
+        let door = &door;
         async move {
             let mut response = answer.await;
-            let is_pressed = connections.load(Ordering::Relaxed) > limits.max_connections / 2;
-            if is_pressed || *phase.borrow() != Phase::Serving {
+            if door.is_pressed() || *phase.borrow() != Phase::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -269,7 +266,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
+        .header_read_timeout(door.limits.idle)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
