--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
 use primrose_base::clock::Time;
 use primrose_entry::body::Body;
 use primrose_entry::budget::{Budget, Settings};
@@ -143,9 +144,7 @@
 #[tokio::test]
 async fn a_host_that_is_behind_closes_connections_unread() {
     let (_phase, listener) = listen(Pace::fixed(50)).await;
-    let mut stream = TcpStream::connect(listener.address)
-        .await
-        .expect("connects");
+    let mut stream = connect(&listener).await;
     assert_eq!(ask(&mut stream).await, "");
     assert_eq!(listener.connections(), 0);
 }
@@ -190,22 +189,13 @@
     let pace = Pace::fixed(7);
     let meter = Arc::new(Meter::new(&counter::ALL, &counter::LATENCIES));
     let shared = shared(pace.clone(), &meter).await;
-    let limits = Limits {
-        idle: Duration::from_secs(5),
-        max_connections: 100,
-        pace,
-    };
-    let (_phase, followed) = watch::channel(Phase::Serving);
-    let address = "127.0.0.1:0".parse().expect("an address");
-    let listener = listener::bind(address, limits, followed, move |request| {
+    let (_phase, listener) = bind(pace, 100, move |request| {
         request::handle(Arc::clone(&shared), request)
-    });
-    let listener = listener.await.expect("binds");
+    })
+    .await;
     let mut heads = Vec::new();
     for _ in 0..40 {
-        let mut stream = TcpStream::connect(listener.address)
-            .await
-            .expect("connects");
+        let mut stream = connect(&listener).await;
         heads.push(ask(&mut stream).await);
     }
     let taken = heads.iter().filter(|head| !head.is_empty()).count();
@@ -254,9 +244,7 @@
 #[tokio::test]
 async fn later_requests_of_a_connection_are_told_apart() {
     let (_phase, listener) = listen(Pace::default()).await;
-    let mut stream = TcpStream::connect(listener.address)
-        .await
-        .expect("connects");
+    let mut stream = connect(&listener).await;
     assert!(ask(&mut stream).await.contains("first: true"));
     assert!(ask(&mut stream).await.contains("first: false"));
 }
@@ -269,9 +257,7 @@
     let mut open = Vec::new();
     let mut heads = Vec::new();
     for _ in 0..4 {
-        let mut stream = TcpStream::connect(listener.address)
-            .await
-            .expect("connects");
+        let mut stream = connect(&listener).await;
         heads.push(ask(&mut stream).await);
         open.push(stream);
     }
@@ -280,41 +266,54 @@
     let held: Vec<TcpStream> = {
         let mut held = Vec::new();
         while listener.connections() < 4 {
-            held.push(
-                TcpStream::connect(listener.address)
-                    .await
-                    .expect("connects"),
-            );
+            held.push(connect(&listener).await);
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         held
     };
-    let mut beyond = TcpStream::connect(listener.address)
-        .await
-        .expect("connects");
+    let mut beyond = connect(&listener).await;
     assert_eq!(ask(&mut beyond).await, "");
     drop(held);
 }
 
 /// A listener for four connections, which serves until the first value is dropped.
 async fn listen(pace: Pace) -> (watch::Sender<Phase>, listener::Handle) {
+    bind(pace, 4, |request| async move {
+        let is_first = request.extensions().get::<listener::First>().is_some();
+        let mut response = Response::new(Body::whole("here"));
+        let value = HeaderValue::from_static(if is_first { "true" } else { "false" });
+        response.headers_mut().insert("first", value);
+        response
+    })
+    .await
+}
+
+async fn bind<F, R>(
+    pace: Pace,
+    max_connections: usize,
+    handle: F,
+) -> (watch::Sender<Phase>, listener::Handle)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
     let limits = Limits {
         idle: Duration::from_secs(5),
-        max_connections: 4,
+        max_connections,
         pace,
     };
     let (phase, followed) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("an address");
-    let listener = listener::bind(address, limits, followed, |request| async move {
-        let is_first = request.extensions().get::<listener::First>().is_some();
-        let mut response = hyper::Response::new(Body::whole("here"));
-        let value = HeaderValue::from_static(if is_first { "true" } else { "false" });
-        response.headers_mut().insert("first", value);
-        response
-    });
+    let listener = listener::bind(address, limits, followed, handle);
     (phase, listener.await.expect("binds"))
 }
 
+async fn connect(listener: &listener::Handle) -> TcpStream {
+    TcpStream::connect(listener.address)
+        .await
+        .expect("connects")
+}
+
 /// The head of an answer in lower case; empty if the connection is closed unread.
 async fn ask(stream: &mut TcpStream) -> String {
     let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
