--- /dev/null
+++ b/crates/entry/src/buffer.rs
@@ -0,0 +1,107 @@
+//! Answers that are buffered until they are complete, and what happens to one that outgrows the buffer.
+//!
+//! A complete answer in the buffer can still be replaced by that of another server if its connection breaks. A server
+//! in trouble may send bytes without end, so the buffer is bounded: a larger answer is forwarded as it arrives, no
+//! faster than the caller reads, until the deadline of the request.
+
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use primrose_place::placer::Outcome;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::body::Interrupted;
+use crate::request::{Answered, Job};
+
+/// The most bytes of an answer that are buffered. A longer answer is forwarded as it arrives.
+pub(crate) const MAX_BYTES: usize = 512 << 10;
+
+/// A caller that takes nothing for this long before the deadline is the reason that an answer did not end; otherwise
+/// the server is.
+const SLOW_CALLER: Duration = Duration::from_millis(250);
+
+/// The part of an answer that was buffered.
+pub(crate) enum Buffered {
+    /// The whole answer.
+    Whole(Bytes),
+    /// The start of an answer that is longer than [`MAX_BYTES`].
+    Start(Bytes),
+}
+
+/// Reads an answer until it is complete or exceeds [`MAX_BYTES`].
+///
+/// # Errors
+///
+/// Returns the error of the connection to the server.
+pub(crate) async fn read(body: &mut Incoming) -> Result<Buffered, hyper::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        bytes.put(data);
+        if bytes.len() > MAX_BYTES {
+            return Ok(Buffered::Start(bytes.freeze()));
+        }
+    }
+    Ok(Buffered::Whole(bytes.freeze()))
+}
+
+/// Forwards `start` and the rest of an answer that outgrew the buffer. Holds one chunk at a time.
+pub(crate) async fn forward(
+    mut job: Job,
+    answered: Answered,
+    start: Bytes,
+    sender: mpsc::Sender<Result<Bytes, Interrupted>>,
+) {
+    let Answered {
+        mut body,
+        connection,
+        assignment,
+        ..
+    } = answered;
+    let mut chunk = start;
+    let (outcome, code) = loop {
+        job.record_forwarded();
+        let waiting_since = Instant::now();
+        match timeout_at(job.deadline, sender.send(Ok(chunk))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => break (Outcome::Cancelled, "caller_gone"),
+            Err(_) if waiting_since.elapsed() >= SLOW_CALLER => {
+                break (Outcome::Cancelled, "timeout");
+            }
+            Err(_) => break (Outcome::Answered { failed: true }, "answer_endless"),
+        }
+        chunk = match timeout_at(job.deadline, next_chunk(&mut body)).await {
+            Ok(Ok(Some(chunk))) => chunk,
+            Ok(Ok(None)) => {
+                job.release(connection);
+                assignment.end(Outcome::Answered { failed: false });
+                job.record_complete("served");
+                return;
+            }
+            Ok(Err(error)) => {
+                job.log_interruption(&error.to_string(), false);
+                break (Outcome::Answered { failed: true }, "answer_broken");
+            }
+            Err(_) => break (Outcome::Answered { failed: true }, "answer_endless"),
+        };
+    };
+    drop(connection);
+    assignment.end(outcome);
+    job.interrupt(&sender, code).await;
+}
+
+/// The next data of a body, or `None` at its end.
+async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,8 +1,9 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 45] = [
+pub const ALL: [&str; 46] = [
     "accept_failed",
+    "answer_endless",
     "answer_foreign",
     "answer_broken",
     "ask_local",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! An entry host stores nothing durably. It gets the configuration and the assignments from the core hosts
 //! ([`link`]). Requests are processed in [`request`]: matched to a route, assigned to a server, sent and answered.
-//! `stream` forwards the answers that another server can resume, `direct` forwards all others, and `upstream` holds
-//! the connections to backend servers. The platform supplies the header names as a [`Protocol`].
+//! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
+//! `direct` forwards all others, and `upstream` holds the connections to backend servers. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 pub mod body;
 pub mod budget;
+mod buffer;
 pub mod counter;
 mod direct;
 pub mod event;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -26,8 +26,9 @@
 use tokio::time::Instant;
 
 use crate::assignment::Assignment;
-use crate::body::Body;
+use crate::body::{Body, Interrupted};
 use crate::budget::Budget;
+use crate::buffer::{self, Buffered};
 use crate::direct;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
 use crate::hop;
@@ -48,10 +49,6 @@
 /// The time after which a caller is told to retry if this host is overloaded, in ms: retries reach other hosts.
 const OVERLOADED_RETRY_AFTER_MS: u32 = 50;
 
-/// The largest `Content-Length` of an answer that is buffered until it is complete, in bytes. A longer answer is
-/// forwarded as it arrives. An answer that is not a stream and announces no length is buffered whatever its length.
-const MAX_BUFFERED_BYTES: u64 = 512 << 10;
-
 /// A caller whose deadline is below this fraction of the longest deadline of its route counts as refused before: the
 /// deadlines of first attempts differ by up to 15 %.
 const RETURNING_DEADLINE_FRACTION: f64 = 0.84;
@@ -325,6 +322,16 @@
     failed: bool,
 }
 
+/// What follows after an answer was read into the buffer.
+enum Next {
+    /// The caller gets this answer.
+    Complete(Response<Body>),
+    /// The answer is larger than the buffer, which holds its start.
+    Outgrown(Answered, Bytes),
+    /// The request is sent to another server.
+    SendAgain,
+}
+
 impl Job {
     async fn run(mut self) -> Response<Body> {
         self.record_in_budget();
@@ -339,8 +346,11 @@
                 return self.forward(answered);
             }
             match self.buffer(answered).await {
-                Ok(Some(response)) => return response,
-                Ok(None) => {}
+                Ok(Next::Complete(response)) => return response,
+                Ok(Next::Outgrown(answered, start)) => {
+                    return self.forward_outgrown(answered, start);
+                }
+                Ok(Next::SendAgain) => {}
                 Err(refusal) => return self.refuse(&refusal),
             }
         }
@@ -671,7 +681,7 @@
 
     /// Reads the rest of a short answer, so that its connection can be reused.
     async fn drain_short_answer(&self, body: Incoming, connection: Connection) {
-        let read = Limited::new(body, MAX_BUFFERED_BYTES as usize).collect();
+        let read = Limited::new(body, buffer::MAX_BYTES).collect();
         let limit = Duration::from_millis(100);
         if let Ok(Ok(_)) = tokio::time::timeout(limit, read).await {
             self.shared.pool.release(connection);
@@ -679,42 +689,38 @@
     }
 
     /// Buffers an answer until it is complete, so that the request can be sent again if the connection breaks.
-    /// Returns `None` if the request is to be sent again.
-    async fn buffer(&mut self, answered: Answered) -> Result<Option<Response<Body>>, Refusal> {
-        let Answered {
-            head,
-            body,
-            connection,
-            assignment,
-            failed,
-        } = answered;
-        let read = tokio::time::timeout_at(self.deadline, body.collect()).await;
+    async fn buffer(&mut self, mut answered: Answered) -> Result<Next, Refusal> {
+        let failed = answered.failed;
+        let read = tokio::time::timeout_at(self.deadline, buffer::read(&mut answered.body)).await;
         let failure = match read {
-            Ok(Ok(collected)) => {
-                self.shared.pool.release(connection);
-                assignment.end(Outcome::Answered { failed });
+            Ok(Ok(Buffered::Whole(bytes))) => {
+                self.shared.pool.release(answered.connection);
+                answered.assignment.end(Outcome::Answered { failed });
                 let failure = Failure::may_have_run("retry_server_failed", "server_failed", "");
                 if failed && self.may_retry_failed(&failure) {
                     self.shared.meter.count(failure.retry_counter);
-                    return Ok(None);
+                    return Ok(Next::SendAgain);
                 }
-                return Ok(Some(self.complete(head, collected.to_bytes(), failed)));
+                let response = self.complete(answered.head, bytes, failed);
+                return Ok(Next::Complete(response));
             }
+            Ok(Ok(Buffered::Start(start))) => return Ok(Next::Outgrown(answered, start)),
             Ok(Err(error)) => {
-                assignment.end(Outcome::Answered { failed: true });
+                let outcome = Outcome::Answered { failed: true };
+                answered.assignment.end(outcome);
                 let message =
                     format!("the connection to the server broke during the answer: {error}");
                 Failure::may_have_run("retry_answer_broken", "answer_broken", &message)
             }
             Err(_) => {
-                assignment.end(Outcome::Cancelled);
+                answered.assignment.end(Outcome::Cancelled);
                 return Err(self.timed_out());
             }
         };
         self.may_have_run = true;
         self.check_retry(&failure)?;
         self.shared.meter.count(failure.retry_counter);
-        Ok(None)
+        Ok(Next::SendAgain)
     }
 
     /// Whether a request that failed at its server is sent to another one. If it is not, the caller gets the server's
@@ -726,19 +732,23 @@
 
     fn complete(&self, head: response::Parts, body: Bytes, failed: bool) -> Response<Body> {
         self.record_complete(if failed { "server_failed" } else { "served" });
-        let mut response = Response::new(Body::full(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = head.headers;
-        hop::remove(response.headers_mut());
+        let mut response = forwarded_head(&head);
+        *response.body_mut() = Body::full(body);
+        response
+    }
+
+    /// Forwards an answer that has outgrown the buffer, from its buffered start on.
+    fn forward_outgrown(self, answered: Answered, start: Bytes) -> Response<Body> {
+        let mut response = forwarded_head(&answered.head);
+        let (sender, receiver) = mpsc::channel(1);
+        tokio::spawn(buffer::forward(self, answered, start, sender));
+        *response.body_mut() = Body::Channel(receiver);
         response
     }
 
     /// Forwards an answer as it arrives.
     fn forward(self, answered: Answered) -> Response<Body> {
-        let mut response = Response::new(Body::full(Bytes::new()));
-        *response.status_mut() = answered.head.status;
-        *response.headers_mut() = answered.head.headers.clone();
-        hop::remove(response.headers_mut());
+        let mut response = forwarded_head(&answered.head);
         let is_resumable = answered.head.status.is_success()
             && self.route.kind.is_stream()
             && self.route.kind.is_repeatable();
@@ -772,6 +782,17 @@
             "server" => self.server.as_deref(), "reason" => reason, "goes_on" => resumed);
     }
 
+    /// Closes the connection to the caller without the end of the answer, so that the answer does not look complete.
+    pub(crate) async fn interrupt(
+        &self,
+        sender: &mpsc::Sender<Result<Bytes, Interrupted>>,
+        code: &'static str,
+    ) {
+        self.record_end(code, None);
+        // The caller may have disconnected.
+        let _ = sender.send(Err(Interrupted)).await;
+    }
+
     /// Records that the caller got a complete answer.
     pub(crate) fn record_complete(&self, code: &'static str) {
         let latency = Time::now().since(self.started);
@@ -811,8 +832,17 @@
     }
 }
 
+/// The answer of a server without its body and without the headers that concern only the connection to the server.
+fn forwarded_head(head: &response::Parts) -> Response<Body> {
+    let mut response = Response::new(Body::full(Bytes::new()));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers.clone();
+    hop::remove(response.headers_mut());
+    response
+}
+
 fn is_large(answered: &Answered) -> bool {
     let length = answered.head.headers.get(CONTENT_LENGTH);
     let length = length.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
-    length.is_some_and(|length| length > MAX_BUFFERED_BYTES)
+    length.is_some_and(|length| length > buffer::MAX_BYTES as u64)
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -71,7 +71,7 @@
             }
             End::TimedOut => {
                 assignment.end(Outcome::Cancelled);
-                interrupt(&job, &sender, "timeout").await;
+                job.interrupt(&sender, "timeout").await;
                 return;
             }
             End::Silent => "the server sent nothing for too long".to_owned(),
@@ -80,7 +80,7 @@
         drop(connection);
         assignment.end(Outcome::Answered { failed: true });
         if !job.may_resume(&reason) {
-            interrupt(&job, &sender, "stream_broken").await;
+            job.interrupt(&sender, "stream_broken").await;
             return;
         }
         splitter.discard_partial();
@@ -89,29 +89,18 @@
             Ok(answered) if answered.head.status.is_success() => answered,
             Ok(answered) => {
                 answered.assignment.end(Outcome::Answered { failed: true });
-                interrupt(&job, &sender, "stream_broken").await;
+                job.interrupt(&sender, "stream_broken").await;
                 return;
             }
             Err(refusal) => {
                 job.shared.meter.count("resume_refused");
-                interrupt(&job, &sender, refusal.code).await;
+                job.interrupt(&sender, refusal.code).await;
                 return;
             }
         };
     }
 }
 
-/// Closes the connection to the caller without the end of the answer, so that the answer does not look complete.
-async fn interrupt(
-    job: &Job,
-    sender: &mpsc::Sender<Result<Bytes, Interrupted>>,
-    code: &'static str,
-) {
-    job.record_end(code, None);
-    // The caller may have disconnected.
-    let _ = sender.send(Err(Interrupted)).await;
-}
-
 struct Forwarder<'a> {
     job: &'a mut Job,
     sender: &'a mpsc::Sender<Result<Bytes, Interrupted>>,
