--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -196,6 +196,10 @@
     /// may have acknowledged a heartbeat just before the restart, so it must respect the lease based on that
     /// heartbeat.
     last_contact: Time,
+    /// Whether this process has led or has heard from a leader since its start.
+    has_had_leader: bool,
+    /// Number of candidacies in a row that this process started before it had a leader.
+    restart_candidacies: u32,
     /// The time at which the election timer was last restarted.
     election_timer_start: Time,
     election_timeout_ms: u64,
@@ -280,8 +284,14 @@
             role: Role::Follower,
             leader: None,
             last_contact: now,
+            has_had_leader: false,
+            restart_candidacies: 0,
             election_timer_start: now,
-            election_timeout_ms: options.election_min_ms,
+            election_timeout_ms: if options.keeps_lease_over_restart {
+                options.election_min_ms
+            } else {
+                0
+            },
             options,
             votes: Vec::new(),
             by_transfer: false,
@@ -307,7 +317,9 @@
             reported_status: status,
             outstanding: None,
         };
-        node.restart_election_timer();
+        if node.options.keeps_lease_over_restart {
+            node.restart_election_timer();
+        }
         node
     }
 
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -8,6 +8,10 @@
 use crate::message::{Body, Message, Outcome};
 use crate::progress::Progress;
 
+/// The shortest time in ms after which a voter that has had no leader since its start stands for election again: a few
+/// round trips between failure domains and writes to the disk, so that a vote in progress is not disturbed.
+const RESTART_TIMEOUT_MS: u64 = 40;
+
 impl Node {
     /// Becomes a follower in `term`, which must be at least the current term. Cancels the read barriers of a leader.
     pub(super) fn become_follower(&mut self, term: u64, leader: Option<Id>) {
@@ -30,28 +34,45 @@
 
     /// Starts the election timer now, with a new random timeout.
     pub(super) fn restart_election_timer(&mut self) {
-        let range = self.options.election_min_ms..self.options.election_max_ms;
+        let (min, max) = (self.options.election_min_ms, self.options.election_max_ms);
+        let range = if self.is_leaderless_since_start() {
+            // Each candidacy that finds no majority doubles the timeout: the voters that are missing stand themselves
+            // when they start, so that frequent repetitions serve only against lost messages.
+            let doublings = self.restart_candidacies.saturating_sub(1).min(16);
+            let min = (RESTART_TIMEOUT_MS << doublings).min(min);
+            min..(2 * min).min(max)
+        } else {
+            min..max
+        };
         self.election_timeout_ms = self.rng.random_range(range);
         self.election_timer_start = self.now;
     }
 
-    /// Whether a leader may hold a lease that is based on an answer of this replica.
+    /// Whether this voter may vote and stand for election without waiting for the end of a lease, because it has
+    /// heard from no leader since its start and leaders have no lease.
+    fn is_leaderless_since_start(&self) -> bool {
+        !self.has_had_leader && !self.options.keeps_lease_over_restart
+    }
+
+    /// Whether a leader may be alive that this replica has acknowledged, so that no vote is granted.
     fn leader_may_hold_lease(&self) -> bool {
         self.role == Role::Leader
-            || self.now.since(self.last_contact) < self.options.election_min_ms
+            || (self.now.since(self.last_contact) < self.options.election_min_ms
+                && !self.is_leaderless_since_start())
     }
 
     pub(super) fn tick_election(&mut self) {
         if self.now.since(self.election_timer_start) < self.election_timeout_ms {
             return;
         }
-        self.restart_election_timer();
         if self.membership().is_voter(self.id) {
             self.start_pre_vote();
         }
+        self.restart_election_timer();
     }
 
     fn start_pre_vote(&mut self) {
+        self.restart_candidacies = self.restart_candidacies.saturating_add(1);
         self.role = Role::PreCandidate;
         self.leader = None;
         self.by_transfer = false;
@@ -60,6 +81,16 @@
         self.count_votes();
     }
 
+    /// Stands for election at once if another voter stands that cannot win, because this one has the longer log or a
+    /// higher term, and if no leader is known to be alive.
+    fn stand_if_leaderless(&mut self) {
+        let is_idle = self.role != Role::Candidate;
+        if self.is_leaderless_since_start() && is_idle && self.membership().is_voter(self.id) {
+            self.start_pre_vote();
+            self.restart_election_timer();
+        }
+    }
+
     fn start_election(&mut self) {
         self.role = Role::Candidate;
         self.leader = None;
@@ -101,6 +132,7 @@
 
     fn become_leader(&mut self) {
         self.role = Role::Leader;
+        self.has_had_leader = true;
         self.leader = Some(self.id);
         self.by_transfer = false;
         self.votes.clear();
@@ -178,6 +210,7 @@
             Body::Vote { pre, .. } => {
                 let granted = false;
                 self.send(message.from, Body::VoteReply { granted, pre });
+                self.stand_if_leaderless();
             }
             Body::VoteReply { .. }
             | Body::AppendReply { .. }
@@ -194,6 +227,7 @@
         if self.leader_may_hold_lease() || last < self.log.last() {
             let granted = false;
             self.send(message.from, Body::VoteReply { granted, pre });
+            self.stand_if_leaderless();
         } else {
             let granted = true;
             self.send_in_term(message.from, message.term, Body::VoteReply { granted, pre });
@@ -226,6 +260,9 @@
                     self.restart_election_timer();
                 }
                 self.send(from, Body::VoteReply { granted, pre });
+                if pre {
+                    self.stand_if_leaderless();
+                }
             }
             Body::VoteReply { granted, pre } => {
                 if granted && !pre && self.role == Role::Candidate {
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -111,10 +111,10 @@
         Ok(to)
     }
 
-    /// The end of the leader lease on this node's clock; `None` if this node is not the leader or no majority has
-    /// answered yet in this term.
+    /// The end of the leader lease on this node's clock; `None` if this node is not the leader, if no majority has
+    /// answered yet in this term, or without [`super::Options::keeps_lease_over_restart`].
     pub fn lease_until(&self) -> Option<Time> {
-        if self.role != Role::Leader {
+        if self.role != Role::Leader || !self.options.keeps_lease_over_restart {
             return None;
         }
         let acked = self.majority_value(|peer| peer.acked.map(|stamp| stamp.sent), self.now)?;
--- a/crates/consensus/src/node/options.rs
+++ b/crates/consensus/src/node/options.rs
@@ -23,6 +23,13 @@
     /// machines can be suspended, lease reads let a resumed leader answer from an old state. Without lease reads,
     /// every read barrier waits for a majority.
     pub lease_reads: bool,
+    /// Whether a restarted voter grants no vote for `election_min_ms`, because it may have acknowledged a heartbeat
+    /// just before the restart and so have renewed the lease of a leader.
+    ///
+    /// If false, leaders have no lease, and a voter that has heard from no leader since its start votes and stands for
+    /// election at once. After the loss of a majority, a leader is then elected within a few round trips of the start
+    /// of the last voter that is needed. Election safety does not depend on this option: votes are on the disk.
+    pub keeps_lease_over_restart: bool,
     /// The maximum size of a proposal, in bytes.
     pub max_entry_bytes: usize,
     /// The maximum size of the entries, or of the snapshot chunk, in one message, in bytes. A single entry that is
@@ -52,6 +59,7 @@
             election_max_ms: 1000,
             lease_ms: 400,
             lease_reads: true,
+            keeps_lease_over_restart: true,
             max_entry_bytes: 4 << 20,
             max_message_bytes: 256 << 10,
             max_in_flight: 8,
@@ -87,6 +95,9 @@
         /// [`Options::lease_ms`].
         lease_ms: u64,
     },
+    /// Without a lease there is nothing to read by.
+    #[error("lease_reads needs keeps_lease_over_restart")]
+    NoLease,
     /// The range from which election timeouts are chosen at random is empty.
     #[error("the longest election timeout ({max} ms) must exceed the shortest ({min} ms)")]
     Election {
@@ -127,6 +138,9 @@
                 lease_ms,
             });
         }
+        if self.lease_reads && !self.keeps_lease_over_restart {
+            return Err(Invalid::NoLease);
+        }
         if max <= min {
             return Err(Invalid::Election { min, max });
         }
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -17,6 +17,7 @@
         );
         self.become_follower(self.hard.term, Some(from));
         self.last_contact = self.now;
+        self.has_had_leader = true;
         self.restart_election_timer();
         match body {
             Body::Append {
--- a/crates/consensus/tests/cluster.rs
+++ b/crates/consensus/tests/cluster.rs
@@ -10,7 +10,7 @@
 #[path = "support/drive.rs"]
 mod drive;
 
-use cluster::Cluster;
+use cluster::{Cluster, Lease};
 use primrose_consensus::node::Role;
 use rand::RngExt;
 use test_case::test_case;
@@ -80,9 +80,9 @@
     cluster.hosts[at].frozen_until = cluster.now + ms;
 }
 
-fn run(seed: u64, faults: Faults) {
-    println!("seed {seed}, {faults:?}");
-    let mut cluster = Cluster::new(seed, 4);
+fn run(seed: u64, faults: Faults, lease: Lease) {
+    println!("seed {seed}, {faults:?}, lease {lease:?}");
+    let mut cluster = Cluster::new(seed, 4, lease);
     cluster.run(3000);
     let answered = cluster.clients.answered();
     assert!(
@@ -110,14 +110,17 @@
 
 // Checks that no committed entry is lost or differs between replicas, that no term has two leaders, that no new
 // leader is elected during the lease of another, that reads are not stale, and that the fleet recovers when the
-// faults end.
-#[test_case(Faults::Network)]
-#[test_case(Faults::Process)]
-#[test_case(Faults::Everything)]
-fn random_faults(faults: Faults) {
+// faults end. Without a lease, restarted voters elect a leader at once, which must not weaken the other checks.
+#[test_case(Faults::Network, Lease::Kept)]
+#[test_case(Faults::Process, Lease::Kept)]
+#[test_case(Faults::Everything, Lease::Kept)]
+#[test_case(Faults::Network, Lease::None)]
+#[test_case(Faults::Process, Lease::None)]
+#[test_case(Faults::Everything, Lease::None)]
+fn random_faults(faults: Faults, lease: Lease) {
     let first = number_from_env("PRIMROSE_FIRST_SEED", 1);
     for seed in first..first + number_from_env("PRIMROSE_SEEDS", 6) {
-        run(seed, faults);
+        run(seed, faults, lease);
     }
 }
 
@@ -125,7 +128,7 @@
 // lease.
 #[test]
 fn a_one_way_partition_does_not_replace_the_leader() {
-    let mut cluster = Cluster::new(1, 0);
+    let mut cluster = Cluster::new(1, 0, Lease::Kept);
     cluster.run(3000);
     let leader = cluster.leader().expect("a leader is elected");
     let term = cluster.hosts[leader]
@@ -145,7 +148,7 @@
 #[test_case(2)]
 #[test_case(3)]
 fn a_disk_is_lost_right_after_each_repair(seed: u64) {
-    let mut cluster = Cluster::new(seed, 4);
+    let mut cluster = Cluster::new(seed, 4, Lease::Kept);
     cluster.run(3000);
     for round in 0..6 {
         cluster.lose_disk(round % 3);
@@ -163,11 +166,14 @@
 }
 
 // After hundreds of entries and several snapshots, a power failure of all hosts must not lead back to an older state.
-#[test_case(1)]
-#[test_case(2)]
-#[test_case(3)]
-fn all_hosts_restart_at_once(seed: u64) {
-    let mut cluster = Cluster::new(seed, 4);
+#[test_case(1, Lease::Kept)]
+#[test_case(2, Lease::Kept)]
+#[test_case(3, Lease::Kept)]
+#[test_case(1, Lease::None)]
+#[test_case(2, Lease::None)]
+#[test_case(3, Lease::None)]
+fn all_hosts_restart_at_once(seed: u64, lease: Lease) {
+    let mut cluster = Cluster::new(seed, 4, lease);
     for _ in 0..5 {
         let entries = cluster.oracle.committed.len() + 300;
         while cluster.oracle.committed.len() < entries {
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -185,6 +185,91 @@
     assert!(!grants(&flush(&mut restarted)));
 }
 
+/// Options without a lease, as where machines may be suspended.
+fn without_lease() -> Options {
+    Options {
+        lease_reads: false,
+        keeps_lease_over_restart: false,
+        ..Options::default()
+    }
+}
+
+/// A voter of `voters` that starts at `now`, without a lease to wait for.
+fn restarted(id: u64, voters: u64, entries: &[Entry], now: Time) -> Node {
+    Node::new(recovered(id, voters, entries), without_lease(), now, id)
+}
+
+fn leads(node: &Node) -> bool {
+    node.role() == Role::Leader
+}
+
+// After the loss of all hosts, callers were refused for up to a second while every voter waited for its election
+// timeout. The last voter that a majority needs must lead as soon as it has started, whenever the others did.
+#[test]
+fn last_voter_of_a_majority_leads_when_it_starts() {
+    let mut first = restarted(1, 5, &[], at(1));
+    let mut second = restarted(2, 5, &[], at(1));
+    let now = run(&mut [&mut first, &mut second], at(1), 3_000);
+    assert!(
+        !leads(&first) && !leads(&second),
+        "two of five are no majority"
+    );
+    let mut third = restarted(3, 5, &[], now);
+    third.tick(now);
+    exchange(&mut [&mut first, &mut second, &mut third], now);
+    assert!(
+        leads(&third),
+        "the third voter waits although a majority is there"
+    );
+}
+
+// The last voter to start cannot win if it lacks entries. One that has them must then stand without waiting for its
+// own timer.
+#[test]
+fn voter_with_longer_log_leads_when_last_voter_starts() {
+    let entries = [entry(1, 2)];
+    let mut first = restarted(1, 3, &entries, at(1));
+    let now = run(&mut [&mut first], at(1), 3_000);
+    let mut second = restarted(2, 3, &[], now);
+    second.tick(now);
+    exchange(&mut [&mut first, &mut second], now);
+    assert!(
+        leads(&first),
+        "the voter with the longer log does not stand"
+    );
+}
+
+// A voter that restarts while a leader is alive must not replace it, however often it stands.
+#[test]
+fn restarted_voter_does_not_replace_a_live_leader() {
+    let ([mut leader, mut follower, _], now) = three_nodes_with(&without_lease());
+    let term = leader.term();
+    let mut third = restarted(3, 3, &[], now);
+    third.tick(now);
+    exchange(&mut [&mut leader, &mut follower, &mut third], now);
+    run(&mut [&mut leader, &mut follower, &mut third], now, 2_000);
+    assert!(leads(&leader), "the restarted voter replaced the leader");
+    assert_eq!(leader.term(), term);
+}
+
+// If the messages of a start are lost, the voters must stand again soon, and ever less often while no majority is
+// there: an isolated host must not flood the network.
+#[test]
+fn restarted_voter_stands_less_and_less_often() {
+    let mut alone = restarted(1, 3, &[], at(1));
+    let mut now = at(1);
+    let mut sent = Vec::new();
+    while now < at(10_000) {
+        now = now.plus_ms(5);
+        alone.tick(now);
+        if !flush(&mut alone).is_empty() {
+            sent.push(now.since(at(1)));
+        }
+    }
+    assert!(sent[0] <= 5 && sent[1] <= 100, "candidacies at {sent:?} ms");
+    assert!(sent.len() < 30, "{} candidacies in 10 s", sent.len());
+}
+
 // A candidate that lacks committed entries would replace them if it were elected.
 #[test_case(true ; "pre-vote")]
 #[test_case(false ; "vote")]
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -23,8 +23,18 @@
 pub(crate) const KEYS: usize = 8;
 const SNAPSHOT_EVERY: u64 = 40;
 
-pub(crate) fn options() -> node::Options {
+/// Whether leaders have a lease that restarted voters respect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Lease {
+    Kept,
+    None,
+}
+
+pub(crate) fn options(lease: Lease) -> node::Options {
+    let is_kept = matches!(lease, Lease::Kept);
     node::Options {
+        lease_reads: is_kept,
+        keeps_lease_over_restart: is_kept,
         max_message_bytes: 300,
         max_in_flight: 3,
         max_apply_bytes: 500,
@@ -161,6 +171,7 @@
 
 pub(crate) struct Cluster {
     pub(crate) seed: u64,
+    lease: Lease,
     pub(crate) rng: SmallRng,
     pub(crate) now: u64,
     pub(crate) hosts: Vec<Host>,
@@ -183,9 +194,10 @@
 
 impl Cluster {
     /// Starts five hosts. The first one bootstraps the fleet with the first three as voters.
-    pub(crate) fn new(seed: u64, clients: usize) -> Cluster {
+    pub(crate) fn new(seed: u64, clients: usize, lease: Lease) -> Cluster {
         let mut cluster = Cluster {
             seed,
+            lease,
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
             hosts: Vec::new(),
@@ -266,7 +278,13 @@
                 .execute(action)
         };
         let clock = host.clock(self.now);
-        host.replica = Some(Replica::new(opened, options(), clock, seed, apply));
+        host.replica = Some(Replica::new(
+            opened,
+            options(self.lease),
+            clock,
+            seed,
+            apply,
+        ));
         self.host_of_id.insert(self.hosts[at].id, at);
     }
 
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -287,6 +287,8 @@
         // it ends.
         heartbeat_ms: 100,
         lease_reads: false,
+        // Nothing relies on a lease: reads and removals are confirmed by a majority.
+        keeps_lease_over_restart: false,
         keep_entries: KEPT_ENTRIES,
         ..Options::default()
     };
@@ -363,8 +365,13 @@
 
 impl Worker {
     fn run(mut self) {
+        // The first tick is at once: a voter may stand for election as soon as it has started.
+        let mut wait = Duration::ZERO;
         loop {
-            match self.receiver.recv_timeout(TICK_INTERVAL) {
+            match self
+                .receiver
+                .recv_timeout(std::mem::replace(&mut wait, TICK_INTERVAL))
+            {
                 Ok(input) => self.handle_input(input),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
