--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod direct;
 pub mod event;
 mod failure;
+pub mod hello;
 mod hop;
 pub mod link;
 pub mod listener;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -27,8 +27,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
-/// Interval at which a `Hello` is sent to every core host.
-const HELLO_INTERVAL: Duration = Duration::from_millis(250);
+use crate::hello;
+
+/// The longest time that a request waits for a host that has just started: about the time from the start of the first
+/// process of a fleet to that of the last one. A refused caller would be away for longer.
+const MAX_START_WAIT: Duration = Duration::from_millis(300);
 
 /// Silence after which a core host gets no placement requests, in ms. Tolerates the loss of a few hellos or their
 /// answers.
@@ -89,6 +92,7 @@
     commands: mpsc::UnboundedSender<Command>,
     table: watch::Receiver<Option<Arc<Table>>>,
     state: watch::Receiver<State>,
+    schedule: hello::Schedule,
     /// Random number that identifies this incarnation of the process.
     pub incarnation: u64,
 }
@@ -126,6 +130,21 @@
         self.state().has_directory && self.table.borrow().is_some()
     }
 
+    /// Waits until requests can be served if this host has just started, for at most [`MAX_START_WAIT`]. Returns
+    /// whether they can be served.
+    pub async fn wait_until_ready(&self) -> bool {
+        if self.is_ready() || !self.schedule.is_starting(Time::now()) {
+            return self.is_ready();
+        }
+        let (mut table, mut state) = (self.table.clone(), self.state.clone());
+        let ready = async {
+            // The task that sends the values ends only with the process.
+            let _ = table.wait_for(Option::is_some).await;
+            let _ = state.wait_for(|state| state.has_directory).await;
+        };
+        tokio::time::timeout(MAX_START_WAIT, ready).await.is_ok()
+    }
+
     /// Requests a server for `demand` from a core host. If no core host answers, this host decides itself.
     pub async fn place(&self, demand: &Arc<Demand>) -> Decision {
         let (reply, decision) = oneshot::channel();
@@ -163,7 +182,9 @@
     });
     let (events, events_receiver) = mpsc::channel(64);
     let incarnation = rand::random();
+    let schedule = hello::Schedule::new(Time::now());
     let link = Link {
+        schedule,
         links: peers::links(inputs.key.clone()),
         placer: Placer::new(inputs.placer_settings.clone()),
         socket,
@@ -185,6 +206,7 @@
         commands,
         table,
         state,
+        schedule,
         incarnation,
     })
 }
@@ -227,6 +249,7 @@
 
 struct Link {
     inputs: Inputs,
+    schedule: hello::Schedule,
     socket: Arc<UdpSocket>,
     links: Links,
     placer: Placer,
@@ -252,8 +275,7 @@
         mut commands: mpsc::UnboundedReceiver<Command>,
         mut events: mpsc::Receiver<Event>,
     ) {
-        let mut tick = tokio::time::interval(HELLO_INTERVAL);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next_tick = Instant::now();
         let socket = Arc::clone(&self.socket);
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         let mut check = tokio::time::interval(PENDING_CHECK_INTERVAL);
@@ -273,7 +295,11 @@
                 }
                 Some(command) = commands.recv() => self.handle_command(command),
                 Some(event) = events.recv() => self.handle_event(event),
-                _ = tick.tick() => self.tick(),
+                () = tokio::time::sleep_until(next_tick) => {
+                    self.tick();
+                    let interval_ms = self.schedule.interval_ms(Time::now(), self.can_serve());
+                    next_tick = Instant::now() + Duration::from_millis(interval_ms);
+                }
                 _ = check.tick(), if has_pending => self.retry_pending(),
                 () = async { tokio::time::sleep_until(flush_at.unwrap_or_else(Instant::now)).await },
                     if flush_at.is_some() => self.flush_updates(),
@@ -548,6 +574,11 @@
         }
     }
 
+    /// Whether a document and a directory have been received.
+    fn can_serve(&self) -> bool {
+        self.table.borrow().is_some() && self.directory.is_some()
+    }
+
     fn version(&self) -> u64 {
         let table = self.table.borrow();
         table.as_ref().map_or(0, |table| table.document().version)
