--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -28,6 +28,9 @@
     tokens: u32,
     /// Orders entries by their last use. Unique among the entries.
     last_use: u64,
+    /// Whether the engine has prefilled the part. Before that, only requests behind the one that
+    /// prefills it can use it, and only on this engine.
+    is_ready: bool,
 }
 
 /// Returns the cache key of the part with the id `part` for the model with the hash `model`.
@@ -51,8 +54,38 @@
         cached.map(|&(_, tokens)| tokens).sum()
     }
 
+    /// Length of the prefix of a prompt that the engine has prefilled and other engines can fetch, in tokens.
+    pub fn ready_tokens(&self, parts: &[(u64, u32)]) -> u32 {
+        let is_ready = |key| self.position(key).is_ok_and(|at| self.entries[at].is_ready);
+        let ready = parts.iter().take_while(|(key, _)| is_ready(*key));
+        ready.map(|&(_, tokens)| tokens).sum()
+    }
+
+    /// Records that the engine has prefilled all parts of a prompt.
+    pub fn record_ready(&mut self, parts: &[(u64, u32)], capacity: u64) {
+        self.touch(parts, capacity);
+        for (key, _) in parts {
+            if let Ok(at) = self.position(*key) {
+                self.entries[at].is_ready = true;
+            }
+        }
+    }
+
+    /// Removes the parts of a prompt that the engine has not prefilled, because the request that was
+    /// to prefill them has ended. If another request on this engine shares them, its first event
+    /// records them again.
+    pub fn remove_unread(&mut self, parts: &[(u64, u32)]) {
+        for (key, _) in parts {
+            if let Ok(at) = self.position(*key)
+                && !self.entries[at].is_ready
+            {
+                self.tokens -= u64::from(self.entries.remove(at).tokens);
+            }
+        }
+    }
+
     /// Records that the engine uses all parts of a prompt, and evicts the least recently used parts
-    /// if the cache exceeds `capacity` tokens.
+    /// if the cache exceeds `capacity` tokens. Parts that are new are not prefilled yet.
     pub fn touch(&mut self, parts: &[(u64, u32)], capacity: u64) {
         // The first part becomes the most recently used one, since the others are useless without
         // it.
@@ -66,6 +99,7 @@
                         key,
                         tokens,
                         last_use,
+                        is_ready: false,
                     };
                     self.entries.insert(at, entry);
                     self.tokens += u64::from(tokens);
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -135,6 +135,9 @@
     server: Arc<str>,
     /// Failure domain of the entry host.
     domain: Arc<str>,
+    /// Cache keys and lengths of the parts of the prompt.
+    parts: Vec<(u64, u32)>,
+    has_first_event: bool,
     assigned: Time,
     expires: Time,
 }
@@ -284,7 +287,7 @@
             return;
         };
         let capacity = self.cache_tokens(&self.servers[at].server.pool);
-        self.servers[at].cache.touch(parts, capacity);
+        self.servers[at].cache.record_ready(parts, capacity);
     }
 
     /// The servers of pools whose servers are model engines, which cache prompt parts.
@@ -360,13 +363,20 @@
 
     /// Records the first event of the answer to a request.
     pub fn record_first_event(&mut self, now: Time, key: Key) {
-        if let Ok(at) = self.assignment_index(key)
-            && let Ok(server) = self.server_index(&self.assignments[at].server)
-        {
-            self.servers[server]
-                .load
-                .record_first_event(now, key, &self.settings.speed);
-        }
+        let Ok(at) = self.assignment_index(key) else {
+            return;
+        };
+        let Ok(server) = self.server_index(&self.assignments[at].server) else {
+            return;
+        };
+        let capacity = self.cache_tokens(&self.servers[server].server.pool);
+        let assignment = &mut self.assignments[at];
+        assignment.has_first_event = true;
+        let state = &mut self.servers[server];
+        state.cache.record_ready(&assignment.parts, capacity);
+        state
+            .load
+            .record_first_event(now, key, &self.settings.speed);
     }
 
     /// Records the end of a request and removes its assignment.
@@ -380,6 +390,9 @@
         };
         let state = &mut self.servers[server];
         state.load.remove(key);
+        if !assignment.has_first_event {
+            state.cache.remove_unread(&assignment.parts);
+        }
         match outcome {
             Outcome::Answered { failed } => {
                 // The duration of a failed request is not a slot time: a server that fails at once
@@ -427,6 +440,8 @@
             key: demand.key,
             server: Arc::clone(&state.server.id),
             domain: Arc::clone(&demand.domain),
+            parts: parts.to_vec(),
+            has_first_event: false,
             assigned: now,
             expires: now.plus_ms(u64::from(demand.remaining_ms) + EXPIRY_MS),
         };
@@ -450,7 +465,7 @@
             .iter()
             .map(|state| state.cache.cached_tokens(parts))
             .collect();
-        let source = self.source(now, demand, &cached);
+        let source = self.source(now, demand, parts);
         usable
             .map(|(at, _)| self.candidate(now, demand, parts, at, cached[at], source))
             .min_by(|a, b| a.score.total_cmp(&b.score))
@@ -536,9 +551,9 @@
         pools.find(|known| &*known.name == pool)?.engine.as_ref()
     }
 
-    /// Finds the engine with the longest cached prefix of the prompt, preferring one in the failure
-    /// domain of the entry host. `cached` has the length of the prefix for each server, in tokens.
-    fn source(&self, now: Time, demand: &Demand, cached: &[u32]) -> Option<Source> {
+    /// Finds the engine with the longest prefilled prefix of the prompt, preferring one in the failure
+    /// domain of the entry host.
+    fn source(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Source> {
         self.engine(&demand.pool)?.token_bytes?;
         let sources = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
@@ -546,9 +561,9 @@
                 && !state.health.is_unavailable(now, &demand.domain)
         });
         sources
-            .map(|(at, _)| Source {
+            .map(|(at, state)| Source {
                 server: at,
-                cached_tokens: cached[at],
+                cached_tokens: state.cache.ready_tokens(parts),
             })
             .max_by_key(|source| {
                 (
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -58,7 +58,7 @@
             remote_ms: 3.0,
             failure_weight: 6.0,
             fetch_weight: 0.5,
-            min_fetch_tokens: 2_000,
+            min_fetch_tokens: 200,
         }
     }
 }
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -190,8 +190,10 @@
 fn a_cached_part_is_fetched_from_a_busy_engine() {
     let mut placer = placer(2);
     let now = Time::from_ms(1_000);
-    let busy = server_of(placer.place(now, &demand(1, 7, 13_300, 500)));
+    let first = demand(1, 7, 13_300, 500);
+    let busy = server_of(placer.place(now, &first));
     let later = now.plus_ms(1_000);
+    placer.record_first_event(later, first.key);
     let mut fetched = 0;
     for sequence in 2..12 {
         let decision = placer.place(later, &demand(sequence, 7, 13_300, 3_000));
@@ -210,6 +212,65 @@
     assert!(fetched >= 1, "no engine fetched the cached part");
 }
 
+// A part that an engine has not prefilled yet cannot be fetched from it: the other engine would get nothing, and would
+// prefill the part a second time after waiting for the transfer.
+#[test]
+fn a_part_is_not_fetched_before_it_is_prefilled() {
+    let mut placer = placer(2);
+    let now = Time::from_ms(1_000);
+    let first = demand(1, 7, 13_300, 500);
+    server_of(placer.place(now, &first));
+    let fetches = |placer: &mut Placer, sequences: std::ops::Range<u64>| {
+        let decisions =
+            sequences.map(|sequence| placer.place(now, &demand(sequence, 7, 13_300, 3_000)));
+        let is_fetch = |decision: &Decision| {
+            matches!(
+                decision,
+                Decision::Place {
+                    fetch_from: Some(_),
+                    ..
+                }
+            )
+        };
+        decisions.filter(is_fetch).count()
+    };
+    assert_eq!(fetches(&mut placer, 2..12), 0);
+    placer.record_first_event(now, first.key);
+    assert!(
+        fetches(&mut placer, 12..22) >= 1,
+        "a prefilled part is not fetched"
+    );
+}
+
+// A request that its engine never started leaves nothing in the engine's cache. Later requests would otherwise be sent
+// there, or fetch from there, in vain.
+#[test]
+fn a_request_that_was_not_started_leaves_no_cached_part() {
+    let mut placer = placer(1);
+    let now = Time::from_ms(1_000);
+    let cached = |placer: &mut Placer, sequence: u64| {
+        let request = demand(sequence, 7, 13_300, 500);
+        match placer.place(now, &request) {
+            Decision::Place { cached_tokens, .. } => (request.key, cached_tokens),
+            Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        }
+    };
+    let (dropped, _) = cached(&mut placer, 1);
+    placer.record_end(now, dropped, Outcome::Cancelled);
+    let (started, tokens) = cached(&mut placer, 2);
+    assert_eq!(
+        tokens, 0,
+        "the part of the dropped request counts as cached"
+    );
+    placer.record_first_event(now, started);
+    placer.record_end(now, started, Outcome::Cancelled);
+    let (_, tokens) = cached(&mut placer, 3);
+    assert_eq!(
+        tokens, 13_300,
+        "the part of the started request is forgotten"
+    );
+}
+
 // A restarted placer that does not know what the engines have cached predicts a full prefill for
 // every prompt, and refuses requests that could be on time.
 #[test]
