--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -5,13 +5,14 @@
 //! noticeable part of its capacity.
 
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
 use primrose_place::placer::Outcome;
-use tokio::time::Sleep;
+use tokio::task::AbortHandle;
 
 use crate::assignment::Assignment;
 use crate::body::Interrupted;
@@ -21,22 +22,58 @@
 /// An answer that is being forwarded. Invariant: its end is counted and logged exactly once, even if the caller
 /// disconnects and the answer is dropped.
 pub(crate) struct Answer {
-    job: Job,
     body: Incoming,
-    /// Fires at the end of the caller's deadline or of the route's timeout.
-    timer: Pin<Box<Sleep>>,
-    /// The connection to the server and the assignment, or `None` after the end of the answer.
-    open: Option<(Connection, Assignment)>,
+    /// `None` after the end of the answer.
+    open: Arc<Mutex<Option<Open>>>,
+    /// Whether the answer ended with its last byte.
+    is_complete: bool,
+    /// Ends the answer at the caller's deadline or the route's timeout. It is a task, because a caller that stops
+    /// reading also stops the polling of this body, and the server must not work for it any longer.
+    timer: AbortHandle,
+}
+
+/// What is held for an answer until its end.
+struct Open {
+    job: Job,
+    connection: Connection,
+    assignment: Assignment,
+}
+
+impl Open {
+    fn complete(self) {
+        self.job.release(self.connection);
+        self.assignment.end(Outcome::Answered { failed: false });
+        self.job.record_complete("served");
+    }
+
+    /// Closes the connection to the server before the end of the answer. `code` is the name of a counter.
+    fn interrupt(self, outcome: Outcome, code: &'static str) {
+        drop(self.connection);
+        self.assignment.end(outcome);
+        self.job.record_end(code, None);
+    }
 }
 
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
-        let timer = Box::pin(tokio::time::sleep_until(job.deadline));
-        let mut answer = Answer {
+        let deadline = job.deadline;
+        let open = Arc::new(Mutex::new(Some(Open {
             job,
+            connection: answered.connection,
+            assignment: answered.assignment,
+        })));
+        let expiring = Arc::clone(&open);
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep_until(deadline).await;
+            if let Some(open) = lock(&expiring).take() {
+                open.interrupt(Outcome::Cancelled, "timeout");
+            }
+        });
+        let mut answer = Answer {
             body: answered.body,
-            timer,
-            open: Some((answered.connection, answered.assignment)),
+            open,
+            is_complete: false,
+            timer: timer.abort_handle(),
         };
         answer.complete_if_read();
         answer
@@ -51,25 +88,20 @@
     }
 
     fn complete(&mut self) {
-        if let Some((connection, assignment)) = self.open.take() {
-            self.job.release(connection);
-            assignment.end(Outcome::Answered { failed: false });
-            self.job.record_complete("served");
-        }
-    }
-
-    /// Ends an answer that is not complete. `code` is the name of a counter.
-    fn interrupt(&mut self, outcome: Outcome, code: &'static str) {
-        if let Some((_, assignment)) = self.open.take() {
-            assignment.end(outcome);
-            self.job.record_end(code, None);
+        if let Some(open) = lock(&self.open).take() {
+            self.is_complete = true;
+            self.timer.abort();
+            open.complete();
         }
     }
 }
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        self.interrupt(Outcome::Cancelled, "caller_gone");
+        self.timer.abort();
+        if let Some(open) = lock(&self.open).take() {
+            open.interrupt(Outcome::Cancelled, "caller_gone");
+        }
     }
 }
 
@@ -83,36 +115,45 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         let answer = self.get_mut();
         loop {
-            let Some((_, assignment)) = &mut answer.open else {
+            if answer.is_complete {
                 return Poll::Ready(None);
+            }
+            let frame = Pin::new(&mut answer.body).poll_frame(context);
+            let mut guard = lock(&answer.open);
+            let Some(open) = guard.as_mut() else {
+                // The timer has ended the answer.
+                return Poll::Ready(Some(Err(Interrupted)));
             };
-            match Pin::new(&mut answer.body).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) => {
+            match std::task::ready!(frame) {
+                Some(Ok(frame)) => {
                     // Trailers are not forwarded.
                     if let Ok(data) = frame.into_data() {
-                        assignment.record_first_event();
-                        answer.job.record_forwarded();
+                        open.assignment.record_first_event();
+                        open.job.record_forwarded();
+                        drop(guard);
                         answer.complete_if_read();
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
-                Poll::Ready(Some(Err(error))) => {
-                    answer.job.log_interruption(&error.to_string(), false);
-                    let outcome = Outcome::Answered { failed: true };
-                    answer.interrupt(outcome, "stream_broken");
+                Some(Err(error)) => {
+                    open.job.log_interruption(&error.to_string(), false);
+                    if let Some(open) = guard.take() {
+                        let outcome = Outcome::Answered { failed: true };
+                        open.interrupt(outcome, "stream_broken");
+                    }
                     return Poll::Ready(Some(Err(Interrupted)));
                 }
-                Poll::Ready(None) => {
+                None => {
+                    drop(guard);
                     answer.complete();
                     return Poll::Ready(None);
                 }
-                Poll::Pending => break,
             }
         }
-        if answer.timer.as_mut().poll(context).is_ready() {
-            answer.interrupt(Outcome::Cancelled, "timeout");
-            return Poll::Ready(Some(Err(Interrupted)));
-        }
-        Poll::Pending
     }
 }
+
+fn lock(open: &Mutex<Option<Open>>) -> MutexGuard<'_, Option<Open>> {
+    // Nothing can panic between two changes of the value, so it is valid even after a panic.
+    open.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -70,6 +70,8 @@
                 return;
             }
             End::TimedOut => {
+                // The caller may not read, and the server must not work for it any longer.
+                drop(connection);
                 assignment.end(Outcome::Cancelled);
                 job.interrupt(&sender, "timeout").await;
                 return;
@@ -113,9 +115,9 @@
         let sender = self.sender;
         let mut closed = pin!(sender.closed());
         // The timer is reset only when it fires, since most events arrive long before.
-        let mut timer = pin!(tokio::time::sleep_until(self.next_deadline(max_silence)));
+        let mut deadline = self.next_deadline(max_silence);
+        let mut timer = pin!(tokio::time::sleep_until(deadline));
         loop {
-            let deadline = self.next_deadline(max_silence);
             let frame = loop {
                 tokio::select! {
                     biased;
@@ -147,14 +149,19 @@
             if self.splitter.is_too_large() {
                 return End::Broken("an event exceeds the size limit".to_owned());
             }
-            if !events.is_empty() && !self.send(events).await {
-                return End::CallerGone;
+            // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
+            if events.is_empty() {
+                continue;
             }
+            if let Err(end) = self.send(events).await {
+                return end;
+            }
+            deadline = self.next_deadline(max_silence);
         }
     }
 
-    /// The time until which the server must send more data: the end of the longest allowed silence, or of the
-    /// request.
+    /// The time until which the server must complete the next event: the end of the longest allowed silence, or of
+    /// the request.
     fn next_deadline(&self, max_silence: Option<Duration>) -> Instant {
         let deadline = self.job.deadline;
         max_silence.map_or(deadline, |max_silence| {
@@ -162,12 +169,18 @@
         })
     }
 
-    async fn send(&mut self, bytes: Bytes) -> bool {
+    /// Passes events on to the caller, and waits for a slow one until the deadline. The error is the end of the answer.
+    async fn send(&mut self, bytes: Bytes) -> Result<(), End> {
         self.job.record_forwarded();
-        match self.sender.try_send(Ok(bytes)) {
-            Ok(()) => true,
-            Err(TrySendError::Full(bytes)) => self.sender.send(bytes).await.is_ok(),
-            Err(TrySendError::Closed(_)) => false,
+        let bytes = match self.sender.try_send(Ok(bytes)) {
+            Ok(()) => return Ok(()),
+            Err(TrySendError::Full(bytes)) => bytes,
+            Err(TrySendError::Closed(_)) => return Err(End::CallerGone),
+        };
+        match tokio::time::timeout_at(self.job.deadline, self.sender.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(End::CallerGone),
+            Err(_) => Err(End::TimedOut),
         }
     }
 
@@ -177,10 +190,9 @@
             return End::Complete;
         }
         let rest = self.splitter.take_partial();
-        if self.send(rest).await {
-            End::Complete
-        } else {
-            End::CallerGone
+        match self.send(rest).await {
+            Ok(()) => End::Complete,
+            Err(end) => end,
         }
     }
 
