--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,8 @@
 //!   part again takes longer than everything else;
 //! - [`share`] determines which accounts request more than their max-min fair share, to handle
 //!   floods by single accounts;
+//! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
+//!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass.
 
 pub mod cache;
@@ -17,6 +19,7 @@
 pub mod engine;
 pub mod health;
 pub mod placer;
+pub mod refusals;
 pub mod server;
 pub mod settings;
 pub mod share;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,6 +14,7 @@
 use crate::demand::{Demand, Key, Prompt};
 use crate::engine::Load;
 use crate::health::Health;
+use crate::refusals::Refusals;
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
@@ -181,6 +182,7 @@
     document: Arc<Document>,
     /// When expired assignments were last removed.
     last_expiry: Time,
+    refusals: Refusals,
 }
 
 /// A server that could take a request, with the predicted times of the request on it.
@@ -237,6 +239,7 @@
             shares: Meter::default(),
             document: Arc::default(),
             last_expiry: Time::ZERO,
+            refusals: Refusals::default(),
         }
     }
 
@@ -318,7 +321,12 @@
                 wait_ms: 0,
             };
         };
-        if let Some(refusal) = self.refusal(now, demand, &best) {
+        let own_part = parts.last().map(|part| part.0);
+        let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
+        if let Some(refusal) = self.refusal(now, demand, &best, has_returned) {
+            if let (Some(key), false) = (own_part, has_returned) {
+                self.refusals.record(now, key);
+            }
             return refusal;
         }
         if let (Some(account), Some(cost)) = (&demand.account, cost) {
@@ -603,8 +611,14 @@
     }
 
     /// Returns the refusal of a request that would be too late on the best server, or `None` if the
-    /// request is admitted.
-    fn refusal(&mut self, now: Time, demand: &Demand, best: &Candidate) -> Option<Decision> {
+    /// request is admitted. `has_returned` tells whether it was refused before.
+    fn refusal(
+        &mut self,
+        now: Time,
+        demand: &Demand,
+        best: &Candidate,
+        has_returned: bool,
+    ) -> Option<Decision> {
         let waited = f64::from(demand.waited_ms);
         let objective = f64::from(demand.objective_ms);
         let total = best.total_ms();
@@ -627,7 +641,13 @@
             // than one that requests little more than its share.
             let slope = self.settings.excess_slope;
             let part = (1.0 + slope * (1.0 - excess.actual)).clamp(MIN_EXCESS_PART, 1.0);
-            (self.settings.excess_limit * part, Reason::OverShare)
+            let return_part = if has_returned {
+                self.settings.excess_return_part
+            } else {
+                1.0
+            };
+            let limit = self.settings.excess_limit * part * return_part;
+            (limit, Reason::OverShare)
         } else if demand.returning {
             (self.settings.return_limit, Reason::Overload)
         } else {
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -18,6 +18,10 @@
     /// The fraction of `excess_limit` that is subtracted for each full share by which an account
     /// exceeds its share of the actual capacity.
     pub excess_slope: f64,
+    /// The fraction of `excess_limit` that applies to a request of an account beyond its share that
+    /// was refused before. Such a request is late already, and would take the place of one that is
+    /// not.
+    pub excess_return_part: f64,
     /// The value of `limit` for callers that were refused before and retry. They are late already,
     /// so only their deadline matters, and a second refusal would waste the time they waited.
     pub return_limit: f64,
@@ -51,6 +55,7 @@
             limit: 0.9,
             excess_limit: 0.35,
             excess_slope: 1.0,
+            excess_return_part: 0.5,
             return_limit: 2.0,
             own_cap: 0.2,
             reading_weight: 3.0,
@@ -89,6 +94,7 @@
             ),
             ("speed.first_ms", self.speed.first_ms),
             ("excess_slope", self.excess_slope),
+            ("excess_return_part", self.excess_return_part),
             ("own_cap", self.own_cap),
             ("reading_weight", self.reading_weight),
             ("home_weight", self.home_weight),
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -9,6 +9,7 @@
 use primrose_place::Settings;
 use primrose_place::demand::Demand;
 use primrose_place::placer::{Decision, Outcome, Placer, Reason};
+use primrose_place::refusals::Refusals;
 use support::{demand, document, engines, placer, server_of};
 
 fn for_account(account: &str, demand: Demand) -> Demand {
@@ -86,6 +87,63 @@
     );
 }
 
+// In a flood, refused callers return once. They are late already, and each that is served takes the
+// place of a request of the same account that could be on time: before, one in seven served requests
+// of a flood was one that had returned.
+#[test]
+fn returning_callers_of_a_flood_do_not_displace_others() {
+    let mut placer = placer(4);
+    placer.set_document(&document(Some(300_000.0)));
+    let mut replay = Replay::new(placer);
+    let (mut first, mut returned) = (Tally::default(), Tally::default());
+    // Sorted by time, which grows with the sequence as long as all wait about as long.
+    let mut waiting: Vec<(u64, Demand)> = Vec::new();
+    for at in 0..20_000 {
+        replay.step();
+        if at % 4 == 0 {
+            let request = for_account("flood", demand(at, at % 20, 10_000, 3_000));
+            if let Some(delay_ms) = replay.send(&request, &mut first) {
+                waiting.push((at + u64::from(delay_ms), request));
+            }
+        }
+        let is_due = |(due, _): &mut (u64, Demand)| *due <= at;
+        let due: Vec<(u64, Demand)> = waiting.extract_if(.., is_due).collect();
+        for (_, mut request) in due {
+            request.key.sequence += 1_000_000;
+            replay.send(&request, &mut returned);
+        }
+    }
+    let served = |tally: Tally| tally.sent - tally.refused;
+    assert!(
+        served(returned) * 10 <= served(first),
+        "served of the first attempts: {first:?}, of those that returned: {returned:?}"
+    );
+    assert!(
+        first.on_time * 10 >= served(first) * 9,
+        "first attempts: {first:?}"
+    );
+}
+
+// A session sends further requests with the same last part. Only one of them may count as the return
+// of a refused request, or a session of a large account would be refused for ever.
+#[test]
+fn only_one_request_counts_as_the_return_of_a_refused_one() {
+    let mut refusals = Refusals::default();
+    let now = Time::from_ms(1_000);
+    refusals.record(now, 7);
+    assert!(
+        !refusals.take(now, 8),
+        "another request counts as returning"
+    );
+    assert!(refusals.take(now.plus_ms(400), 7));
+    assert!(!refusals.take(now.plus_ms(800), 7));
+    refusals.record(now, 7);
+    assert!(
+        !refusals.take(now.plus_ms(60_000), 7),
+        "a refusal counts for a minute"
+    );
+}
+
 // With one limit for all accounts, the flood builds queues that delay the others. With the lower
 // limit for accounts beyond their share, no more requests of the others may be late or refused.
 #[test]
--- a/crates/place/tests/support/load.rs
+++ b/crates/place/tests/support/load.rs
@@ -61,8 +61,8 @@
     }
 
     /// Sends a request and counts its result. The engine prefills all tokens that the placer does
-    /// not expect to be cached.
-    pub(crate) fn send(&mut self, demand: &Demand, tally: &mut Tally) {
+    /// not expect to be cached. Returns the time after which a refused caller is to retry, in ms.
+    pub(crate) fn send(&mut self, demand: &Demand, tally: &mut Tally) -> Option<u32> {
         tally.sent += 1;
         let now = Time::from_ms(self.now_ms);
         let (server, cached_tokens) = match self.placer.place(now, demand) {
@@ -71,9 +71,9 @@
                 cached_tokens,
                 ..
             } => (server.id.to_string(), cached_tokens),
-            Decision::Refuse { .. } => {
+            Decision::Refuse { retry_after_ms, .. } => {
                 tally.refused += 1;
-                return;
+                return Some(retry_after_ms);
             }
         };
         let speed = Speed::default();
@@ -105,5 +105,6 @@
             end_ms: first as u64 + 600,
             is_first_event_reported: false,
         });
+        None
     }
 }
