--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -67,7 +67,8 @@
 //! timeout of any follower that acknowledged the heartbeat. The difference between the two
 //! ([`node::Options::lease_ms`]) absorbs clock drift. The node detects that its process was stopped (frozen) by the
 //! gap between two ticks. It cannot detect that the whole machine was suspended, because then the monotonic clock
-//! stops too.
+//! stops too. A fleet that uses no lease for this reason sets [`node::Options::keeps_lease_over_restart`] to false and
+//! elects a leader without delay after a restart of a majority.
 
 pub mod disk;
 pub mod entry;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -287,11 +287,7 @@
             has_had_leader: false,
             restart_candidacies: 0,
             election_timer_start: now,
-            election_timeout_ms: if options.keeps_lease_over_restart {
-                options.election_min_ms
-            } else {
-                0
-            },
+            election_timeout_ms: 0,
             options,
             votes: Vec::new(),
             by_transfer: false,
@@ -317,6 +313,7 @@
             reported_status: status,
             outstanding: None,
         };
+        // Without a lease to wait for, a voter stands at its first tick.
         if node.options.keeps_lease_over_restart {
             node.restart_election_timer();
         }
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -1,8 +1,8 @@
 //! Answers that are forwarded by the task of the caller's connection.
 //!
-//! An answer that cannot be resumed on another server needs no task of its own. Forwarded directly, an event costs
-//! two wake-ups of a task instead of three, and no channel; on a host with a tenth of a processor this is a
-//! noticeable part of its capacity.
+//! An answer that cannot be resumed on another server needs no task that forwards it. Forwarded directly, an event
+//! costs two wake-ups of a task instead of three, and no channel; on a host with a tenth of a processor this is a
+//! noticeable part of its capacity. The only task of its own wakes at the deadline, if the answer lasts so long.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -130,11 +130,10 @@
         self.state().has_directory && self.table.borrow().is_some()
     }
 
-    /// Waits until requests can be served if this host has just started, for at most [`MAX_START_WAIT`]. Returns
-    /// whether they can be served.
-    pub async fn wait_until_ready(&self) -> bool {
+    /// Waits until requests can be served if this host has just started, for at most [`MAX_START_WAIT`].
+    pub async fn wait_while_starting(&self) {
         if self.is_ready() || !self.schedule.is_starting(Time::now()) {
-            return self.is_ready();
+            return;
         }
         let (mut table, mut state) = (self.table.clone(), self.state.clone());
         let ready = async {
@@ -142,7 +141,8 @@
             let _ = table.wait_for(Option::is_some).await;
             let _ = state.wait_for(|state| state.has_directory).await;
         };
-        tokio::time::timeout(MAX_START_WAIT, ready).await.is_ok()
+        // Without a document after that time, the caller refuses the request.
+        let _ = tokio::time::timeout(MAX_START_WAIT, ready).await;
     }
 
     /// Requests a server for `demand` from a core host. If no core host answers, this host decides itself.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -174,7 +174,7 @@
             message,
         ));
     }
-    shared.link.wait_until_ready().await;
+    shared.link.wait_while_starting().await;
     let Some(table) = shared.link.table() else {
         let message = "this host has no configuration yet";
         return Err(Refusal::not_run(
