--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -38,11 +38,7 @@
 /// Returns the error of the connection to the server.
 pub(crate) async fn read(body: &mut Incoming) -> Result<Buffered, hyper::Error> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        // Trailers are not forwarded.
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
+    while let Some(data) = next_chunk(body).await? {
         bytes.put(data);
         if bytes.len() > MAX_BYTES {
             return Ok(Buffered::Start(bytes.freeze()));
@@ -96,7 +92,7 @@
     job.interrupt(&sender, code).await;
 }
 
-/// The next data of a body, or `None` at its end.
+/// The next data of a body, or `None` at its end. Trailers are not forwarded.
 async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -96,7 +96,7 @@
     placer.set_document(&document(Some(300_000.0)));
     let mut replay = Replay::new(placer);
     let (mut first, mut returned) = (Tally::default(), Tally::default());
-    // Sorted by time, which grows with the sequence as long as all wait about as long.
+    // Refused requests and the times at which they return.
     let mut waiting: Vec<(u64, Demand)> = Vec::new();
     for at in 0..20_000 {
         replay.step();
