entry: Count and log why callers' connections and answers end

A request was reported that got neither an answer nor a refusal, beside a change of the configuration. The host dropped hyper's error at the end of a connection, wrote no line for a request whose caller left while it waited for a server, and counted refused retries without naming the request. The log could not tell a silent server from a connection closed as idle, from a refusal lost to a reset, or from a connection lost at the end of the process.

Each admitted connection of a caller now counts once under `closed_REASON`. A line `connection closed` names the reason, the age, the requests and answers, the idle time, whether something read was not answered, the attempt id, the bytes of the caller that were left unread, and the configuration with its idle limit. A connection that the caller closes while idle, or asked to be closed, is only counted, because a line for each would be too expensive.

Each request that ends without a good answer after a failure of its server counts once under `gave_up_REASON`, and `request ended` and `stream broke off` name the failure, the reason, the silence and the number of chunks, servers and resumptions. `stream_silent` separates silence from broken connections. `request ended` also has the version in force at its end and the idle limit of the version at its admission.

How the lines separate the hypotheses: - A host that gives up on a silent server: `stream_silent` or `failure` `retry_silent`, with `gave_up` and `closed_interrupted` for the same id. - A close of an idle connection: `closed_idle` or `closed_partial_head`, with `idle_ms`, `idle_limit_ms`, `version`, `version_at_end` and `unread`. - A lost refusal: `closed_body_unread` with the code of the refusal and `unread`. - The end of the process or a panic: `closed_shutdown`, `closed_announced`, `closed_at_stop` and `closed_panic`.

When connections and answers are closed is unchanged.

Whether a line of `closed_at_stop` reaches the output of a stopped program, and the costs of the lines, were not measured.

--- /dev/null
+++ b/crates/entry/src/closing.rs
@@ -0,0 +1,352 @@
+//! Why callers' connections end: one counter for each reason, and a log line for the connections that this host closes
+//! or that end while a request is not answered.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use hyper::header::CONNECTION;
+use hyper::{HeaderMap, Version};
+use primrose_base::clock::Time;
+use primrose_observe::Meter;
+use primrose_route::Table;
+use slog::{Logger, info};
+use tokio::sync::watch;
+
+/// Where the ends of connections are counted and logged.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// Counters; the names are in [`crate::counter`].
+    pub meter: Arc<Meter>,
+    /// The log of the process.
+    pub log: Logger,
+    /// The routing table of the document in force.
+    pub table: watch::Receiver<Option<Arc<Table>>>,
+}
+
+/// HTTP request extension through which the handler tells what it knows about the request of a connection.
+#[derive(Clone, Debug, Default)]
+pub struct Exchange(Arc<Facts>);
+
+#[derive(Debug, Default)]
+struct Facts {
+    attempt: OnceLock<Arc<str>>,
+    /// Version of the document in force when the request was admitted.
+    version: OnceLock<u64>,
+    /// The code with which the request ended.
+    code: OnceLock<&'static str>,
+    is_body_read: AtomicBool,
+}
+
+impl Exchange {
+    /// Records the attempt id of the request.
+    pub fn set_attempt(&self, attempt: &Arc<str>) {
+        self.0.attempt.get_or_init(|| Arc::clone(attempt));
+    }
+
+    /// Records the version of the document in force when the request was admitted.
+    pub fn set_version(&self, version: u64) {
+        self.0.version.get_or_init(|| version);
+    }
+
+    /// Records the code with which the request ended. Only the first call has an effect.
+    pub fn set_code(&self, code: &'static str) {
+        self.0.code.get_or_init(|| code);
+    }
+
+    /// Records that the whole body of the request was read.
+    pub fn set_body_read(&self) {
+        self.0.is_body_read.store(true, Ordering::Relaxed);
+    }
+
+    fn is_body_read(&self) -> bool {
+        self.0.is_body_read.load(Ordering::Relaxed)
+    }
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No request head has been received since the last answer.
+    Idle,
+    /// A request is being handled.
+    Handling,
+    /// An answer is being sent.
+    Answering,
+}
+
+/// What has happened on a connection so far.
+struct State {
+    opened: Time,
+    stage: Stage,
+    /// The time at which the stage began.
+    since: Time,
+    /// The time at which the last byte was read from the caller.
+    last_read: Time,
+    /// Number of request heads received.
+    requests: u64,
+    /// Number of answers that were passed on whole.
+    answered: u64,
+    /// The last request.
+    exchange: Option<Exchange>,
+    /// The stage in which the caller closed the connection.
+    closed_by_caller: Option<Stage>,
+    /// Whether the last request asked for the connection to be closed.
+    is_close_asked: bool,
+    /// Whether the last answer announced that the connection is closed.
+    is_close_announced: bool,
+    is_interrupted: bool,
+    has_write_error: bool,
+    /// Whether the connection has ended. What its drop does to the answer is not recorded.
+    has_ended: bool,
+}
+
+/// Records what happens on one connection. Clones share the record. Invariant: its end is counted once, even if the
+/// task of the connection panics or is dropped.
+#[derive(Clone)]
+pub(crate) struct Record(Arc<Mutex<State>>);
+
+impl Record {
+    pub(crate) fn new() -> Record {
+        let now = Time::now();
+        Record(Arc::new(Mutex::new(State {
+            opened: now,
+            stage: Stage::Idle,
+            since: now,
+            last_read: now,
+            requests: 0,
+            answered: 0,
+            exchange: None,
+            closed_by_caller: None,
+            is_close_asked: false,
+            is_close_announced: false,
+            is_interrupted: false,
+            has_write_error: false,
+            has_ended: false,
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // Nothing can panic between two changes, so the state is valid even after a panic.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn record_read(&self, bytes: usize) {
+        let mut state = self.lock();
+        if bytes > 0 {
+            state.last_read = Time::now();
+        } else {
+            state.closed_by_caller = state.closed_by_caller.or(Some(state.stage));
+        }
+    }
+
+    pub(crate) fn record_write_error(&self) {
+        self.lock().has_write_error = true;
+    }
+
+    /// Records the head of a request. The handler gets the returned exchange.
+    pub(crate) fn record_request<B: http_body::Body>(
+        &self,
+        request: &hyper::Request<B>,
+    ) -> Exchange {
+        let exchange = Exchange::default();
+        if request.body().is_end_stream() {
+            exchange.set_body_read();
+        }
+        let mut state = self.lock();
+        state.begin(Stage::Handling);
+        state.requests += 1;
+        state.exchange = Some(exchange.clone());
+        state.is_close_asked =
+            request.version() < Version::HTTP_11 || announces_close(request.headers());
+        exchange
+    }
+
+    pub(crate) fn record_answer_head(&self, headers: &HeaderMap) {
+        let mut state = self.lock();
+        state.begin(Stage::Answering);
+        state.is_close_announced = announces_close(headers);
+    }
+
+    pub(crate) fn record_interrupted(&self) {
+        self.lock().is_interrupted = true;
+    }
+
+    /// Records that the connection has ended, before it is dropped.
+    pub(crate) fn record_end(&self) {
+        self.lock().has_ended = true;
+    }
+
+    /// Records that hyper has taken the whole answer.
+    pub(crate) fn record_answer_end(&self) {
+        let mut state = self.lock();
+        if !state.is_interrupted && !state.has_ended {
+            state.answered += 1;
+            state.begin(Stage::Idle);
+        }
+    }
+}
+
+impl State {
+    fn begin(&mut self, stage: Stage) {
+        self.stage = stage;
+        self.since = Time::now();
+    }
+
+    fn is_body_read(&self) -> bool {
+        self.exchange.as_ref().is_none_or(Exchange::is_body_read)
+    }
+
+    /// Whether the listener's limit for an idle connection has passed.
+    fn is_expired(&self, end: &End) -> bool {
+        u128::from(Time::now().since(self.since)) >= end.idle.as_millis()
+    }
+
+    /// Name of the counter for the end of the connection.
+    fn reason(&self, end: &End) -> &'static str {
+        let has_partial_head = self.stage == Stage::Idle && end.unparsed > 0;
+        match &end.result {
+            None if thread::panicking() => "closed_panic",
+            None => "closed_at_stop",
+            _ if self.is_interrupted => "closed_interrupted",
+            _ if self.has_write_error => "closed_write_error",
+            _ if self.closed_by_caller == Some(Stage::Idle) && !has_partial_head => {
+                "closed_by_caller_idle"
+            }
+            _ if self.closed_by_caller.is_some() => "closed_by_caller",
+            Some(Err(error)) if error.is_user() => "closed_interrupted",
+            Some(Err(error)) if error.is_timeout() && has_partial_head => "closed_partial_head",
+            Some(Err(error)) if error.is_timeout() => "closed_idle",
+            Some(Err(error)) if error.is_parse() => "closed_protocol",
+            Some(Err(_)) => "closed_other",
+            Some(Ok(())) if self.stage == Stage::Idle && self.is_expired(end) => "closed_idle",
+            // hyper discards a body that has arrived whole and keeps the connection. Otherwise it closes the connection
+            // at once, so the end of a connection that it kept has one of the reasons above or is a shutdown.
+            Some(Ok(()))
+                if !self.is_body_read() && (self.is_close_announced || !end.is_shutdown) =>
+            {
+                "closed_body_unread"
+            }
+            Some(Ok(())) if self.is_close_announced => "closed_announced",
+            Some(Ok(())) if self.is_close_asked => "closed_as_asked",
+            Some(Ok(())) if end.is_shutdown => "closed_shutdown",
+            Some(Ok(())) => "closed_other",
+        }
+    }
+}
+
+/// How a connection has ended.
+struct End {
+    /// The result of the connection, or `None` if its task panicked or was dropped.
+    result: Option<hyper::Result<()>>,
+    /// Number of bytes that were read but belong to no request whose head was parsed.
+    unparsed: usize,
+    /// Number of bytes that the kernel has received but this process has not read.
+    unread: u64,
+    /// Whether the listener is in the closing phase.
+    is_shutdown: bool,
+    /// The longest time for which the listener keeps an idle connection.
+    idle: Duration,
+}
+
+/// Counts and logs the end of a connection once. To be dropped before the connection, whose drop ends the answer.
+pub(crate) struct Guard {
+    log: Option<Log>,
+    record: Record,
+    caller: Option<SocketAddr>,
+    idle: Duration,
+}
+
+impl Guard {
+    /// `log` is `None` if the connections of the listener are not counted.
+    pub(crate) fn new(
+        log: Option<Log>,
+        record: Record,
+        caller: Option<SocketAddr>,
+        idle: Duration,
+    ) -> Guard {
+        Guard {
+            log,
+            record,
+            caller,
+            idle,
+        }
+    }
+
+    /// Records the end of the connection. `unparsed` is the number of bytes that were read but belong to no request
+    /// whose head was parsed, `unread` the number of those that the process has not read.
+    pub(crate) fn end(
+        mut self,
+        result: hyper::Result<()>,
+        is_shutdown: bool,
+        unparsed: usize,
+        unread: u64,
+    ) {
+        let end = End {
+            result: Some(result),
+            unparsed,
+            unread,
+            is_shutdown,
+            idle: self.idle,
+        };
+        if let Some(log) = self.log.take() {
+            self.write(&log, &end);
+        }
+    }
+
+    fn write(&self, log: &Log, end: &End) {
+        let state = self.record.lock();
+        let reason = state.reason(end);
+        log.meter.count(reason);
+        // The bytes that follow an unread body belong to it.
+        let has_partial_head =
+            state.stage == Stage::Idle && end.unparsed > 0 && reason != "closed_body_unread";
+        let is_unanswered = state.stage != Stage::Idle || state.has_write_error || has_partial_head;
+        // Most connections end in one of these ways, and a log line for each would cost too much.
+        let is_usual = matches!(reason, "closed_by_caller_idle" | "closed_as_asked");
+        if is_usual && !is_unanswered && end.unread == 0 {
+            return;
+        }
+        let now = Time::now();
+        let table = log.table.borrow().clone();
+        let document = table.as_ref().map(|table| table.document());
+        let facts = state.exchange.as_ref().map(|exchange| &exchange.0);
+        let error = end.result.as_ref().and_then(|result| result.as_ref().err());
+        let is_idle = state.stage == Stage::Idle;
+        info!(log.log, "connection closed"; "reason" => reason,
+            "caller" => self.caller.map(|caller| caller.to_string()),
+            "age_ms" => now.since(state.opened), "requests" => state.requests,
+            "answered" => state.answered, "idle_ms" => is_idle.then(|| now.since(state.since)),
+            "read_ms_ago" => now.since(state.last_read), "unanswered" => is_unanswered,
+            "partial_head" => has_partial_head, "unread" => end.unread,
+            "id" => facts.and_then(|facts| facts.attempt.get()).map(|id| &**id),
+            "code" => facts.and_then(|facts| facts.code.get()).copied(),
+            "body_read" => state.is_body_read(),
+            "version" => facts.and_then(|facts| facts.version.get()).copied(),
+            "version_at_end" => document.map(|document| document.version),
+            "idle_limit_ms" => document.map(|document| document.limits.idle_timeout_ms),
+            "error" => error.map(ToString::to_string));
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(log) = self.log.take() {
+            let end = End {
+                result: None,
+                unparsed: 0,
+                unread: 0,
+                is_shutdown: false,
+                idle: self.idle,
+            };
+            self.write(&log, &end);
+        }
+    }
+}
+
+fn announces_close(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(CONNECTION).iter();
+    values.any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod budget;
 mod buffer;
+pub mod closing;
 pub mod counter;
 mod direct;
 pub mod event;
@@ -22,6 +23,7 @@
 pub mod refusal;
 pub mod request;
 mod stream;
+mod tracked;
 mod upstream;
 
 pub use protocol::Protocol;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -120,6 +120,11 @@
         self.table.borrow().clone()
     }
 
+    /// Follows the routing table of the document in force.
+    pub fn tables(&self) -> watch::Receiver<Option<Arc<Table>>> {
+        self.table.clone()
+    }
+
     /// What this host knows about the fleet.
     pub fn state(&self) -> State {
         *self.state.borrow()
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -21,7 +22,9 @@
 use tokio::task::unconstrained;
 
 use crate::body::Body;
+use crate::closing::{self, Guard, Record};
 use crate::overload::{self, Detector};
+use crate::tracked::{Answer, Socket};
 
 /// The largest head of a request that the listener accepts, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -80,6 +83,8 @@
     /// Detects whether the host is overloaded. An overloaded host closes new connections without reading from them:
     /// that costs it much less than a refusal, and callers go to another host at once.
     pub overload: Detector,
+    /// Where the ends of connections are counted and logged, or `None` if they are not.
+    pub closings: Option<closing::Log>,
 }
 
 /// Listens on `address` and answers each request with `handle`.
@@ -258,36 +263,59 @@
     // Otherwise small writes of an answer wait until the caller acknowledges earlier ones (Nagle's algorithm). If the
     // option cannot be set, the next read returns the error.
     let _ = stream.set_nodelay(true);
+    let limits = &admission.limits;
+    let caller = stream.peer_addr().ok();
+    let record = Record::new();
     let service_phase = phase.clone();
     let is_first = AtomicBool::new(true);
     let service = service_fn(|mut request: Request<Incoming>| {
         if is_first.swap(false, Ordering::Relaxed) {
             request.extensions_mut().insert(FirstRequest);
         }
+        let exchange = record.record_request(&request);
+        request.extensions_mut().insert(exchange);
         let answer = handle(request);
         let phase = service_phase.clone();
-        let admission = &admission;
+        let (admission, record) = (&admission, record.clone());
         async move {
             let mut response = answer.await;
             if admission.closes_after_answer() || *phase.borrow() != Phase::Serving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            record.record_answer_head(response.headers());
+            Ok::<_, Infallible>(response.map(|body| Answer::new(body, record)))
         }
     });
-    let connection = http1::Builder::new()
+    let socket = Socket::new(stream, record.clone());
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(admission.limits.idle)
+        .header_read_timeout(limits.idle)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut phase = phase;
-    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
-    tokio::select! {
-        // After an error the connection is closed, which tells the caller.
-        _ = connection.as_mut() => return,
-        _ = closing => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
+        .serve_connection(TokioIo::new(socket), service);
+    // Declared after the connection, so that it is dropped before.
+    let guard = Guard::new(limits.closings.clone(), record.clone(), caller, limits.idle);
+    let mut closing_phase = phase.clone();
+    let closing = closing_phase.wait_for(|phase| *phase == Phase::Closing);
+    let ended = tokio::select! {
+        result = &mut connection => Some(result),
+        _ = closing => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let is_shutdown = *phase.borrow() == Phase::Closing;
+    record.record_end();
+    let parts = connection.into_parts();
+    // After an error the connection is closed, which tells the caller.
+    guard.end(
+        result,
+        is_shutdown,
+        parts.read_buf.len(),
+        parts.io.inner().unread(),
+    );
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -29,6 +29,7 @@
 use crate::body::{Body, Interrupted};
 use crate::budget::Budget;
 use crate::buffer::{self, Buffered};
+use crate::closing::Exchange;
 use crate::direct;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
 use crate::hop;
@@ -109,6 +110,11 @@
         self.pool.close_expired();
     }
 
+    /// Version of the document in force.
+    fn version(&self) -> Option<u64> {
+        self.link.table().map(|table| table.document().version)
+    }
+
     /// Whether a caller has spent a part of its deadline in an earlier attempt, as far as its deadline shows. Also
     /// records the deadline.
     fn is_returning(&self, route: &Route, deadline_ms: u64) -> bool {
@@ -133,17 +139,27 @@
     let started = Time::now();
     let start_instant = Instant::now();
     let (head, body) = request.into_parts();
+    let exchange = head
+        .extensions
+        .get::<Exchange>()
+        .cloned()
+        .unwrap_or_default();
     let metadata = (shared.protocol.read)(&head);
     let id = metadata
         .as_ref()
         .ok()
         .map(|metadata| Arc::clone(&metadata.attempt));
+    if let Some(id) = &id {
+        exchange.set_attempt(id);
+    }
     let mut response = match admit(&shared, head, body, metadata, started, start_instant).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             shared.meter.count(refusal.code);
+            exchange.set_code(refusal.code);
             info!(shared.log, "request refused"; "id" => id.as_deref(), "code" => refusal.code,
-                "status" => refusal.status.as_u16(), "message" => &refusal.message);
+                "status" => refusal.status.as_u16(), "message" => &refusal.message,
+                "version_at_end" => shared.version());
             refusal.response()
         }
     };
@@ -183,6 +199,9 @@
             message,
         ));
     };
+    if let Some(exchange) = head.extensions.get::<Exchange>() {
+        exchange.set_version(table.document().version);
+    }
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
     let Some(route) = table.route(host, head.uri.path()) else {
@@ -220,8 +239,11 @@
         ));
     };
     let deadline = start_instant + Duration::from_millis(timeout_ms);
-    let limit = table.document().limits.max_body_bytes;
-    let body = read_body(body, limit, deadline).await?;
+    let limits = &table.document().limits;
+    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    if let Some(exchange) = head.extensions.get::<Exchange>() {
+        exchange.set_body_read();
+    }
     let returning = metadata
         .deadline_ms
         .is_some_and(|deadline| shared.is_returning(&route, deadline));
@@ -234,6 +256,7 @@
         account,
         pool,
         version: table.document().version,
+        idle_limit_ms: limits.idle_timeout_ms,
         started,
         deadline,
         returning,
@@ -247,6 +270,11 @@
         cached_tokens: 0,
         fetch_from: None,
         first_ms: None,
+        forwarded: 0,
+        last_forwarded: None,
+        resumed: 0,
+        failure: None,
+        gave_up: None,
         demand: None,
     })
 }
@@ -285,6 +313,8 @@
     pool: Arc<str>,
     /// Version of the document that the route and the pool were taken from.
     version: u64,
+    /// How long a caller's connection may stay idle according to that document, in ms.
+    idle_limit_ms: u64,
     pub(crate) started: Time,
     /// The end of the caller's deadline or of the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -310,6 +340,16 @@
     fetch_from: Option<SocketAddrV4>,
     /// Time from the arrival of the request until the first data was forwarded to the caller, in ms.
     first_ms: Option<u64>,
+    /// Number of chunks that were forwarded to the caller. A chunk of a stream consists of complete events.
+    forwarded: u64,
+    /// The time at which the last chunk was forwarded.
+    last_forwarded: Option<Time>,
+    /// Number of times that another server was to resume the stream.
+    resumed: u32,
+    /// The last failure of a server: the counter that would count the request if it were sent again.
+    failure: Option<&'static str>,
+    /// Why the request was not sent again after that failure: a name of a counter.
+    pub(crate) gave_up: Option<&'static str>,
     /// The demand of the last placement until the request is sent.
     demand: Option<Arc<Demand>>,
 }
@@ -444,6 +484,9 @@
                 wait_ms,
             } => {
                 self.wait_ms = wait_ms;
+                if self.sent > 0 {
+                    self.gave_up = Some("gave_up_not_placed");
+                }
                 let message = "no backend server is expected to answer before the deadline";
                 Err(self.correct_verdict(Refusal::not_run(reason.code(), retry_after_ms, message)))
             }
@@ -627,25 +670,30 @@
     /// retry is taken from the budget only if a server may have received the request.
     fn check_retry(&mut self, failure: &Failure) -> Result<(), Refusal> {
         let refusal = self.correct_verdict(failure.refusal.clone());
+        self.failure = Some(failure.retry_counter);
         if self.remaining_ms() == 0 {
+            self.gave_up = Some("gave_up_deadline");
             return Err(self.timed_out());
         }
         if !failure.was_received {
             return if self.unreachable < MAX_UNREACHABLE {
                 Ok(())
             } else {
+                self.gave_up = Some("gave_up_unreachable");
                 Err(refusal)
             };
         }
         let verdict = failure.refusal.verdict;
         if !verdict.allows_retry(self.route.kind.is_repeatable()) {
             self.shared.meter.count("no_retry_non_idempotent");
+            self.gave_up = Some("gave_up_non_idempotent");
             return Err(refusal);
         }
         // If another server has taken over the address, the request never reached the intended server.
         let is_replaced = failure.retry_counter == "retry_server_gone";
         if self.sent >= self.route.max_servers && !is_replaced {
             self.shared.meter.count("no_retry_attempts");
+            self.gave_up = Some("gave_up_attempts");
             return Err(refusal);
         }
         let entry_hosts = self.shared.link.state().entry_hosts;
@@ -654,6 +702,7 @@
             .take_retry(Time::now(), &self.pool, entry_hosts)
         {
             self.shared.meter.count("no_retry_budget");
+            self.gave_up = Some("gave_up_budget");
             return Err(refusal);
         }
         Ok(())
@@ -773,14 +822,26 @@
         let may_retry = self.check_retry(&failure).is_ok();
         self.log_interruption(reason, may_retry);
         if may_retry {
+            self.resumed += 1;
             self.shared.meter.count(failure.retry_counter);
         }
         may_retry
     }
 
-    pub(crate) fn log_interruption(&self, reason: &str, resumed: bool) {
+    pub(crate) fn log_interruption(&mut self, reason: &str, resumed: bool) {
+        if !resumed {
+            self.gave_up.get_or_insert("gave_up_not_resumable");
+        }
         info!(self.shared.log, "stream broke off"; "id" => &*self.metadata.attempt,
-            "server" => self.server.as_deref(), "reason" => reason, "goes_on" => resumed);
+            "server" => self.server.as_deref(), "reason" => reason, "goes_on" => resumed,
+            "gave_up" => self.gave_up, "silent_ms" => self.silent_ms(), "forwarded" => self.forwarded,
+            "resumed" => self.resumed, "sent" => self.sent);
+    }
+
+    /// Time since the last chunk was forwarded, in ms; `None` before the first one.
+    fn silent_ms(&self) -> Option<u64> {
+        self.last_forwarded
+            .map(|forwarded| Time::now().since(forwarded))
     }
 
     /// Closes the connection to the caller without the end of the answer, so that the answer does not look complete.
@@ -803,6 +864,8 @@
 
     /// Records that data of the answer is forwarded. The first call sets the latency to the first event.
     pub(crate) fn record_forwarded(&mut self) {
+        self.forwarded += 1;
+        self.last_forwarded = Some(Time::now());
         if self.first_ms.is_none() {
             let latency = Time::now().since(self.started);
             self.first_ms = Some(latency);
@@ -818,6 +881,12 @@
     /// it.
     pub(crate) fn record_end(&self, outcome: &'static str, refusal: Option<&Refusal>) {
         self.shared.meter.count(outcome);
+        if let Some(reason) = self.gave_up {
+            self.shared.meter.count(reason);
+        }
+        if let Some(exchange) = self.head.extensions.get::<Exchange>() {
+            exchange.set_code(outcome);
+        }
         info!(self.shared.log, "request ended"; "id" => &*self.metadata.attempt,
             "route" => &*self.route.name, "version" => self.version,
             "account" => self.account.as_deref(), "pool" => &*self.pool,
@@ -829,7 +898,10 @@
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
             "first_ms" => self.first_ms, "ms" => Time::now().since(self.started), "outcome" => outcome,
             "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
-            "message" => refusal.map(|refusal| &*refusal.message));
+            "message" => refusal.map(|refusal| &*refusal.message),
+            "version_at_end" => self.shared.version(), "idle_limit_ms" => self.idle_limit_ms,
+            "failure" => self.failure, "gave_up" => self.gave_up, "silent_ms" => self.silent_ms(),
+            "forwarded" => self.forwarded, "resumed" => self.resumed);
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -76,7 +76,10 @@
                 job.interrupt(&sender, "timeout").await;
                 return;
             }
-            End::Silent => "the server sent nothing for too long".to_owned(),
+            End::Silent => {
+                job.shared.meter.count("stream_silent");
+                "the server sent nothing for too long".to_owned()
+            }
             End::Broken(error) => error,
         };
         drop(connection);
@@ -91,6 +94,7 @@
             Ok(answered) if answered.head.status.is_success() => answered,
             Ok(answered) => {
                 answered.assignment.end(Outcome::Answered { failed: true });
+                job.gave_up = Some("gave_up_next_failed");
                 job.interrupt(&sender, "stream_broken").await;
                 return;
             }
--- /dev/null
+++ b/crates/entry/src/tracked.rs
@@ -0,0 +1,135 @@
+//! The socket and the answers of a caller's connection, which record what happens on it.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use rustix::io::ioctl_fionread;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::body::{Body, Interrupted};
+use crate::closing::Record;
+
+/// A socket that records reads and errors.
+pub(crate) struct Socket {
+    stream: TcpStream,
+    record: Record,
+}
+
+impl Socket {
+    pub(crate) fn new(stream: TcpStream, record: Record) -> Socket {
+        Socket { stream, record }
+    }
+
+    /// Number of bytes that the kernel has received but this process has not read; 0 if it cannot be determined.
+    pub(crate) fn unread(&self) -> u64 {
+        ioctl_fionread(&self.stream).unwrap_or(0)
+    }
+
+    /// Records an error of a write.
+    fn check<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(_)) = &result {
+            self.record.record_write_error();
+        }
+        result
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let socket = self.get_mut();
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut socket.stream).poll_read(context, buffer);
+        match &result {
+            Poll::Ready(Ok(())) => socket.record.record_read(buffer.filled().len() - before),
+            // A reset by the caller, for example.
+            Poll::Ready(Err(_)) => socket.record.record_read(0),
+            Poll::Pending => {}
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let socket = self.get_mut();
+        let result = Pin::new(&mut socket.stream).poll_write(context, bytes);
+        socket.check(result)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let socket = self.get_mut();
+        let result = Pin::new(&mut socket.stream).poll_write_vectored(context, slices);
+        socket.check(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
+/// The body of an answer, which records its end. hyper drops it when it has taken all of it.
+pub(crate) struct Answer {
+    body: Body,
+    record: Record,
+}
+
+impl Answer {
+    pub(crate) fn new(body: Body, record: Record) -> Answer {
+        Answer { body, record }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.record.record_answer_end();
+    }
+}
+
+impl HttpBody for Answer {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        let answer = self.get_mut();
+        let frame = Pin::new(&mut answer.body).poll_frame(context);
+        if let Poll::Ready(Some(Err(_))) = &frame {
+            answer.record.record_interrupted();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -319,6 +319,7 @@
         idle: Duration::from_secs(5),
         max_connections,
         overload,
+        closings: None,
     };
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("the address is valid");
