entry: Keep a silent server until another one has answered

Callers saw a 502, or the failure of another server, after 0.2 s for a request that may run twice and whose server was silent for a second or two before it answered.

Cause: the connection to a server without an answer was closed after twice the objective, before it was known whether another server can serve the request: there was only one, the retry budget or the allowed servers were used up, no server was assigned, or the other one refused or failed.

Now the silent server keeps the request while another one is asked. The first usable answer is used, the other request is cancelled, and if no other server can be asked the host waits until the deadline. `attempt` holds the requests that are open, `silence` decides when another server is asked, without input or output. A request that must not run twice is waited for, as before.

Ruled out: a longer limit. Any limit ends some answer of a sound server.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 69] = [
+pub const ALL: [&str; 71] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -64,6 +64,8 @@
     "server_failed",
     "server_full",
     "server_gone",
+    "silence_over",
+    "silence_waited",
     "stream_broken",
     "stream_resumed",
     "stream_silent",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,10 +2,13 @@
 //!
 //! An entry host stores nothing durably. It gets the configuration and the assignments from the core hosts
 //! ([`link`]). Requests are processed in [`request`]: matched to a route, assigned to a server, sent and answered.
+//! `attempt` sends a request to as many servers as needed, and [`silence`] decides when a silent one is not waited for
+//! alone.
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
 //! `direct` forwards all others, and `upstream` holds the connections to backend servers. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
+mod attempt;
 pub mod body;
 pub mod budget;
 mod buffer;
@@ -22,6 +25,7 @@
 pub mod protocol;
 pub mod refusal;
 pub mod request;
+pub mod silence;
 mod stream;
 mod tracked;
 mod upstream;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! The processing of one request: matching to a route, reading, placement, sending and answering.
 
+use std::io;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -36,10 +37,10 @@
 use crate::link;
 use crate::listener;
 use crate::overload::Detector;
-use crate::protocol::{Classification, Malformed, Metadata, Outgoing, Protocol};
+use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
 use crate::refusal::Refusal;
 use crate::stream;
-use crate::upstream::{self, Connection, Pool};
+use crate::upstream::{Connection, Pool};
 
 /// Failed connections after which a request is refused: each of them may take the whole connection timeout.
 const MAX_UNREACHABLE: u32 = 3;
@@ -54,10 +55,6 @@
 /// deadlines of first attempts differ by up to 15 %.
 const RETURNING_DEADLINE_FRACTION: f64 = 0.84;
 
-/// An idempotent request is sent to another server after this multiple of its latency objective, or of its predicted
-/// time if that is longer.
-const RESEND_AFTER_OBJECTIVES: u64 = 2;
-
 /// State that all requests of an entry host share.
 pub struct Shared {
     /// The connection to the core hosts, which assign requests to servers.
@@ -115,6 +112,29 @@
         self.link.table().map(|table| table.document().version)
     }
 
+    /// Takes an idle connection to the server, if there is a usable one.
+    pub(crate) fn take_idle(&self, server: &Server) -> Option<Connection> {
+        let connection = self.pool.take_idle(server)?;
+        self.meter.count("connection_reused");
+        Some(connection)
+    }
+
+    /// Opens a connection to the server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket, or a timeout.
+    pub(crate) async fn connect(&self, server: &Server) -> io::Result<Connection> {
+        let connection = self.pool.open(server).await?;
+        self.meter.count("connection_opened");
+        Ok(connection)
+    }
+
+    /// Closes the idle connections to a server.
+    pub(crate) fn close_idle(&self, server: &str) {
+        self.pool.close_idle(server);
+    }
+
     /// Whether a caller has spent a part of its deadline in an earlier attempt, as far as its deadline shows. Also
     /// records the deadline.
     fn is_returning(&self, route: &Route, deadline_ms: u64) -> bool {
@@ -275,7 +295,6 @@
         resumed: 0,
         failure: None,
         gave_up: None,
-        demand: None,
     })
 }
 
@@ -307,7 +326,7 @@
     pub(crate) shared: Arc<Shared>,
     head: request::Parts,
     body: Bytes,
-    metadata: Metadata,
+    pub(crate) metadata: Metadata,
     pub(crate) route: Route,
     account: Option<Arc<str>>,
     pool: Arc<str>,
@@ -321,19 +340,19 @@
     /// Whether the caller has spent a part of its deadline in an earlier attempt.
     returning: bool,
     /// Ids of the servers that must not be chosen again.
-    tried: Vec<Arc<str>>,
+    pub(crate) tried: Vec<Arc<str>>,
     /// Number of times that the request was sent to a server.
-    sent: u32,
+    pub(crate) sent: u32,
     /// Number of times that no connection to the assigned server could be opened.
-    unreachable: u32,
+    pub(crate) unreachable: u32,
     /// Whether a server to which the request was sent may have run it.
-    may_have_run: bool,
-    /// Id of the last server to which the request was sent.
-    server: Option<Arc<str>>,
+    pub(crate) may_have_run: bool,
+    /// Id of the server that answers the request or, before an answer, of the last one to which it was sent.
+    pub(crate) server: Option<Arc<str>>,
     /// Predicted wait of the last placement in ms: on the assigned server or, if it was refused, on the best one.
     wait_ms: u32,
     /// Predicted time to the first event, or to the whole answer of a plain service, in ms.
-    predicted_ms: u32,
+    pub(crate) predicted_ms: u32,
     /// Prompt tokens that the server is expected to have cached or to fetch.
     cached_tokens: u32,
     /// The engine from which the server fetches cached parts.
@@ -350,8 +369,6 @@
     failure: Option<&'static str>,
     /// Why the request was not sent again after that failure: a name of a counter.
     pub(crate) gave_up: Option<&'static str>,
-    /// The demand of the last placement until the request is sent.
-    demand: Option<Arc<Demand>>,
 }
 
 /// An answer whose head has arrived from a backend server.
@@ -360,7 +377,16 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) assignment: Assignment,
-    failed: bool,
+    /// Whether the server reports a failure.
+    pub(crate) failed: bool,
+}
+
+impl Answered {
+    /// Discards an answer that cannot be used.
+    pub(crate) fn end_failed(self) {
+        drop(self.connection);
+        self.assignment.end(Outcome::Answered { failed: true });
+    }
 }
 
 /// What follows after an answer was read into the buffer.
@@ -402,26 +428,6 @@
         refusal.response()
     }
 
-    /// Sends the request until a server answers it, as often as it may be sent again. `resume_after` is the id of the
-    /// last event that the caller has received.
-    pub(crate) async fn send_until_answered(
-        &mut self,
-        resume_after: Option<&str>,
-    ) -> Result<Answered, Refusal> {
-        loop {
-            let server = self.place().await?;
-            let failure = match self.send(&server, resume_after).await {
-                Ok(answered) => return Ok(answered),
-                Err(failure) => failure,
-            };
-            self.may_have_run |= failure.refusal.verdict != Verdict::NotRun;
-            self.check_retry(&failure)?;
-            self.shared.meter.count(failure.retry_counter);
-            info!(self.shared.log, "request sent again"; "id" => &*self.metadata.attempt,
-                "reason" => failure.retry_counter, "server" => &*server.id, "sent" => self.sent);
-        }
-    }
-
     fn record_in_budget(&self) {
         let mut budget = self.budget();
         budget.record_request(self.started, &self.pool);
@@ -440,7 +446,8 @@
             .as_millis() as u64
     }
 
-    async fn place(&mut self) -> Result<Server, Refusal> {
+    /// Requests a server that has not been tried yet.
+    pub(crate) async fn place(&mut self) -> Result<(Server, Arc<Demand>), Refusal> {
         if self.remaining_ms() == 0 {
             return Err(self.timed_out());
         }
@@ -475,8 +482,7 @@
                 self.predicted_ms = predicted_ms;
                 self.wait_ms = wait_ms;
                 self.cached_tokens = cached_tokens;
-                self.demand = Some(demand);
-                Ok(server)
+                Ok((server, demand))
             }
             Decision::Refuse {
                 reason,
@@ -502,7 +508,7 @@
         refusal
     }
 
-    fn timed_out(&self) -> Refusal {
+    pub(crate) fn timed_out(&self) -> Refusal {
         if self.sent == 0 {
             return Refusal::not_run(
                 "timeout",
@@ -518,157 +524,9 @@
         )
     }
 
-    async fn send(
-        &mut self,
-        server: &Server,
-        resume_after: Option<&str>,
-    ) -> Result<Answered, Failure> {
-        let Some(demand) = self.demand.take() else {
-            return Err(Failure::not_run(
-                "retry_not_sent",
-                "no_server",
-                "no backend server was assigned",
-            ));
-        };
-        let mut assignment = Assignment::open(&self.shared.link, &demand, &server.id);
-        let mut skip_idle = false;
-        let response = loop {
-            let idle = if skip_idle {
-                None
-            } else {
-                self.shared.pool.take_idle(server)
-            };
-            let mut connection = match idle {
-                Some(connection) => connection,
-                None => match self.shared.pool.open(server).await {
-                    Ok(connection) => {
-                        self.shared.meter.count("connection_opened");
-                        connection
-                    }
-                    Err(error) => {
-                        assignment.end(Outcome::Unreachable);
-                        self.tried.push(Arc::clone(&server.id));
-                        self.unreachable += 1;
-                        let message = format!("connecting to server {} failed: {error}", server.id);
-                        return Err(Failure::not_run(
-                            "retry_unreachable",
-                            "unreachable",
-                            &message,
-                        ));
-                    }
-                },
-            };
-            if connection.is_reused {
-                self.shared.meter.count("connection_reused");
-            }
-            let request = self.request(server, resume_after);
-            match self.exchange(&mut connection, request).await {
-                Ok(response) => break (response, connection),
-                // The server closed an idle connection before the request was sent.
-                Err(Some(upstream::Error::NotSent)) => skip_idle = true,
-                Err(Some(upstream::Error::Broken(error))) => {
-                    self.record_send(server);
-                    assignment.end(Outcome::Answered { failed: true });
-                    let message = format!(
-                        "the connection to server {} broke before the answer: {error}",
-                        server.id
-                    );
-                    return Err(Failure::may_have_run(
-                        "retry_answer_broken",
-                        "answer_broken",
-                        &message,
-                    ));
-                }
-                Err(None) => {
-                    self.record_send(server);
-                    self.shared.pool.close_idle(&server.id);
-                    let is_expired = self.remaining_ms() == 0;
-                    assignment.end(Outcome::Answered { failed: true });
-                    let message = format!(
-                        "server {} did not answer within the resend timeout",
-                        server.id
-                    );
-                    let mut failure = Failure::may_have_run("retry_silent", "timeout", &message);
-                    if is_expired {
-                        failure.refusal = self.timed_out();
-                    }
-                    return Err(failure);
-                }
-            }
-        };
-        self.record_send(server);
-        let (response, connection) = response;
-        let (head, body) = response.into_parts();
-        match (self.shared.protocol.classify)(&head, &self.metadata.attempt) {
-            Classification::Answer { failed } => {
-                if !self.route.kind.is_stream() {
-                    assignment.record_first_event();
-                }
-                Ok(Answered {
-                    head,
-                    body,
-                    connection,
-                    assignment,
-                    failed,
-                })
-            }
-            Classification::Full => {
-                self.drain_short_answer(body, connection).await;
-                assignment.end(Outcome::Full);
-                self.shared.meter.count("server_full");
-                Err(Failure::full(&server.id))
-            }
-            Classification::Replaced => {
-                assignment.end(Outcome::Replaced);
-                self.shared.meter.count("server_gone");
-                let message = format!(
-                    "the address of server {} belongs to another server now",
-                    server.id
-                );
-                Err(Failure::not_run("retry_server_gone", "server_gone", &message).received())
-            }
-            Classification::Invalid => {
-                self.shared.pool.close_idle(&server.id);
-                assignment.end(Outcome::Answered { failed: true });
-                let message = format!("server {} sent an invalid answer", server.id);
-                Err(Failure::may_have_run(
-                    "retry_answer_broken",
-                    "answer_foreign",
-                    &message,
-                ))
-            }
-        }
-    }
-
-    fn record_send(&mut self, server: &Server) {
-        self.sent += 1;
-        self.server = Some(Arc::clone(&server.id));
-        self.tried.push(Arc::clone(&server.id));
-    }
-
-    /// Sends the request and waits for the head of the answer. The error is `None` if the head did not arrive in
-    /// time.
-    async fn exchange(
-        &self,
-        connection: &mut Connection,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Option<upstream::Error>> {
-        let mut deadline = self.deadline;
-        let may_repeat = self.route.kind.is_repeatable() && self.sent + 1 < self.route.max_servers;
-        if may_repeat {
-            let timeout_ms = (self.route.objective_ms * RESEND_AFTER_OBJECTIVES)
-                .max(u64::from(self.predicted_ms) * RESEND_AFTER_OBJECTIVES);
-            deadline = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
-        }
-        match tokio::time::timeout_at(deadline, connection.send(request)).await {
-            Ok(result) => result.map_err(Some),
-            Err(_) => Err(None),
-        }
-    }
-
     /// Checks whether a request that got no answer may be sent again; if not, returns the refusal for the caller. A
     /// retry is taken from the budget only if a server may have received the request.
-    fn check_retry(&mut self, failure: &Failure) -> Result<(), Refusal> {
+    pub(crate) fn check_retry(&mut self, failure: &Failure) -> Result<(), Refusal> {
         let refusal = self.correct_verdict(failure.refusal.clone());
         self.failure = Some(failure.retry_counter);
         if self.remaining_ms() == 0 {
@@ -708,7 +566,11 @@
         Ok(())
     }
 
-    fn request(&self, server: &Server, resume_after: Option<&str>) -> Request<Full<Bytes>> {
+    pub(crate) fn request(
+        &self,
+        server: &Server,
+        resume_after: Option<&str>,
+    ) -> Request<Full<Bytes>> {
         let mut headers = self.head.headers.clone();
         hop::remove(&mut headers);
         headers.remove(EXPECT);
@@ -730,7 +592,7 @@
     }
 
     /// Reads the rest of a short answer, so that its connection can be reused.
-    async fn drain_short_answer(&self, body: Incoming, connection: Connection) {
+    pub(crate) async fn drain_short_answer(&self, body: Incoming, connection: Connection) {
         let read = Limited::new(body, buffer::MAX_BYTES).collect();
         let limit = Duration::from_millis(100);
         if let Ok(Ok(_)) = tokio::time::timeout(limit, read).await {
@@ -839,7 +701,7 @@
     }
 
     /// Time since the last chunk was forwarded, in ms; `None` before the first one.
-    fn silent_ms(&self) -> Option<u64> {
+    pub(crate) fn silent_ms(&self) -> Option<u64> {
         self.last_forwarded
             .map(|forwarded| Time::now().since(forwarded))
     }
@@ -881,7 +743,9 @@
     /// it.
     pub(crate) fn record_end(&self, outcome: &'static str, refusal: Option<&Refusal>) {
         self.shared.meter.count(outcome);
-        if let Some(reason) = self.gave_up {
+        // A silent server may have answered after no other one could be asked.
+        let gave_up = self.gave_up.filter(|_| outcome != "served");
+        if let Some(reason) = gave_up {
             self.shared.meter.count(reason);
         }
         if let Some(exchange) = self.head.extensions.get::<Exchange>() {
@@ -900,7 +764,7 @@
             "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
             "message" => refusal.map(|refusal| &*refusal.message),
             "version_at_end" => self.shared.version(), "idle_limit_ms" => self.idle_limit_ms,
-            "failure" => self.failure, "gave_up" => self.gave_up, "silent_ms" => self.silent_ms(),
+            "failure" => self.failure, "gave_up" => gave_up, "silent_ms" => self.silent_ms(),
             "forwarded" => self.forwarded, "resumed" => self.resumed);
     }
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -62,8 +62,8 @@
 
 /// Why a request got no answer.
 pub(crate) enum Error {
-    /// No byte of the request was sent.
-    NotSent,
+    /// No byte of the request was sent. It is returned.
+    NotSent(Box<Request<Full<Bytes>>>),
     /// The request may have been sent; the text says what happened.
     Broken(String),
 }
@@ -75,7 +75,7 @@
     ) -> Result<Response<Incoming>, Error> {
         let result = self.sender.try_send_request(request).await;
         let response = result.map_err(|mut error| match error.take_message() {
-            Some(_) => Error::NotSent,
+            Some(request) => Error::NotSent(Box::new(request)),
             None => Error::Broken(error.into_error().to_string()),
         })?;
         if let Some(seconds) = keep_alive_seconds(response.headers()) {
