entry: Keep a silent stream until another server goes on with it

Callers saw a resumable stream break off after its last event when its server fell silent for 2 s and would have gone on: with one server only, with max_attempts or the retry budget used up, or with another server that was full, failed, closed the connection, could not be reached or was silent too.

Cause: the connection to the server was closed after four gap objectives (at least 1.2 s) without an event, before it was known whether another server can resume the stream.

Now another server is asked to resume the stream while the silent one keeps it. The one that sends the next event goes on, and the other is cancelled at once, so the stream runs at one server only. If no other server may be asked, the host waits until the deadline. A connection that breaks is resumed as before; the wait for the next server now ends when the caller leaves.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -42,9 +42,12 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Discards the partial event, because the stream was interrupted.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
+    /// The splitter for the rest of an interrupted stream, which another server sends from the last complete event on.
+    pub fn resumed(&self) -> Splitter {
+        Splitter {
+            partial: BytesMut::new(),
+            last_id: self.last_id.clone(),
+        }
     }
 
     /// Takes the partial event, at the end of a stream that does not end with an empty line.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,12 +1,16 @@
-//! Forwards streams, and resumes a stream on another server if the connection to its server breaks or falls silent.
+//! Forwards streams, and resumes a stream on another server if the connection to its server breaks.
+//!
+//! If the server falls silent, another server is asked to resume the stream, and the one that sends the next event goes
+//! on with it. The silent server keeps the request until then.
 
 use std::pin::pin;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
+use slog::info;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::Instant;
@@ -14,163 +18,333 @@
 use crate::assignment::Assignment;
 use crate::body::Interrupted;
 use crate::event::Splitter;
+use crate::failure::Failure;
 use crate::request::{Answered, Job};
+use crate::silence::Watch;
+use crate::upstream::Connection;
 
 /// The most chunks that wait for a slow caller; reading from the server then pauses.
 pub(crate) const MAX_WAITING_CHUNKS: usize = 16;
 
-/// Silence after which a stream is resumed on another server, in multiples of the objective for its longest gap.
-/// Callers give up after 2 s or more.
-const MAX_SILENCE_GAPS: u64 = 4;
-
-/// Lower bound of that silence, in ms: an engine that preempts a request prefills it again and sends nothing until
-/// then.
-const MIN_SILENCE_MS: u64 = 1_200;
-
-/// How the part of a stream that one server sent has ended.
+/// How the part of a stream that one server sends ends.
 enum End {
     Complete,
     Broken(String),
-    Silent,
     TimedOut,
     CallerGone,
 }
 
+/// The part of a stream that one server sends.
+struct Part {
+    body: Incoming,
+    connection: Connection,
+    assignment: Assignment,
+}
+
+impl From<Answered> for Part {
+    fn from(answered: Answered) -> Part {
+        Part {
+            body: answered.body,
+            connection: answered.connection,
+            assignment: answered.assignment,
+        }
+    }
+}
+
+impl Part {
+    /// Closes the connection to the server, which cancels the request, and reports the outcome.
+    fn end(self, outcome: Outcome) {
+        drop(self.connection);
+        self.assignment.end(outcome);
+    }
+
+    /// Waits until the server has completed an event, and returns all that it has completed.
+    async fn next_events(&mut self, splitter: &mut Splitter) -> Result<Bytes, End> {
+        loop {
+            let data = match self.body.frame().await {
+                None => return Err(End::Complete),
+                Some(Err(error)) => return Err(End::Broken(error.to_string())),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    // Trailers are not forwarded.
+                    Err(_) => continue,
+                },
+            };
+            self.assignment.record_first_event();
+            let events = splitter.push(&data);
+            if splitter.is_too_large() {
+                let reason = "an event exceeds the size limit".to_owned();
+                return Err(End::Broken(reason));
+            }
+            // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
+            if !events.is_empty() {
+                return Ok(events);
+            }
+        }
+    }
+}
+
+/// A part with which another server resumes the stream.
+struct Resumed {
+    part: Part,
+    splitter: Splitter,
+    /// The events that have arrived already.
+    events: Bytes,
+}
+
+/// What follows after another server was asked to resume a stream whose server is silent.
+enum Next {
+    /// The other server goes on with the stream.
+    Other(Box<Resumed>),
+    /// The silent server has sent events.
+    Same(Bytes),
+    /// The other server does not resume the stream; the silent one is waited for.
+    Waiting,
+    /// The part of the silent server has ended in this way.
+    Ended(End),
+}
+
 /// Forwards the answer to a request, from as many servers as needed. Only complete events are forwarded.
 pub(crate) async fn forward(
-    mut job: Job,
+    job: Job,
     answered: Answered,
     sender: mpsc::Sender<Result<Bytes, Interrupted>>,
 ) {
-    let mut part = answered;
-    let mut splitter = Splitter::default();
+    let watch = Watch::stream(Time::now(), job.route.max_gap_ms);
+    let mut forwarder = Forwarder {
+        job,
+        sender: &sender,
+        splitter: Splitter::default(),
+        watch,
+    };
+    let mut part = Part::from(answered);
     loop {
-        let Answered {
-            body,
-            connection,
-            mut assignment,
-            ..
-        } = part;
-        let mut forwarder = Forwarder {
-            job: &mut job,
-            sender: &sender,
-            splitter: &mut splitter,
+        let end = match forwarder.forward(&mut part).await {
+            Some(end) => end,
+            None => match forwarder.ask_another(&mut part).await {
+                Some(end) => end,
+                None => continue,
+            },
         };
-        let end = forwarder.forward(body, &mut assignment).await;
+        let mut job = forwarder.job;
         let reason = match end {
             End::Complete => {
-                job.release(connection);
-                assignment.end(Outcome::Answered { failed: false });
+                job.release(part.connection);
+                part.assignment.end(Outcome::Answered { failed: false });
                 job.record_complete("served");
                 return;
             }
             End::CallerGone => {
-                assignment.end(Outcome::Cancelled);
+                part.end(Outcome::Cancelled);
                 job.record_end("caller_gone", None);
                 return;
             }
             End::TimedOut => {
                 // The caller may not read, and the server must not work for it any longer.
-                drop(connection);
-                assignment.end(Outcome::Cancelled);
+                part.end(Outcome::Cancelled);
                 job.interrupt(&sender, "timeout").await;
                 return;
             }
-            End::Silent => {
-                job.shared.meter.count("stream_silent");
-                "the server sent nothing for too long".to_owned()
-            }
-            End::Broken(error) => error,
+            End::Broken(reason) => reason,
         };
-        drop(connection);
-        assignment.end(Outcome::Answered { failed: true });
+        part.end(Outcome::Answered { failed: true });
         if !job.may_resume(&reason) {
             job.interrupt(&sender, "stream_broken").await;
             return;
         }
-        splitter.discard_partial();
-        let last = splitter.last_id().map(str::to_owned);
-        part = match job.send_until_answered(last.as_deref()).await {
-            Ok(answered) if answered.head.status.is_success() => answered,
-            Ok(answered) => {
-                answered.assignment.end(Outcome::Answered { failed: true });
-                job.gave_up = Some("gave_up_next_failed");
-                job.interrupt(&sender, "stream_broken").await;
+        let resumed = tokio::select! {
+            biased;
+            resumed = job.resume(&forwarder.splitter) => resumed,
+            () = sender.closed() => Err("caller_gone"),
+        };
+        part = match resumed {
+            Ok(part) => part,
+            Err(code) => {
+                job.interrupt(&sender, code).await;
                 return;
             }
-            Err(refusal) => {
-                job.shared.meter.count("resume_refused");
-                job.interrupt(&sender, refusal.code).await;
-                return;
+        };
+        let watch = Watch::stream(Time::now(), job.route.max_gap_ms);
+        forwarder = Forwarder {
+            job,
+            sender: &sender,
+            splitter: forwarder.splitter.resumed(),
+            watch,
+        };
+    }
+}
+
+impl Job {
+    /// Whether another server is asked to resume the stream of a server that is silent.
+    fn may_ask_another(&mut self) -> bool {
+        self.may_have_run = true;
+        let failure = Failure::may_have_run("retry_silent", "stream_broken", "");
+        let may_ask = self.check_retry(&failure).is_ok();
+        let counter = if may_ask {
+            failure.retry_counter
+        } else {
+            "silence_waited"
+        };
+        self.shared.meter.count("stream_silent");
+        self.shared.meter.count(counter);
+        info!(self.shared.log, "server is silent"; "id" => &*self.metadata.attempt,
+            "server" => self.server.as_deref(), "asks_another" => may_ask, "gave_up" => self.gave_up,
+            "silent_ms" => self.silent_ms(), "sent" => self.sent);
+        may_ask
+    }
+
+    /// Resumes the stream on another server and waits for its first events. `None` if no server resumes it.
+    async fn resume_with_events(&mut self, mut splitter: Splitter) -> Option<Resumed> {
+        let mut part = self.resume(&splitter).await.ok()?;
+        let events = match part.next_events(&mut splitter).await {
+            Ok(events) => events,
+            // Nothing was left to send. The end of the part is read again with the rest.
+            Err(End::Complete) => Bytes::new(),
+            Err(_) => {
+                part.end(Outcome::Answered { failed: true });
+                return None;
             }
         };
+        Some(Resumed {
+            part,
+            splitter,
+            events,
+        })
+    }
+
+    /// Asks another server to resume the stream after the last complete event. The error is the code with which the
+    /// answer ends if no server does.
+    async fn resume(&mut self, splitter: &Splitter) -> Result<Part, &'static str> {
+        match self.send_until_answered(splitter.last_id()).await {
+            Ok(answered) if answered.head.status.is_success() => Ok(Part::from(answered)),
+            Ok(answered) => {
+                answered.end_failed();
+                self.gave_up = Some("gave_up_next_failed");
+                Err("stream_broken")
+            }
+            Err(refusal) => {
+                self.shared.meter.count("resume_refused");
+                Err(refusal.code)
+            }
+        }
     }
 }
 
+/// When the stream is checked next: when its silence is over the limit, or at the deadline.
+fn next_check(watch: &Watch, deadline: Instant) -> Instant {
+    let now = Time::now();
+    let due = watch.due().map(|due| Instant::now() + due.until(now));
+    due.map_or(deadline, |due| due.min(deadline))
+}
+
 struct Forwarder<'a> {
-    job: &'a mut Job,
+    job: Job,
     sender: &'a mpsc::Sender<Result<Bytes, Interrupted>>,
-    splitter: &'a mut Splitter,
+    splitter: Splitter,
+    watch: Watch,
 }
 
 impl Forwarder<'_> {
-    async fn forward(&mut self, mut body: Incoming, assignment: &mut Assignment) -> End {
-        let max_silence = self.max_silence();
+    /// Forwards a part until it ends, or until its server is silent and another server is to be asked (`None`).
+    async fn forward(&mut self, part: &mut Part) -> Option<End> {
         let sender = self.sender;
         let mut closed = pin!(sender.closed());
         // The timer is reset only when it fires, since most events arrive long before.
-        let mut deadline = self.next_deadline(max_silence);
-        let mut timer = pin!(tokio::time::sleep_until(deadline));
+        let mut timer = pin!(tokio::time::sleep_until(self.next_check()));
         loop {
-            let frame = loop {
-                tokio::select! {
-                    biased;
-                    frame = body.frame() => break frame,
-                    () = &mut closed => return End::CallerGone,
-                    () = &mut timer => {
-                        let now = Instant::now();
-                        if now >= self.job.deadline {
-                            return End::TimedOut;
-                        }
-                        if now >= deadline {
-                            return End::Silent;
+            let events = {
+                let mut events = pin!(part.next_events(&mut self.splitter));
+                loop {
+                    tokio::select! {
+                        biased;
+                        events = &mut events => break events,
+                        () = &mut closed => return Some(End::CallerGone),
+                        () = &mut timer => {}
+                    }
+                    if Instant::now() >= self.job.deadline {
+                        return Some(End::TimedOut);
+                    }
+                    if self.watch.is_due(Time::now()) {
+                        if self.job.may_ask_another() {
+                            return None;
                         }
-                        timer.as_mut().reset(deadline);
+                        self.watch.stop();
                     }
+                    let next_check = next_check(&self.watch, self.job.deadline);
+                    timer.as_mut().reset(next_check);
                 }
             };
-            let data = match frame {
-                None => return self.finish().await,
-                Some(Err(error)) => return End::Broken(error.to_string()),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    // Trailers are not forwarded.
-                    Err(_) => continue,
-                },
+            let sent = match events {
+                Ok(events) => self.send(events).await,
+                Err(End::Complete) => return Some(self.finish().await),
+                Err(end) => return Some(end),
             };
-            assignment.record_first_event();
-            let events = self.splitter.push(&data);
-            if self.splitter.is_too_large() {
-                return End::Broken("an event exceeds the size limit".to_owned());
+            if let Err(end) = sent {
+                return Some(end);
             }
-            // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
-            if events.is_empty() {
-                continue;
+            self.watch.restart(Time::now());
+        }
+    }
+
+    fn next_check(&self) -> Instant {
+        next_check(&self.watch, self.job.deadline)
+    }
+
+    /// Asks another server to resume the stream of a silent one. `part` is then the one that goes on. Returns the end
+    /// of the stream if it has ended meanwhile.
+    async fn ask_another(&mut self, part: &mut Part) -> Option<End> {
+        let events = match self.race(part).await {
+            Next::Other(resumed) => {
+                let silent = std::mem::replace(part, resumed.part);
+                silent.end(Outcome::Answered { failed: true });
+                self.splitter = resumed.splitter;
+                resumed.events
             }
-            if let Err(end) = self.send(events).await {
-                return end;
+            Next::Same(events) => {
+                self.job.shared.meter.count("silence_over");
+                events
             }
-            deadline = self.next_deadline(max_silence);
-        }
+            Next::Waiting => return None,
+            Next::Ended(end) => return Some(end),
+        };
+        self.send(events).await.err()
     }
 
-    /// The time until which the server must complete the next event: the end of the longest allowed silence, or of
-    /// the request.
-    fn next_deadline(&self, max_silence: Option<Duration>) -> Instant {
-        let deadline = self.job.deadline;
-        max_silence.map_or(deadline, |max_silence| {
-            (Instant::now() + max_silence).min(deadline)
-        })
+    /// Asks another server to resume the stream of a silent one, and waits for the first of the two to send an event.
+    async fn race(&mut self, part: &mut Part) -> Next {
+        let Forwarder {
+            job,
+            sender,
+            splitter,
+            watch,
+        } = self;
+        let deadline = job.deadline;
+        let mut resume = pin!(job.resume_with_events(splitter.resumed()));
+        // Why the silent server's part has ended. The other server may still resume it.
+        let mut broken = None;
+        let next = loop {
+            tokio::select! {
+                biased;
+                events = part.next_events(splitter), if broken.is_none() => match events {
+                    Ok(events) => break Next::Same(events),
+                    Err(End::Broken(reason)) => broken = Some(reason),
+                    Err(end) => break Next::Ended(end),
+                },
+                resumed = &mut resume => break match (resumed, broken) {
+                    (Some(resumed), _) => Next::Other(Box::new(resumed)),
+                    (None, Some(reason)) => Next::Ended(End::Broken(reason)),
+                    (None, None) => Next::Waiting,
+                },
+                () = sender.closed() => break Next::Ended(End::CallerGone),
+                () = tokio::time::sleep_until(deadline) => break Next::Ended(End::TimedOut),
+            }
+        };
+        match next {
+            // The retry that was taken for the other server would be wasted again.
+            Next::Waiting => watch.stop(),
+            _ => watch.restart(Time::now()),
+        }
+        next
     }
 
     /// Passes events on to the caller, and waits for a slow one until the deadline. The error is the end of the answer.
@@ -199,11 +373,4 @@
             Err(end) => end,
         }
     }
-
-    fn max_silence(&self) -> Option<Duration> {
-        let gap = self.job.route.max_gap_ms?;
-        Some(Duration::from_millis(
-            (gap * MAX_SILENCE_GAPS).max(MIN_SILENCE_MS),
-        ))
-    }
 }
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -64,7 +64,7 @@
         splitter.push(b"id: 1\ndata: a\n\nid: 2\nda"),
         Bytes::from("id: 1\ndata: a\n\n")
     );
-    splitter.discard_partial();
+    let mut splitter = splitter.resumed();
     assert_eq!(splitter.last_id(), Some("1"));
     assert_eq!(
         splitter.push(b"id: 2\ndata: b\n\n"),
