entry: Close idle connections by the limit of the document

Callers whose kept connection was idle for more than 16 s found it closed, although the configuration allowed a longer time: the next request on it got no answer. A raised limit had no effect, nor had any other.

Cause: a constant of 16 s, given to hyper as the time in which a request head must arrive, ended idle connections whatever `idle_timeout_ms` says.

Now the listener asks for the limits in force and closes a connection after the limit that was in force when it became idle or the present one, whichever is longer, so that no caller is cut off by a change. A head that has begun has `header_timeout_ms`. What has arrived is read before a connection is closed. The decision is in `idle`, without input or output.

The cases of end_is_counted_once that play the idle limit and a partial head pass unchanged with the new limits.

--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
-use std::time::Duration;
 
 use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Version};
@@ -15,6 +14,8 @@
 use slog::{Logger, info};
 use tokio::sync::watch;
 
+use crate::idle::{self, Activity, Timeouts};
+
 /// The reason for the end of a connection on which a request was answered before its body was read.
 pub(crate) const BODY_UNREAD: &str = "closed_body_unread";
 
@@ -88,6 +89,10 @@
     since: Time,
     /// The time at which the last byte was read from the caller.
     last_read: Time,
+    /// The time at which the first byte of the next request head was read.
+    head_since: Option<Time>,
+    /// The limit for an idle connection that was in force when the stage began, in ms.
+    idle_limit_ms: u64,
     /// Number of request heads received.
     requests: u64,
     /// Number of answers that were passed on whole.
@@ -109,16 +114,22 @@
 /// Records what happens on one connection. Clones share the record. Invariant: its end is counted once, even if the
 /// task of the connection panics or is dropped.
 #[derive(Clone)]
-pub(crate) struct Record(Arc<Mutex<State>>);
+pub(crate) struct Record {
+    state: Arc<Mutex<State>>,
+    timeouts: idle::Source,
+}
 
 impl Record {
-    pub(crate) fn new() -> Record {
+    pub(crate) fn new(timeouts: idle::Source) -> Record {
         let now = Time::now();
-        Record(Arc::new(Mutex::new(State {
+        let idle_limit_ms = timeouts().idle_ms;
+        let state = Arc::new(Mutex::new(State {
             opened: now,
             stage: Stage::Idle,
             since: now,
             last_read: now,
+            head_since: None,
+            idle_limit_ms,
             requests: 0,
             answered: 0,
             exchange: None,
@@ -128,18 +139,42 @@
             is_interrupted: false,
             has_write_error: false,
             has_ended: false,
-        })))
+        }));
+        Record { state, timeouts }
+    }
+
+    /// The limits in force.
+    pub(crate) fn timeouts(&self) -> Timeouts {
+        (self.timeouts)()
+    }
+
+    /// What the connection waits for.
+    pub(crate) fn activity(&self) -> Activity {
+        let state = self.lock();
+        match (state.stage, state.head_since) {
+            (Stage::Idle, Some(since)) => Activity::Head(since),
+            (Stage::Idle, None) => Activity::Idle {
+                since: state.since,
+                limit_ms: state.idle_limit_ms,
+            },
+            (Stage::Handling | Stage::Answering, _) => Activity::Request,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         // Nothing can panic between two changes, so the state is valid even after a panic.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn record_read(&self, bytes: usize) {
         let mut state = self.lock();
         if bytes > 0 {
-            state.last_read = Time::now();
+            let now = Time::now();
+            state.last_read = now;
+            // The rest of a body that was not read is no head.
+            if state.stage == Stage::Idle && state.is_body_read() {
+                state.head_since.get_or_insert(now);
+            }
         } else {
             state.closed_by_caller = state.closed_by_caller.or(Some(state.stage));
         }
@@ -188,6 +223,7 @@
         if !state.is_interrupted && !state.has_ended {
             state.answered += 1;
             state.begin(Stage::Idle);
+            state.idle_limit_ms = (self.timeouts)().idle_ms;
         }
     }
 }
@@ -196,17 +232,13 @@
     fn begin(&mut self, stage: Stage) {
         self.stage = stage;
         self.since = Time::now();
+        self.head_since = None;
     }
 
     fn is_body_read(&self) -> bool {
         self.exchange.as_ref().is_none_or(Exchange::is_body_read)
     }
 
-    /// Whether the listener's limit for an idle connection has passed.
-    fn is_expired(&self, end: &End) -> bool {
-        u128::from(Time::now().since(self.since)) >= end.idle.as_millis()
-    }
-
     /// Name of the counter for the end of the connection.
     fn reason(&self, end: &End) -> &'static str {
         let has_partial_head = self.stage == Stage::Idle && end.unparsed > 0;
@@ -220,11 +252,10 @@
             }
             _ if self.closed_by_caller.is_some() => "closed_by_caller",
             Some(Err(error)) if error.is_user() => "closed_interrupted",
-            Some(Err(error)) if error.is_timeout() && has_partial_head => "closed_partial_head",
-            Some(Err(error)) if error.is_timeout() => "closed_idle",
+            _ if end.is_expired && has_partial_head => "closed_partial_head",
+            _ if end.is_expired => "closed_idle",
             Some(Err(error)) if error.is_parse() => "closed_protocol",
             Some(Err(_)) => "closed_other",
-            Some(Ok(())) if self.stage == Stage::Idle && self.is_expired(end) => "closed_idle",
             // hyper discards a body that has arrived whole and keeps the connection. Otherwise it closes the connection
             // at once, so the end of a connection that it kept has one of the reasons above or is a shutdown.
             Some(Ok(()))
@@ -240,6 +271,17 @@
     }
 }
 
+/// What made the connection end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// The caller, an error, or an answer after which the connection is closed.
+    Connection,
+    /// The listener is in the closing phase.
+    Shutdown,
+    /// Nothing has happened on the connection for longer than the listener allows.
+    Expired,
+}
+
 /// How a connection has ended.
 struct End {
     /// The result of the connection, or `None` if its task panicked or was dropped.
@@ -250,8 +292,8 @@
     unread: u64,
     /// Whether the listener is in the closing phase.
     is_shutdown: bool,
-    /// The longest time for which the listener keeps an idle connection.
-    idle: Duration,
+    /// Whether nothing has happened on the connection for longer than the listener allows.
+    is_expired: bool,
 }
 
 /// Counts and logs the end of a connection once. To be dropped before the connection, whose drop ends the answer.
@@ -259,22 +301,15 @@
     log: Option<Log>,
     record: Record,
     caller: Option<SocketAddr>,
-    idle: Duration,
 }
 
 impl Guard {
     /// `log` is `None` if the connections of the listener are not counted.
-    pub(crate) fn new(
-        log: Option<Log>,
-        record: Record,
-        caller: Option<SocketAddr>,
-        idle: Duration,
-    ) -> Guard {
+    pub(crate) fn new(log: Option<Log>, record: Record, caller: Option<SocketAddr>) -> Guard {
         Guard {
             log,
             record,
             caller,
-            idle,
         }
     }
 
@@ -283,7 +318,7 @@
     pub(crate) fn end(
         mut self,
         result: hyper::Result<()>,
-        is_shutdown: bool,
+        cause: Cause,
         unparsed: usize,
         unread: u64,
     ) -> &'static str {
@@ -291,8 +326,8 @@
             result: Some(result),
             unparsed,
             unread,
-            is_shutdown,
-            idle: self.idle,
+            is_shutdown: cause == Cause::Shutdown,
+            is_expired: cause == Cause::Expired,
         };
         let reason = self.record.lock().reason(&end);
         if let Some(log) = self.log.take() {
@@ -343,7 +378,7 @@
                 unparsed: 0,
                 unread: 0,
                 is_shutdown: false,
-                idle: self.idle,
+                is_expired: false,
             };
             let reason = self.record.lock().reason(&end);
             self.write(&log, &end, reason);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod failure;
 pub mod hello;
 mod hop;
+pub mod idle;
 mod linger;
 pub mod link;
 pub mod listener;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -14,15 +14,18 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use primrose_base::clock::Time;
 use rustix::io::Errno;
 use rustix::net::{SocketFlags, accept_with};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::unconstrained;
+use tokio::time::Instant;
 
 use crate::body::Body;
-use crate::closing::{self, Guard, Record};
+use crate::closing::{self, Cause, Guard, Record};
+use crate::idle::{self, Activity};
 use crate::linger;
 use crate::overload::{self, Detector};
 use crate::tracked::{Answer, Socket};
@@ -74,10 +77,10 @@
 }
 
 /// Limits of the connections of a listener.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Limits {
-    /// A connection is closed if the next request head does not arrive within this time.
-    pub idle: Duration,
+    /// The limits after which connections are closed on which nothing happens.
+    pub timeouts: idle::Source,
     /// The most open connections. Above half of it, each answer closes its connection, so that file descriptors and
     /// memory remain for requests. At the limit, new connections are closed at once.
     pub max_connections: usize,
@@ -252,6 +255,13 @@
     }
 }
 
+/// When the activity of a connection is checked next.
+fn next_check(record: &Record) -> Instant {
+    let now = Time::now();
+    let next = record.timeouts().next_check(now, record.activity());
+    Instant::now() + next.until(now)
+}
+
 async fn serve<F, R>(
     stream: TcpStream,
     admission: Admission,
@@ -266,7 +276,7 @@
     let _ = stream.set_nodelay(true);
     let limits = &admission.limits;
     let caller = stream.peer_addr().ok();
-    let record = Record::new();
+    let record = Record::new(Arc::clone(&limits.timeouts));
     let service_phase = phase.clone();
     let is_first = AtomicBool::new(true);
     let service = service_fn(|mut request: Request<Incoming>| {
@@ -290,31 +300,49 @@
     });
     let socket = Socket::new(stream, record.clone());
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(socket), service);
     // Declared after the connection, so that it is dropped before.
-    let guard = Guard::new(limits.closings.clone(), record.clone(), caller, limits.idle);
+    let guard = Guard::new(limits.closings.clone(), record.clone(), caller);
     let mut closing_phase = phase.clone();
-    let closing = closing_phase.wait_for(|phase| *phase == Phase::Closing);
-    let ended = tokio::select! {
-        result = &mut connection => Some(result),
-        _ = closing => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let mut closing = pin!(closing_phase.wait_for(|phase| *phase == Phase::Closing));
+    let mut is_closing = false;
+    let mut timer = pin!(tokio::time::sleep_until(next_check(&record)));
+    let mut is_expired = false;
+    let result = loop {
+        tokio::select! {
+            // What has arrived is read before the connection is closed for another reason.
+            biased;
+            result = &mut connection => break result,
+            _ = &mut closing, if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = &mut timer, if !is_expired => {
+                let activity = record.activity();
+                let due = record.timeouts().due(activity);
+                is_expired = due.is_some_and(|due| due <= Time::now());
+                match activity {
+                    // hyper does not end a connection within a head.
+                    Activity::Head(_) if is_expired => break Ok(()),
+                    _ if is_expired => Pin::new(&mut connection).graceful_shutdown(),
+                    _ => timer.as_mut().reset(next_check(&record)),
+                }
+            }
         }
     };
-    let is_shutdown = *phase.borrow() == Phase::Closing;
+    let cause = if is_expired {
+        Cause::Expired
+    } else if *phase.borrow() == Phase::Closing {
+        Cause::Shutdown
+    } else {
+        Cause::Connection
+    };
     record.record_end();
     let parts = connection.into_parts();
     let mut socket = parts.io.into_inner();
     // After an error the connection is closed, which tells the caller.
-    let reason = guard.end(result, is_shutdown, parts.read_buf.len(), socket.unread());
+    let reason = guard.end(result, cause, parts.read_buf.len(), socket.unread());
     if reason == closing::BODY_UNREAD {
         linger::discard(&mut socket).await;
     }
--- a/crates/entry/tests/closing.rs
+++ b/crates/entry/tests/closing.rs
@@ -11,6 +11,7 @@
 use primrose_entry::body::{Body, Interrupted};
 use primrose_entry::closing::{self, Exchange};
 use primrose_entry::counter;
+use primrose_entry::idle::Timeouts;
 use primrose_entry::listener::{self, Limits, Phase};
 use primrose_entry::overload::Detector;
 use primrose_observe::Meter;
@@ -22,8 +23,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
-/// The idle limit of the listener. Longer than any other step of a test.
-const IDLE: Duration = Duration::from_millis(400);
+/// The limits of the listener. Longer than any other step of a test.
+const TIMEOUTS: Timeouts = Timeouts {
+    idle_ms: 400,
+    head_ms: 400,
+};
 
 /// The longest wait for the end of a connection.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -46,7 +50,7 @@
         };
         let (_, table) = watch::channel(Some(Arc::new(Table::new(Arc::new(document)))));
         let limits = Limits {
-            idle: IDLE,
+            timeouts: Arc::new(|| TIMEOUTS),
             max_connections: 100,
             overload: Detector::default(),
             closings: Some(closing::Log {
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -14,6 +14,7 @@
 use primrose_entry::budget::{Budget, Settings};
 use primrose_entry::counter;
 use primrose_entry::event::Splitter;
+use primrose_entry::idle::Timeouts;
 use primrose_entry::link;
 use primrose_entry::listener::{self, Limits, Phase};
 use primrose_entry::overload::Detector;
@@ -316,7 +317,10 @@
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let limits = Limits {
-        idle: Duration::from_secs(5),
+        timeouts: Arc::new(|| Timeouts {
+            idle_ms: 5_000,
+            head_ms: 5_000,
+        }),
         max_connections,
         overload,
         closings: None,
