entry: Answer a request whose head has arrived in part at a shutdown

A caller whose request head had arrived in part when a host that shuts down closed its idle connections found the connection closed without an answer.

Cause: hyper counts a kept connection as idle until the whole head is read, and graceful_shutdown closes it. Now such a connection is left open: the answer closes it, since the listener announces that in this phase, or the limit for heads does. A connection on which a request has just arrived is read before it is closed, because the listener polls it first.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -316,7 +316,10 @@
             result = &mut connection => break result,
             _ = &mut closing, if !is_closing => {
                 is_closing = true;
-                Pin::new(&mut connection).graceful_shutdown();
+                // The answer to a request of which a part has arrived closes the connection in this phase.
+                if !matches!(record.activity(), Activity::Head(_)) {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
             }
             () = &mut timer, if !is_expired => {
                 let activity = record.activity();
