entry: Do not believe a refusal that may be a copy of an earlier one

Callers saw: 503 "not run, try again" for a request that its server was running. Operators of similar systems saw it too, and second runs of such requests: after a 421 the request went to another server.

Cause: `classify` believed a refusal without an attempt id on any connection. A faulty server that writes an earlier refusal once more, while the next request of the connection is sent or after it, sends the same bytes as a server that refuses this request.

Decision: a refusal without an attempt id is believed only as the answer to the first request of its connection, before which nothing was answered. On a connection that was used before, it counts as an answer to another request: the request may have run, is sent again only if it is idempotent, and the connection is closed.

Ruled out: copies on an idle connection and right after an answer, since hyper closes a connection on which unexpected bytes arrive; copies with the id of another request; copies of complete answers, with and without an id, on all kinds of routes.

Not detectable: bytes inside the announced length of an answer.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -250,7 +250,8 @@
             }
         };
         let (head, body) = response.into_parts();
-        match (self.shared.protocol.classify)(&head, &self.metadata.attempt) {
+        let classify = self.shared.protocol.classify;
+        match classify(&head, &self.metadata.attempt, connection.is_reused) {
             Classification::Answer { failed } => {
                 if !self.route.kind.is_stream() {
                     assignment.record_first_event();
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -17,8 +17,9 @@
     pub read: fn(&request::Parts) -> Result<Metadata, Malformed>,
     /// Changes the headers of a caller into those for a backend server.
     pub write: fn(&mut HeaderMap, &Outgoing<'_>),
-    /// Classifies an answer by its head. The second argument is the attempt id of the request.
-    pub classify: fn(&response::Parts, &str) -> Classification,
+    /// Classifies an answer by its head. The other arguments are the attempt id of the request, and whether its
+    /// connection has carried a request before, whose answer the server may have repeated.
+    pub classify: fn(&response::Parts, &str, bool) -> Classification,
 }
 
 /// The data in the head of a caller's request.
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -238,7 +238,7 @@
     let protocol = Protocol {
         read: |_| Err(Malformed("not understood".to_owned())),
         write: |_, _| {},
-        classify: |_, _| Classification::Invalid,
+        classify: |_, _, _| Classification::Invalid,
     };
     let budget = Budget::new(Settings {
         ratio: 0.2,
