entry: Continue a broken stream only with the events that follow

Callers saw, on a resumable stream whose first server broke off: events a second time, a stream without some events, the text of an error or of a document at the end of a stream that looked complete, or a complete end in the middle of an event.

Cause: the answer of the next server was taken as the continuation if its status was a success. Neither its type nor the ids of its events were compared with those before. The end of a connection counted as the end of the stream even in the middle of an event of an answer without a length.

Now the next answer must have the status and the content type of the first one. Ids of a further server must rise above those returned. Its first event must have an id, and may leave out none where all ids before rose by one; ids that rise in larger steps say nothing about gaps. After an event without an id the position is unknown and the stream is not resumed, and neither is a document on a route with streams. What does not continue the stream counts as broken: a further server is asked if the route allows it, otherwise the caller's connection is closed without the end of the answer.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -6,11 +6,30 @@
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream at the ends of its events, so that only complete events are forwarded and a stream can be resumed
-/// on another server without a partial or repeated event.
+/// on another server without a partial, repeated or missing event.
 #[derive(Debug, Default)]
 pub struct Splitter {
     partial: BytesMut,
+    position: Position,
+    /// Whether the events come from another server than the first ones.
+    is_resumed: bool,
+    /// Whether the next event is the first one after the stream was resumed.
+    is_at_joint: bool,
+    /// Why the events do not continue those before. Invariant: no event is returned once it is set, until the stream
+    /// is resumed.
+    fault: Option<&'static str>,
+}
+
+/// The events that were returned.
+#[derive(Clone, Debug, Default)]
+struct Position {
     last_id: Option<String>,
+    /// Whether an event without an id has followed the one with `last_id`. The caller's position is then unknown.
+    has_unnamed: bool,
+    /// Number of events with an id.
+    named: u64,
+    /// Whether all events so far had numbers as ids, each one higher than the one before.
+    is_consecutive: bool,
 }
 
 impl Splitter {
@@ -21,15 +40,79 @@
             return Bytes::new();
         };
         let events = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
+        self.check(events)
+    }
+
+    /// Records the events and returns them if they continue those before.
+    fn check(&mut self, events: Bytes) -> Bytes {
+        // Only events of a further server can be wrong.
+        let before = self.is_resumed.then(|| self.position.clone());
+        match self.record_all(&events) {
+            Ok(()) => events,
+            Err(fault) => {
+                self.fault = Some(fault);
+                self.position = before.unwrap_or_default();
+                Bytes::new()
+            }
         }
-        events
+    }
+
+    fn record_all(&mut self, events: &[u8]) -> Result<(), &'static str> {
+        let mut id = None;
+        let mut has_data = false;
+        // The last event need not end with an empty line.
+        for line in events.split(|&byte| byte == b'\n').chain([&b""[..]]) {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if let Some(value) = line.strip_prefix(b"id:") {
+                id = std::str::from_utf8(value).ok().map(str::trim);
+            }
+            has_data |= line.starts_with(b"data");
+            if line.is_empty() && (has_data || id.is_some()) {
+                self.record(id.take())?;
+                has_data = false;
+            }
+        }
+        Ok(())
+    }
+
+    /// Records an event. The error is the reason why it does not continue those before.
+    fn record(&mut self, id: Option<&str>) -> Result<(), &'static str> {
+        let is_at_joint = std::mem::replace(&mut self.is_at_joint, false);
+        let position = &mut self.position;
+        let last = position.last_id.as_deref();
+        let Some(id) = id else {
+            if is_at_joint && last.is_some() {
+                return Err("the first event of the next server has no id");
+            }
+            position.has_unnamed = true;
+            return Ok(());
+        };
+        let numbers = last.and_then(|last| Some((last.parse::<u64>().ok()?, id.parse().ok()?)));
+        let is_next = numbers.is_some_and(|(last, id)| last.checked_add(1) == Some(id));
+        if self.is_resumed {
+            if numbers.map_or(last == Some(id), |(last, id)| id <= last) {
+                return Err("the next server repeats events");
+            }
+            // Ids may rise in larger steps, so a gap shows only if they have not done so before.
+            if is_at_joint && position.named > 1 && position.is_consecutive && !is_next {
+                return Err("the next server leaves out events");
+            }
+        }
+        position.is_consecutive = position.named == 0 || (position.is_consecutive && is_next);
+        position.named += 1;
+        position.has_unnamed = false;
+        position.last_id = Some(id.to_owned());
+        Ok(())
     }
 
     /// Id of the last event that was returned, or `None` if no event had an id.
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        self.position.last_id.as_deref()
+    }
+
+    /// Whether [`Splitter::last_id`] tells which events were returned, so that the stream can be resumed after them.
+    pub fn can_resume(&self) -> bool {
+        !self.position.has_unnamed
     }
 
     /// Whether the start of an event is buffered.
@@ -37,22 +120,29 @@
         !self.partial.is_empty()
     }
 
-    /// Whether the partial event is too large to buffer.
-    pub fn is_too_large(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
+    /// Why the stream must not be forwarded any further: the partial event is too large to buffer, or the events do not
+    /// continue those of the server before.
+    pub fn fault(&self) -> Option<&'static str> {
+        let is_too_large = self.partial.len() > MAX_EVENT_BYTES;
+        self.fault
+            .or(is_too_large.then_some("an event exceeds the size limit"))
     }
 
     /// The splitter for the rest of an interrupted stream, which another server sends from the last complete event on.
     pub fn resumed(&self) -> Splitter {
         Splitter {
             partial: BytesMut::new(),
-            last_id: self.last_id.clone(),
+            position: self.position.clone(),
+            is_resumed: true,
+            is_at_joint: true,
+            fault: None,
         }
     }
 
     /// Takes the partial event, at the end of a stream that does not end with an empty line.
     pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
+        let rest = self.partial.split().freeze();
+        self.check(rest)
     }
 }
 
@@ -70,11 +160,3 @@
     }
     None
 }
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|&byte| byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.next()?;
-    let text = std::str::from_utf8(id).ok()?;
-    Some(text.trim().to_owned())
-}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -33,6 +33,7 @@
 use crate::closing::Exchange;
 use crate::direct;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
+use crate::form::Form;
 use crate::hop;
 use crate::link;
 use crate::listener;
@@ -692,7 +693,8 @@
         let mut response = forwarded_head(&answered.head);
         let is_resumable = answered.head.status.is_success()
             && self.route.kind.is_stream()
-            && self.route.kind.is_repeatable();
+            && self.route.kind.is_repeatable()
+            && Form::of(&answered.head).has_events();
         if is_resumable {
             // The rest may come from another server, with another length.
             response.headers_mut().remove(CONTENT_LENGTH);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::body::Interrupted;
 use crate::event::Splitter;
 use crate::failure::Failure;
+use crate::form::Form;
 use crate::request::{Answered, Job};
 use crate::silence::Watch;
 use crate::upstream::Connection;
@@ -39,11 +40,14 @@
     body: Incoming,
     connection: Connection,
     assignment: Assignment,
+    /// Whether the answer announces its end. Otherwise its connection may close in the middle of an event.
+    has_announced_end: bool,
 }
 
 impl From<Answered> for Part {
     fn from(answered: Answered) -> Part {
         Part {
+            has_announced_end: Form::of(&answered.head).has_announced_end,
             body: answered.body,
             connection: answered.connection,
             assignment: answered.assignment,
@@ -72,9 +76,8 @@
             };
             self.assignment.record_first_event();
             let events = splitter.push(&data);
-            if splitter.is_too_large() {
-                let reason = "an event exceeds the size limit".to_owned();
-                return Err(End::Broken(reason));
+            if let Some(fault) = splitter.fault() {
+                return Err(End::Broken(fault.to_owned()));
             }
             // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
             if !events.is_empty() {
@@ -110,9 +113,11 @@
     answered: Answered,
     sender: mpsc::Sender<Result<Bytes, Interrupted>>,
 ) {
+    let form = Form::of(&answered.head);
     let watch = Watch::stream(Time::now(), job.route.max_gap_ms);
     let mut forwarder = Forwarder {
         job,
+        form: &form,
         sender: &sender,
         splitter: Splitter::default(),
         watch,
@@ -148,13 +153,13 @@
             End::Broken(reason) => reason,
         };
         part.end(Outcome::Answered { failed: true });
-        if !job.may_resume(&reason) {
+        if !forwarder.splitter.can_resume() || !job.may_resume(&reason) {
             job.interrupt(&sender, "stream_broken").await;
             return;
         }
         let resumed = tokio::select! {
             biased;
-            resumed = job.resume(&forwarder.splitter) => resumed,
+            resumed = job.resume(&forwarder.splitter, &form) => resumed,
             () = sender.closed() => Err("caller_gone"),
         };
         part = match resumed {
@@ -167,6 +172,7 @@
         let watch = Watch::stream(Time::now(), job.route.max_gap_ms);
         forwarder = Forwarder {
             job,
+            form: &form,
             sender: &sender,
             splitter: forwarder.splitter.resumed(),
             watch,
@@ -194,8 +200,8 @@
     }
 
     /// Resumes the stream on another server and waits for its first events. `None` if no server resumes it.
-    async fn resume_with_events(&mut self, mut splitter: Splitter) -> Option<Resumed> {
-        let mut part = self.resume(&splitter).await.ok()?;
+    async fn resume_with_events(&mut self, mut splitter: Splitter, form: &Form) -> Option<Resumed> {
+        let mut part = self.resume(&splitter, form).await.ok()?;
         let events = match part.next_events(&mut splitter).await {
             Ok(events) => events,
             // Nothing was left to send. The end of the part is read again with the rest.
@@ -212,11 +218,13 @@
         })
     }
 
-    /// Asks another server to resume the stream after the last complete event. The error is the code with which the
+    /// Asks another server to resume the stream, whose first answer has this form, after the last complete event. The error is the code with which the
     /// answer ends if no server does.
-    async fn resume(&mut self, splitter: &Splitter) -> Result<Part, &'static str> {
+    async fn resume(&mut self, splitter: &Splitter, form: &Form) -> Result<Part, &'static str> {
         match self.send_until_answered(splitter.last_id()).await {
-            Ok(answered) if answered.head.status.is_success() => Ok(Part::from(answered)),
+            Ok(answered) if form.can_be_continued_by(&Form::of(&answered.head)) => {
+                Ok(Part::from(answered))
+            }
             Ok(answered) => {
                 answered.end_failed();
                 self.gave_up = Some("gave_up_next_failed");
@@ -239,6 +247,8 @@
 
 struct Forwarder<'a> {
     job: Job,
+    /// The form of the first answer.
+    form: &'a Form,
     sender: &'a mpsc::Sender<Result<Bytes, Interrupted>>,
     splitter: Splitter,
     watch: Watch,
@@ -252,6 +262,7 @@
         // The timer is reset only when it fires, since most events arrive long before.
         let mut timer = pin!(tokio::time::sleep_until(self.next_check()));
         loop {
+            let can_resume = self.splitter.can_resume();
             let events = {
                 let mut events = pin!(part.next_events(&mut self.splitter));
                 loop {
@@ -265,7 +276,7 @@
                         return Some(End::TimedOut);
                     }
                     if self.watch.is_due(Time::now()) {
-                        if self.job.may_ask_another() {
+                        if can_resume && self.job.may_ask_another() {
                             return None;
                         }
                         self.watch.stop();
@@ -276,7 +287,7 @@
             };
             let sent = match events {
                 Ok(events) => self.send(events).await,
-                Err(End::Complete) => return Some(self.finish().await),
+                Err(End::Complete) => return Some(self.finish(part.has_announced_end).await),
                 Err(end) => return Some(end),
             };
             if let Err(end) = sent {
@@ -314,12 +325,13 @@
     async fn race(&mut self, part: &mut Part) -> Next {
         let Forwarder {
             job,
+            form,
             sender,
             splitter,
             watch,
         } = self;
         let deadline = job.deadline;
-        let mut resume = pin!(job.resume_with_events(splitter.resumed()));
+        let mut resume = pin!(job.resume_with_events(splitter.resumed(), form));
         // Why the silent server's part has ended. The other server may still resume it.
         let mut broken = None;
         let next = loop {
@@ -362,12 +374,19 @@
         }
     }
 
-    /// Handles the end of the server's answer. The last event need not end with an empty line.
-    async fn finish(&mut self) -> End {
+    /// Handles the end of the server's answer. If the answer announced its end, the last event need not end with an
+    /// empty line; otherwise the connection may have closed in the middle of it.
+    async fn finish(&mut self, has_announced_end: bool) -> End {
         if !self.splitter.has_partial_event() {
             return End::Complete;
         }
+        if !has_announced_end {
+            return End::Broken("the connection closed in the middle of an event".to_owned());
+        }
         let rest = self.splitter.take_partial();
+        if let Some(fault) = self.splitter.fault() {
+            return End::Broken(fault.to_owned());
+        }
         match self.send(rest).await {
             Ok(()) => End::Complete,
             Err(end) => end,
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -24,6 +24,7 @@
 use primrose_observe::Meter;
 use primrose_wire::key::Key;
 use slog::Logger;
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -73,6 +74,31 @@
     );
 }
 
+// Events of the next server that do not continue the stream must not be returned, and must not move the position from
+// which a further server resumes it. Ids that rise in larger steps hide no gap.
+#[test_case("id: 1\n\nid: 2\n\n", "id: 2\ndata: b\n\n", false ; "repeated")]
+#[test_case("id: 1\n\nid: 2\n\n", "id: 3\ndata: c\n\nid: 1\n\n", false ; "repeated later")]
+#[test_case("id: 1\n\nid: 2\n\n", "id: 4\ndata: d\n\n", false ; "with a gap")]
+#[test_case("id: 1\n\nid: 2\n\n", "data: c\n\n", false ; "without an id")]
+#[test_case("id: a\n\nid: b\n\n", "id: b\n\n", false ; "repeated without a number")]
+#[test_case("id: a\n\nid: b\n\n", "id: c\n\n", true ; "next without a number")]
+#[test_case("id: 1\n\nid: 2\n\n", ": ping\n\nid: 3\n\n", true ; "next after a comment")]
+#[test_case("id: 2\n\nid: 4\n\n", "id: 7\n\n", true ; "next of larger steps")]
+fn only_events_that_continue_a_stream_are_returned(before: &str, next: &str, continues: bool) {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(before.as_bytes()), before);
+    let last = splitter.last_id().map(str::to_owned);
+    let mut splitter = splitter.resumed();
+    let returned = splitter.push(next.as_bytes());
+    assert_eq!(splitter.fault().is_none(), continues);
+    if continues {
+        assert_eq!(returned, next);
+    } else {
+        assert_eq!(returned, "");
+        assert_eq!(splitter.last_id(), last.as_deref());
+    }
+}
+
 // All hosts together must stay within the budget of the fleet, and the budget must be available again when the window
 // has passed.
 #[test]
