entry: Break off a stream that closes in the middle of an event

Callers saw: a stream without a length and without chunks, whose server closed the connection in the middle of an event, ended as complete on routes whose streams cannot be resumed.

Cause: such an answer ends with its connection, and `direct` took every close as the end. Now it keeps the last three bytes of such a stream. If they are not the end of an event, the caller's connection is closed without the end of the answer and the server counts as failed.

Evidence: `answer_that_breaks_off_is_not_complete` breaks answers off at ten points, by a close and by a reset, on unsafe, stream, safe and resumable routes. The case of an event without a length failed before and fails again when the tail is not kept.

Ruled out, covered by cases that passed before: before and in the head, after it, in a body with a length, in a chunk, before and in the last chunk, and a reset without a length. Safe and resumable requests got a whole answer from another server, the others 502 with the verdict may-have-run or a visible end, and reached one server only.

On a stream route a caller may find its connection closed without a head if the server breaks off right after its own head; that promises nothing.

--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -16,6 +16,7 @@
 
 use crate::assignment::Assignment;
 use crate::body::Interrupted;
+use crate::form::{Form, Tail};
 use crate::request::{Answered, Job};
 use crate::upstream::Connection;
 
@@ -27,6 +28,8 @@
     open: Arc<Mutex<Option<Open>>>,
     /// Whether the answer ended with its last byte.
     is_complete: bool,
+    /// `Some` if the answer is a stream of events that ends with its connection.
+    tail: Option<Tail>,
     /// Ends the answer at the caller's deadline or the route's timeout. It is a task, because a caller that stops
     /// reading also stops the polling of this body, and the server must not work for it any longer.
     timer: AbortHandle,
@@ -57,6 +60,8 @@
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
         let deadline = job.deadline;
+        let form = Form::of(&answered.head);
+        let has_tail = form.is_event_stream() && !form.has_announced_end;
         let open = Arc::new(Mutex::new(Some(Open {
             job,
             connection: answered.connection,
@@ -73,6 +78,7 @@
             body: answered.body,
             open,
             is_complete: false,
+            tail: has_tail.then(Tail::default),
             timer: timer.abort_handle(),
         };
         answer.complete_if_read();
@@ -128,6 +134,9 @@
                 Some(Ok(frame)) => {
                     // Trailers are not forwarded.
                     if let Ok(data) = frame.into_data() {
+                        if let Some(tail) = &mut answer.tail {
+                            tail.push(&data);
+                        }
                         open.assignment.record_first_event();
                         open.job.record_forwarded();
                         drop(guard);
@@ -137,11 +146,12 @@
                 }
                 Some(Err(error)) => {
                     open.job.log_interruption(&error.to_string(), false);
-                    if let Some(open) = guard.take() {
-                        let outcome = Outcome::Answered { failed: true };
-                        open.interrupt(outcome, "stream_broken");
-                    }
-                    return Poll::Ready(Some(Err(Interrupted)));
+                    return Poll::Ready(Some(Err(interrupt_broken(guard))));
+                }
+                None if answer.tail.as_ref().is_some_and(|tail| !tail.ends_event()) => {
+                    let reason = "the connection closed in the middle of an event";
+                    open.job.log_interruption(reason, false);
+                    return Poll::Ready(Some(Err(interrupt_broken(guard))));
                 }
                 None => {
                     drop(guard);
@@ -153,6 +163,14 @@
     }
 }
 
+/// Ends an answer that its server broke off.
+fn interrupt_broken(mut open: MutexGuard<'_, Option<Open>>) -> Interrupted {
+    if let Some(open) = open.take() {
+        open.interrupt(Outcome::Answered { failed: true }, "stream_broken");
+    }
+    Interrupted
+}
+
 fn lock(open: &Mutex<Option<Open>>) -> MutexGuard<'_, Option<Open>> {
     // Nothing can panic between two changes of the value, so it is valid even after a panic.
     open.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/form.rs
+++ b/crates/entry/src/form.rs
@@ -23,11 +23,16 @@
         }
     }
 
-    /// Whether the body consists of events. An answer without a content type counts as a stream on a route with
+    /// Whether the body may consist of events. An answer without a content type counts as a stream on a route with
     /// streams.
     pub(crate) fn has_events(&self) -> bool {
+        self.content_type.is_none() || self.is_event_stream()
+    }
+
+    /// Whether the head says that the body consists of events.
+    pub(crate) fn is_event_stream(&self) -> bool {
         let media_type = self.media_type();
-        media_type.is_none_or(|media_type| media_type.eq_ignore_ascii_case(b"text/event-stream"))
+        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case(b"text/event-stream"))
     }
 
     /// Whether the events of an answer with the form `next` may follow those of this one. An error or a document of
@@ -47,3 +52,25 @@
         Some(value[..end.unwrap_or(value.len())].trim_ascii())
     }
 }
+
+/// The last bytes of a stream of events whose end is not announced, which tell whether it ended in the middle of an
+/// event.
+#[derive(Default)]
+pub(crate) struct Tail {
+    /// The last bytes of the stream, zeros before its start.
+    last: [u8; 3],
+}
+
+impl Tail {
+    pub(crate) fn push(&mut self, chunk: &[u8]) {
+        let kept = &chunk[chunk.len().saturating_sub(self.last.len())..];
+        self.last.rotate_left(kept.len());
+        let start = self.last.len() - kept.len();
+        self.last[start..].copy_from_slice(kept);
+    }
+
+    /// Whether the bytes end with an empty line, or there are none.
+    pub(crate) fn ends_event(&self) -> bool {
+        self.last == [0; 3] || self.last.ends_with(b"\n\n") || self.last == *b"\n\r\n"
+    }
+}
