proxy: Do not reuse a connection whose answer has no request id

Callers saw: the answer to an earlier request, as a success. The server did not repeat request ids and wrote an earlier answer once more when the next request had arrived on the kept connection.

Cause: an answer without `x-request-id` is accepted, since servers need not repeat the id, and the connection was kept like any other. Now a connection is not used again after such an answer. A server that repeats ids keeps its connections. Requests that are not idempotent have always had new ones.

Evidence: `copies::copy_of_an_answer_reaches_no_other_caller` sends copies on an idle connection, right after an answer and after the next request was sent, with and without an id. Its case without an id after a request was sent failed before ("answer to first" for the second caller).

Ruled out: the other five cases passed before. With the comparison of ids taken out, the case with an id after a request was sent fails. Unexpected bytes on an idle connection are hyper's check and cannot be taken out.

Not covered: a server that repeats ids and then sends an answer without one that is no copy.

--- /dev/null
+++ b/crates/daemon/tests/fleet/copies.rs
@@ -0,0 +1,220 @@
+//! Backend servers that repeat an earlier answer on a kept connection (G3).
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::StatusCode;
+use primrose_config::{Action, spec};
+use primrose_engine::answer;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::harness::{
+    Fleet, VOTERS, account_and_pools, eventually, exchange, idempotent_call, name,
+};
+
+/// How long a server waits before it repeats an answer on an idle connection: longer than it takes the daemon to read
+/// what was sent before.
+const IDLE: Duration = Duration::from_millis(60);
+
+/// A request that a server has received.
+#[derive(Clone)]
+struct Receipt {
+    text: String,
+    request_id: String,
+    /// Whether its connection had carried a request before.
+    is_reused: bool,
+}
+
+/// What a server does after a request has arrived.
+enum Step {
+    Send(String),
+    Pause(Duration),
+}
+
+type Script = fn(&Receipt) -> Vec<Step>;
+
+/// Backend servers that follow a script.
+struct Servers {
+    addresses: Vec<SocketAddr>,
+    receipts: Arc<Mutex<Vec<Receipt>>>,
+}
+
+impl Servers {
+    async fn open(count: usize, script: Script) -> Servers {
+        let mut servers = Servers {
+            addresses: Vec::new(),
+            receipts: Arc::default(),
+        };
+        for _ in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("an address");
+            servers.addresses.push(address);
+            let receipts = Arc::clone(&servers.receipts);
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    // A connection that the daemon closes ends with an error.
+                    tokio::spawn(serve(stream, script, Arc::clone(&receipts)));
+                }
+            });
+        }
+        servers
+    }
+
+    fn actions(&self, pool: &str) -> Vec<Action> {
+        let addresses = self.addresses.iter().enumerate();
+        let actions = addresses.map(|(at, address)| {
+            Action::AddServer(spec::Server {
+                name: name(&format!("s{at}")),
+                pool: name(pool),
+                address: *address,
+                domain: name("d1"),
+                slots: 8,
+                checks_fencing: false,
+            })
+        });
+        actions.collect()
+    }
+
+    /// How often requests with `text` in their body have arrived at the servers.
+    fn count(&self, text: &str) -> usize {
+        let receipts = self.receipts.lock().expect("not poisoned");
+        let same = receipts
+            .iter()
+            .filter(|receipt| receipt.text.contains(text));
+        same.count()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    script: Script,
+    receipts: Arc<Mutex<Vec<Receipt>>>,
+) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    let mut is_reused = false;
+    loop {
+        while !is_whole(&bytes) {
+            if stream.read_buf(&mut bytes).await? == 0 {
+                return Ok(());
+            }
+        }
+        let text = String::from_utf8_lossy(&std::mem::take(&mut bytes)).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        let receipt = {
+            let mut receipts = receipts.lock().expect("not poisoned");
+            let receipt = Receipt {
+                text: body.to_owned(),
+                request_id: header(head, "x-request-id").unwrap_or_default().to_owned(),
+                is_reused,
+            };
+            receipts.push(receipt.clone());
+            receipt
+        };
+        for step in script(&receipt) {
+            match step {
+                Step::Send(text) => stream.write_all(text.as_bytes()).await?,
+                Step::Pause(time) => tokio::time::sleep(time).await,
+            }
+        }
+        is_reused = true;
+    }
+}
+
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    match header(head, "content-length") {
+        Some(length) => body.len() >= length.parse().expect("a length"),
+        None => header(head, "transfer-encoding").is_none() || body.ends_with("0\r\n\r\n"),
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines.find_map(|(key, value)| key.eq_ignore_ascii_case(name).then_some(value))
+}
+
+/// The text by which the answer to a plain request is known.
+fn plain_text(body: &str) -> String {
+    format!("answer to {body}")
+}
+
+fn complete(headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+}
+
+/// Repeats an answer. The text of a request names whether answers have a request id and when the copy is sent.
+fn repeat(receipt: &Receipt) -> Vec<Step> {
+    let text = &receipt.text;
+    let id = if text.contains("named") {
+        format!("X-Request-Id: {}\r\n", receipt.request_id)
+    } else {
+        String::new()
+    };
+    let own = complete(&id, &plain_text(text));
+    if text.contains("first") && text.contains("idle") {
+        return vec![Step::Send(own.clone()), Step::Pause(IDLE), Step::Send(own)];
+    }
+    if text.contains("first") && text.contains("after") {
+        return vec![Step::Send(own.clone() + &own)];
+    }
+    if text.contains("next") && text.contains("sent") && receipt.is_reused {
+        let id = if id.is_empty() {
+            ""
+        } else {
+            "X-Request-Id: first\r\n"
+        };
+        let copy = complete(id, &plain_text("first"));
+        return vec![Step::Send(copy), Step::Pause(IDLE), Step::Send(own)];
+    }
+    vec![Step::Send(own)]
+}
+
+// A server that repeats an earlier answer must not make the daemon give it to the next caller. Servers need not repeat
+// the request id, so a copy without one cannot be told from the answer of such a server.
+#[test_case("named", "idle" ; "with an id on an idle connection")]
+#[test_case("named", "after" ; "with an id right after an answer")]
+#[test_case("named", "sent" ; "with an id after a request was sent")]
+#[test_case("anonymous", "idle" ; "without an id on an idle connection")]
+#[test_case("anonymous", "after" ; "without an id right after an answer")]
+#[test_case("anonymous", "sent" ; "without an id after a request was sent")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn copy_of_an_answer_reaches_no_other_caller(named: &str, point: &str) {
+    let fleet = Fleet::start(&VOTERS[..1]).await;
+    let servers = Servers::open(1, repeat).await;
+    let mut actions = account_and_pools();
+    actions.extend(servers.actions("payouts"));
+    fleet
+        .wait_version(fleet.change("set-up", actions).await)
+        .await;
+    let callers = fleet.hosts[0].callers;
+    for number in 0..5 {
+        let first = format!("first-{named}-{point}-{number}");
+        eventually("the first request is served", async || {
+            let answer = exchange(callers, idempotent_call(&first)).await.ok()?;
+            (answer.status == StatusCode::OK).then_some(())
+        })
+        .await;
+        tokio::time::sleep(2 * IDLE).await;
+        let next = format!("next-{named}-{point}-{number}");
+        let answer = exchange(callers, idempotent_call(&next)).await;
+        let answer = answer.expect("an answer");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        if answer.status == StatusCode::OK {
+            assert!(
+                text.contains(&format!("answer to {}", answer::format_nonce(&next))),
+                "{text}"
+            );
+        } else {
+            assert_eq!(answer.error().verdict, "may-have-run", "{text}");
+        }
+        assert!(servers.count(&next) > 0, "{next} has reached no server");
+    }
+}
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 
 mod claims;
 mod configuration;
+mod copies;
 mod delivery;
 mod harness;
 mod network;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -5,11 +5,12 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, Uri};
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use primrose_base::verdict::Verdict;
 
+use crate::attempt::REQUEST_ID_HEADER;
 use crate::body::Outgoing;
 
 /// Time limit for opening a connection, in ms. Failure domains are a few milliseconds apart, so the host of a server
@@ -38,10 +39,11 @@
         }
     }
 
-    /// Sends a request and waits for the header section of the answer.
+    /// Sends a request and waits for the header section of the answer. A connection whose answer has no request id is
+    /// not used again: if the server repeated the answer there, it would look like that to the next request.
     pub(crate) async fn send(
         &self,
-        request: Request<Outgoing>,
+        mut request: Request<Outgoing>,
         idempotent: bool,
     ) -> Result<Response<Incoming>, Error> {
         let client = if idempotent {
@@ -49,7 +51,13 @@
         } else {
             &self.unpooled
         };
-        client.request(request).await
+        let used = capture_connection(&mut request);
+        let response = client.request(request).await?;
+        let has_id = response.headers().contains_key(REQUEST_ID_HEADER);
+        if let (false, Some(connection)) = (has_id, &*used.connection_metadata()) {
+            connection.poison();
+        }
+        Ok(response)
     }
 }
 
