proxy: Refuse event streams of plain services that have no detectable end

Callers saw: half of the answer of a plain service as a complete success, if the answer was a stream of events without a length and without chunks and its server closed the connection.

Cause: answers without a length and without chunks are discarded, because a lost connection looks like their end. Event streams were exempt, since `data: [DONE]` marks their end; the streams of plain services are not parsed, so nothing marked it. Now only the streams of models are exempt, and the others are discarded as `answer_unbounded`.

Evidence: `copies::answer_that_breaks_off_is_not_complete` breaks answers off at nine points, by a close and by a reset, for documents and streams of plain services and streams of models, idempotent and not.

--- a/crates/daemon/tests/fleet/copies.rs
+++ b/crates/daemon/tests/fleet/copies.rs
@@ -1,11 +1,14 @@
-//! Backend servers that repeat an earlier answer on a kept connection (G3).
+//! Backend servers that repeat an earlier answer on a kept connection, or break off in the middle of an answer (G3 to
+//! G5).
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hyper::StatusCode;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
 use primrose_config::{Action, spec};
 use primrose_engine::answer;
 use test_case::test_case;
@@ -13,11 +16,12 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::harness::{
-    Fleet, VOTERS, account_and_pools, eventually, exchange, idempotent_call, name,
+    Answer, ExchangeError, Fleet, VOTERS, account_and_pools, chat, eventually, exchange,
+    idempotent_call, name,
 };
 
-/// How long a server waits before it repeats an answer on an idle connection: longer than it takes the daemon to read
-/// what was sent before.
+/// How long a server waits before it repeats an answer on an idle connection, and before it resets one: longer than it
+/// takes the daemon to read what was sent before.
 const IDLE: Duration = Duration::from_millis(60);
 
 /// A request that a server has received.
@@ -27,12 +31,18 @@
     request_id: String,
     /// Whether its connection had carried a request before.
     is_reused: bool,
+    /// How many requests with this text the servers have received, with this one.
+    count: usize,
 }
 
 /// What a server does after a request has arrived.
 enum Step {
     Send(String),
     Pause(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
 }
 
 type Script = fn(&Receipt) -> Vec<Step>;
@@ -106,7 +116,9 @@
         let (head, body) = text.split_once("\r\n\r\n").expect("a head");
         let receipt = {
             let mut receipts = receipts.lock().expect("not poisoned");
+            let earlier = receipts.iter().filter(|receipt| receipt.text == body);
             let receipt = Receipt {
+                count: earlier.count() + 1,
                 text: body.to_owned(),
                 request_id: header(head, "x-request-id").unwrap_or_default().to_owned(),
                 is_reused,
@@ -118,6 +130,11 @@
             match step {
                 Step::Send(text) => stream.write_all(text.as_bytes()).await?,
                 Step::Pause(time) => tokio::time::sleep(time).await,
+                Step::Close => return Ok(()),
+                Step::Reset => {
+                    tokio::time::sleep(IDLE).await;
+                    return stream.set_zero_linger();
+                }
             }
         }
         is_reused = true;
@@ -218,3 +235,133 @@
         assert!(servers.count(&next) > 0, "{next} has reached no server");
     }
 }
+
+/// Breaks off the first answer to a request at the point and in the way that its text names. The next one is whole.
+fn break_off(receipt: &Receipt) -> Vec<Step> {
+    let text = &receipt.text;
+    let is_chat = text.contains("messages");
+    let body = if is_chat {
+        chat_body()
+    } else {
+        plain_text(text)
+    };
+    let id = format!("X-Request-Id: {}\r\n", receipt.request_id);
+    let kind = if is_chat || text.contains("-event") {
+        "Content-Type: text/event-stream\r\n"
+    } else {
+        "Content-Type: application/octet-stream\r\n"
+    };
+    let headers = id + kind;
+    let sized = complete(&headers, &body);
+    if receipt.count > 1 || text.contains("whole") {
+        return vec![Step::Send(sized)];
+    }
+    let half = &body[..body.len() / 2];
+    let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+    let chunked = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+    let unsized_head = format!("HTTP/1.1 200 OK\r\n{headers}\r\n");
+    let point = POINTS
+        .iter()
+        .find(|point| text.contains(&format!("-{point}-")));
+    let sent = match *point.expect("a point") {
+        "nothing" => String::new(),
+        "head" => sized[..20].to_owned(),
+        "sized" => sized[..sized.len() - body.len()].to_owned(),
+        "half" => sized[..sized.len() - body.len() + half.len()].to_owned(),
+        "chunked" => chunked,
+        "chunk" => format!("{chunked}{:x}\r\n{half}", body.len()),
+        "end" => chunked + &chunk,
+        "trailers" => chunked + &chunk + "0\r\n",
+        "unsized" => unsized_head + half,
+        point => panic!("no point {point}"),
+    };
+    let end = if text.contains("closed") {
+        Step::Close
+    } else {
+        Step::Reset
+    };
+    vec![Step::Send(sent), end]
+}
+
+/// Points at which an answer breaks off: before it, in its head, after a head with a length, in such a body, after a
+/// head with chunks, in a chunk, before and in the last chunk, and in a body without a length.
+const POINTS: [&str; 9] = [
+    "nothing", "head", "sized", "half", "chunked", "chunk", "end", "trailers", "unsized",
+];
+
+fn chat_body() -> String {
+    let event = |text: &str| {
+        format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
+    };
+    event("one") + &event("two") + "data: [DONE]\n\n"
+}
+
+fn call(kind: &str, id: &str) -> Request<Full<Bytes>> {
+    if kind == "chat" {
+        chat(id, 8, true)
+    } else {
+        idempotent_call(id)
+    }
+}
+
+/// Checks that an answer is whole, or does not look complete and denies no run.
+fn check(id: &str, answer: Result<Answer, ExchangeError>, expected: &str) {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(ExchangeError::Broken) => return,
+        Err(ExchangeError::NotSent) => panic!("{id}: the daemon refused the connection"),
+    };
+    let text = String::from_utf8_lossy(&answer.body);
+    if answer.status == StatusCode::OK {
+        assert!(text.contains(expected), "{id}: {text}");
+    } else {
+        assert_eq!(answer.error().verdict, "may-have-run", "{id}: {text}");
+    }
+}
+
+// An answer that breaks off must not look complete, and a request that must not run twice must not be sent again or be
+// called not run.
+#[test_case("plain" ; "document of a plain service")]
+#[test_case("event" ; "stream of a plain service")]
+#[test_case("chat" ; "stream of a model")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_that_breaks_off_is_not_complete(kind: &str) {
+    let fleet = Fleet::start(&VOTERS[..1]).await;
+    // A server that sent no whole head is not used again for a while, so there is one for each such case.
+    let servers = Servers::open(10, break_off).await;
+    let mut actions = account_and_pools();
+    let pool = if kind == "chat" { "chat" } else { "payouts" };
+    actions.extend(servers.actions(pool));
+    fleet
+        .wait_version(fleet.change("set-up", actions).await)
+        .await;
+    let callers = fleet.hosts[0].callers;
+    for point in POINTS {
+        for way in ["closed", "reset"] {
+            for may_repeat in [false, true] {
+                let id = format!("cut-{way}-{may_repeat}-{point}-{kind}");
+                eventually("the server is in use", async || {
+                    let answer = exchange(callers, call(kind, &format!("whole-{id}"))).await;
+                    (answer.ok()?.status == StatusCode::OK).then_some(())
+                })
+                .await;
+                let mut request = call(kind, &id);
+                let expected = if kind == "chat" {
+                    "data: [DONE]".to_owned()
+                } else {
+                    plain_text(&answer::format_nonce(&id))
+                };
+                if !may_repeat {
+                    let value = "true".parse().expect("a header value");
+                    let headers = request.headers_mut();
+                    headers.insert("x-primrose-non-idempotent", value);
+                }
+                let answer = exchange(callers, request).await;
+                check(&id, answer, &expected);
+                let runs = servers.count(&id) - servers.count(&format!("whole-{id}"));
+                let most = if may_repeat { 4 } else { 1 };
+                assert!((1..=most).contains(&runs), "{id} ran {runs} times");
+            }
+        }
+    }
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -180,12 +180,12 @@
             let message = "the backend server sent the answer to another request";
             return Err(fail_discarded(registration, "wrong_answer", message));
         }
-        if !has_detectable_end(&head.headers, &body) {
+        let format = format_of(job.plain, &head.headers);
+        if !has_detectable_end(format, &head.headers, &body) {
             let message =
                 "the end of the backend server's answer cannot be told from a lost connection";
             return Err(fail_discarded(registration, "answer_unbounded", message));
         }
-        let format = format_of(job.plain, &head.headers);
         // The status is sent to the caller with the first bytes, so an attempt that fails before them can be retried.
         let limit = Duration::from_millis(self.settings.answer_timeout_ms);
         let first = match tokio::time::timeout(limit, first_bytes(&mut body)).await {
@@ -291,10 +291,11 @@
 }
 
 /// Whether the end of the answer can be told from a lost connection: by the length, the last chunk or the last event.
-fn has_detectable_end(headers: &HeaderMap, body: &Incoming) -> bool {
+/// The last event of a plain service is not known.
+fn has_detectable_end(format: Format, headers: &HeaderMap, body: &Incoming) -> bool {
     hyper::body::Body::size_hint(body).exact().is_some()
         || headers.contains_key(header::TRANSFER_ENCODING)
-        || is_event_stream(headers)
+        || format == Format::Events
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
