--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 22] = [
+pub const ALL: [&str; 23] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
@@ -9,6 +9,7 @@
     "ask_refused_overload",
     "datagram_refused",
     "directory_changed",
+    "directory_entry_skipped",
     "directory_fetched",
     "directory_read",
     "directory_read_failed",
