Keep the draining one of two entries with the same id

Seen: of two entries with the same id, one ready and one draining, the list of servers kept the ready one.

Cause: entries were sorted by all their fields, and false sorts before true. A server that starts to drain while the pages are read can be on two of them, and would have received requests until the next read.

Evidence: crates/fleet/tests/directory.rs failed before and fails again without the new order. Which of two ready entries with different addresses is kept stays arbitrary but the same on every host; a request that reaches the wrong address is answered with 421 and placed again.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -46,9 +46,15 @@
 const MIN_AGE_DIFFERENCE_MS: u64 = 100;
 
 impl Directory {
-    /// Creates a directory. Of servers with the same id, one is kept.
+    /// Creates a directory. Of servers with the same id, one is kept, and a draining one rather than one that is not:
+    /// a server that starts to drain between the reads of two pages can be on both of them.
     pub fn new(mut servers: Vec<Server>) -> Directory {
-        servers.sort();
+        servers.sort_by(|a, b| {
+            let order = a.id.cmp(&b.id);
+            order
+                .then_with(|| b.draining.cmp(&a.draining))
+                .then_with(|| a.cmp(b))
+        });
         servers.dedup_by(|a, b| a.id == b.id);
         let fingerprint = FixedState::default().hash_one(&servers);
         Directory {
