Saturate the sums of the lengths of prompt parts

Seen: a request whose parts add up to 2^32 tokens or more panics in debug builds ("attempt to add with overflow"), which closes the caller's connection without an answer; the core host that places it panics too. In release builds the sum wraps around, so a long prompt looks cached or short.

Cause: the lengths are u32 and were added with sum(). They come from the caller's headers. The sums now saturate.

--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -8,7 +8,7 @@
 
 use foldhash::quality::FixedState;
 
-use crate::demand::Prompt;
+use crate::demand::{Prompt, total_tokens};
 
 /// The placer's estimate of what one engine has cached.
 #[derive(Clone, Debug, Default)]
@@ -51,14 +51,14 @@
         let cached = parts
             .iter()
             .take_while(|(key, _)| self.position(*key).is_ok());
-        cached.map(|&(_, tokens)| tokens).sum()
+        total_tokens(cached.map(|&(_, tokens)| tokens))
     }
 
     /// Length of the prefix of a prompt that the engine has prefilled and other engines can fetch, in tokens.
     pub fn ready_tokens(&self, parts: &[(u64, u32)]) -> u32 {
         let is_ready = |key| self.position(key).is_ok_and(|at| self.entries[at].is_ready);
         let ready = parts.iter().take_while(|(key, _)| is_ready(*key));
-        ready.map(|&(_, tokens)| tokens).sum()
+        total_tokens(ready.map(|&(_, tokens)| tokens))
     }
 
     /// Records that the engine has prefilled all parts of a prompt.
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -36,13 +36,13 @@
 }
 
 impl Prompt {
-    /// Length of the parts that other requests may share, in tokens.
+    /// Length of the parts that other requests may share, in tokens; saturates at the greatest value.
     pub fn shared_tokens(&self) -> u32 {
         let shared = self
             .parts
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.tokens).sum()
+        total_tokens(shared.iter().map(|part| part.tokens))
     }
 
     /// The capacity that the request uses, in weighted tokens: an input token counts once, an
@@ -52,6 +52,11 @@
     }
 }
 
+/// The sum of lengths in tokens, which callers choose; saturates at the greatest value.
+pub(crate) fn total_tokens(tokens: impl Iterator<Item = u32>) -> u32 {
+    tokens.fold(0, u32::saturating_add)
+}
+
 /// A request for which the placer chooses a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
