Saturate times that are computed from configurations and deadlines

A timeout or deadline of 2^32 + 10 ms was shortened to 10 ms, and the request was refused as hopeless.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -492,9 +492,9 @@
             account: self.account.clone(),
             domain: Arc::clone(&self.shared.domain),
             prompt: self.metadata.prompt.clone(),
-            objective_ms: self.route.objective_ms as u32,
-            waited_ms: now.since(self.started) as u32,
-            remaining_ms: self.remaining_ms() as u32,
+            objective_ms: saturate(self.route.objective_ms),
+            waited_ms: saturate(now.since(self.started)),
+            remaining_ms: saturate(self.remaining_ms()),
             returning: self.returning,
             tried: self.tried.clone(),
         });
@@ -800,6 +800,11 @@
     }
 }
 
+/// Shortens a time in ms to the type that placements use. The times of documents and callers may be any numbers.
+fn saturate(ms: u64) -> u32 {
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
+
 /// The answer of a server without its body and without the headers that concern only the connection to the server.
 fn forwarded_head(head: &response::Parts) -> Response<Body> {
     let mut response = Response::new(Body::full(Bytes::new()));
