Saturate the idle time that a server states

Seen: a server whose answer carries Keep-Alive: timeout=2^64-1 made the entry host panic in debug builds, so the caller got no answer although the request had run; release builds wrapped the time around.

Cause: the seconds were multiplied by 1,000 without a check.

Evidence: long_keep_alive_of_a_server_does_not_overflow failed before ("attempt to multiply with overflow" in upstream.rs) and passes now.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -79,7 +79,7 @@
             None => Error::Broken(error.into_error().to_string()),
         })?;
         if let Some(seconds) = keep_alive_seconds(response.headers()) {
-            self.idle_timeout_ms = (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS);
+            self.idle_timeout_ms = seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS);
         }
         Ok(response)
     }
