Search each byte of a stream once for the end of an event

Seen: a server that sends an event of 256 KiB, the size limit, in single bytes keeps the entry host's only thread busy for over a minute in a debug build; the other callers of the host wait.

Cause: after each piece the whole partial event was searched again for an empty line. Only the new bytes are searched now, since the partial event contains no empty line.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -9,6 +9,7 @@
 /// on another server without a partial, repeated or missing event.
 #[derive(Debug, Default)]
 pub struct Splitter {
+    /// The start of the next event. Contains no empty line.
     partial: BytesMut,
     position: Position,
     /// Whether the events come from another server than the first ones.
@@ -35,8 +36,9 @@
 impl Splitter {
     /// Adds a chunk of the stream and returns the events that it completes.
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
+        let searched = self.partial.len();
         self.partial.extend_from_slice(chunk);
-        let Some(end) = last_event_end(&self.partial) else {
+        let Some(end) = last_event_end(&self.partial, searched) else {
             return Bytes::new();
         };
         let events = self.partial.split_to(end).freeze();
@@ -146,10 +148,10 @@
     }
 }
 
-/// The end of the last complete event, which is after an empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
+/// The end of the last complete event, which is after an empty line. The first `searched` bytes contain no such end.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
     let mut end = bytes.len();
-    while end >= 2 {
+    while end > searched {
         if bytes[end - 1] == b'\n' {
             let before = &bytes[..end - 1];
             if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
