Do not resume a stream after an event whose id cannot be sent

Seen: a stream whose newest id is not UTF-8, not ASCII, empty, very long or has a control character was resumed at an older id or, as the header was left out, from its start, so the caller would receive events twice. So was a stream whose data came without any id.

Cause: an id that could not be read was passed over, and a header that cannot be sent is left out of the request. Such a stream is now broken off like one that may not be resumed, until a later event has a usable id.

Evidence: the cases of stream_goes_on_only_at_a_known_event; 4 fail again without the check of the newest id, 1 without that of data before any id. id_that_is_too_long_for_a_header_is_not_used fails without the limit. In the property test, the last id no longer depends on the pieces.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -5,6 +5,9 @@
 /// The largest event that is buffered until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// The longest id that is sent to another server, in bytes. It travels in a header, and servers limit the size of heads.
+const MAX_ID_BYTES: usize = 1 << 10;
+
 /// Splits a stream at the ends of its events, so that only complete events are forwarded and a stream can be resumed
 /// on another server without a partial, repeated or missing event.
 #[derive(Debug, Default)]
@@ -25,7 +28,8 @@
 #[derive(Clone, Debug, Default)]
 struct Position {
     last_id: Option<String>,
-    /// Whether an event without an id has followed the one with `last_id`. The caller's position is then unknown.
+    /// Whether an event without an id that can be sent has followed the one with `last_id`. The caller's position is then
+    /// unknown.
     has_unnamed: bool,
     /// Number of events with an id.
     named: u64,
@@ -61,17 +65,18 @@
 
     fn record_all(&mut self, events: &[u8]) -> Result<(), &'static str> {
         let mut id = None;
-        let mut has_data = false;
+        let mut has_event = false;
         // The last event need not end with an empty line.
         for line in events.split(|&byte| byte == b'\n').chain([&b""[..]]) {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(value) = line.strip_prefix(b"id:") {
-                id = std::str::from_utf8(value).ok().map(str::trim);
+                id = readable_id(value);
+                has_event = true;
             }
-            has_data |= line.starts_with(b"data");
-            if line.is_empty() && (has_data || id.is_some()) {
+            has_event |= line.starts_with(b"data");
+            if line.is_empty() && has_event {
                 self.record(id.take())?;
-                has_data = false;
+                has_event = false;
             }
         }
         Ok(())
@@ -107,13 +112,13 @@
         Ok(())
     }
 
-    /// Id of the last event that was returned, or `None` if no event had an id.
+    /// The last id among the returned events that can be sent to another server, or `None` if there was none.
     pub fn last_id(&self) -> Option<&str> {
         self.position.last_id.as_deref()
     }
 
     /// Whether [`Splitter::last_id`] tells which events were returned, so that the stream can be resumed after them.
-    pub fn can_resume(&self) -> bool {
+    pub fn is_resumable(&self) -> bool {
         !self.position.has_unnamed
     }
 
@@ -162,3 +167,15 @@
     }
     None
 }
+
+/// The id in the rest of an `id:` line, or `None` if it cannot be sent in a header.
+fn readable_id(rest: &[u8]) -> Option<&str> {
+    let id = rest.trim_ascii();
+    let is_sendable = !id.is_empty()
+        && id.len() <= MAX_ID_BYTES
+        && id.iter().all(|byte| matches!(byte, b' '..=b'~'));
+    if !is_sendable {
+        return None;
+    }
+    std::str::from_utf8(id).ok()
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -153,7 +153,7 @@
             End::Broken(reason) => reason,
         };
         part.end(Outcome::Answered { failed: true });
-        if !forwarder.splitter.can_resume() || !job.may_resume(&reason) {
+        if !forwarder.splitter.is_resumable() || !job.may_resume(&reason) {
             job.interrupt(&sender, "stream_broken").await;
             return;
         }
@@ -262,7 +262,7 @@
         // The timer is reset only when it fires, since most events arrive long before.
         let mut timer = pin!(tokio::time::sleep_until(self.next_check()));
         loop {
-            let can_resume = self.splitter.can_resume();
+            let can_resume = self.splitter.is_resumable();
             let events = {
                 let mut events = pin!(part.next_events(&mut self.splitter));
                 loop {
--- a/crates/entry/tests/event.rs
+++ b/crates/entry/tests/event.rs
@@ -3,6 +3,7 @@
 use primrose_entry::event::Splitter;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use test_case::test_case;
 
 /// Uses a fixed seed. `PRIMROSE_CASES` sets the number of cases (default 256).
 fn config() -> ProptestConfig {
@@ -63,6 +64,9 @@
         let late = &stream[events.len()..complete_bytes(&stream)];
         prop_assert!(late.iter().all(|byte| b"\r\n".contains(byte)), "{:?} is late", late);
         prop_assert_eq!(splitter.has_partial_event(), events.len() < stream.len());
+        let mut whole = Splitter::default();
+        whole.push(&stream);
+        prop_assert_eq!(whole.last_id(), splitter.last_id());
         events.extend_from_slice(&splitter.take_partial());
         prop_assert_eq!(events, stream);
     }
@@ -74,7 +78,7 @@
 fn long_event_in_single_bytes_takes_linear_time() {
     let mut splitter = Splitter::default();
     let mut length = 0;
-    while !splitter.is_too_large() {
+    while splitter.fault().is_none() {
         assert!(splitter.push(b"x").is_empty());
         length += 1;
         assert!(
@@ -85,3 +89,34 @@
     let end = splitter.push(b"\n\n");
     assert_eq!(end.len(), length + 2);
 }
+
+// A stream goes on at the last id on another server. Without an id that can be sent there, it would start again, and the
+// caller would receive events twice.
+#[test_case(b"data: x\n\n", None, false; "no id")]
+#[test_case(b": comment\n\n", None, true; "only a comment")]
+#[test_case(b"", None, true; "nothing")]
+#[test_case(b"id: 7\ndata: x\n\n", Some("7"), true; "id")]
+#[test_case(b"id: 7\r\ndata: x\r\n\r\n", Some("7"), true; "id with a carriage return")]
+#[test_case(b"id: 7\n\nid: \xff\xfe\n\n", Some("7"), false; "newest id is not UTF-8")]
+#[test_case(b"id: 7\n\nid: \xc3\xa9\n\n", Some("7"), false; "newest id is not ASCII")]
+#[test_case(b"id: 7\n\nid: a\0b\n\n", Some("7"), false; "control character")]
+#[test_case(b"id: 7\n\nid:\n\n", Some("7"), false; "empty id")]
+#[test_case(b"id: \xff\n\nid: 8\n\n", Some("8"), true; "readable id after an unreadable one")]
+fn stream_goes_on_only_at_a_known_event(stream: &[u8], id: Option<&str>, is_resumable: bool) {
+    let mut splitter = Splitter::default();
+    for byte in stream {
+        splitter.push(&[*byte]);
+    }
+    assert_eq!(
+        (splitter.last_id(), splitter.is_resumable()),
+        (id, is_resumable)
+    );
+}
+
+// An id is sent in a header, which has a limited length.
+#[test]
+fn id_that_is_too_long_for_a_header_is_not_used() {
+    let mut splitter = Splitter::default();
+    splitter.push(format!("id: {}\n\n", "7".repeat(100_000)).as_bytes());
+    assert!(!splitter.is_resumable());
+}
