--- a/crates/consensus/src/disk/recover.rs
+++ b/crates/consensus/src/disk/recover.rs
@@ -299,8 +299,11 @@
                 "the snapshot is older than one recorded in the log",
             ));
         }
+        let Some(next) = snapshot.index.checked_add(1) else {
+            return Err(damaged(SNAPSHOT, 0, "no entry can follow the snapshot"));
+        };
         let first = self.entries.first().map(|entry| entry.position.index);
-        if first.is_some_and(|first| first > snapshot.index + 1) {
+        if first.is_some_and(|first| first > next) {
             return Err(damaged(file, 0, "entries are missing after the snapshot"));
         }
         // If a crash prevented the record of the snapshot, the entries after the snapshot are kept only if the log
