Do not learn a route's deadlines from one that nobody can wait for

Seen: after one request with a deadline of 2^64-1 ms, every later caller of the route counted as one that comes back after a refusal, until the entry host was started again. In a flood such callers are admitted although they are late.

Cause: the longest deadline seen on the route was recorded without a bound.

The code moved from request.rs to a module of its own, unchanged otherwise, so that it can be tested.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod buffer;
 pub mod closing;
 pub mod counter;
+pub mod deadline;
 mod direct;
 pub mod event;
 mod failure;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -31,6 +31,7 @@
 use crate::budget::Budget;
 use crate::buffer::{self, Buffered};
 use crate::closing::Exchange;
+use crate::deadline;
 use crate::direct;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
 use crate::form::Form;
@@ -52,10 +53,6 @@
 /// The time after which a caller is told to retry if this host is overloaded, in ms: retries reach other hosts.
 const OVERLOADED_RETRY_AFTER_MS: u32 = 50;
 
-/// A caller whose deadline is below this fraction of the longest deadline of its route counts as refused before: the
-/// deadlines of first attempts differ by up to 15 %.
-const RETURNING_DEADLINE_FRACTION: f64 = 0.84;
-
 /// How long the rest of the body of a refused request is waited for, which is on its way at that moment. A longer wait
 /// would hold back the refusal.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(10);
@@ -78,8 +75,7 @@
     pub log: Logger,
     pool: Pool,
     sequence: AtomicU64,
-    /// The longest deadline that a caller set on each route, in ms. Sorted by route.
-    deadlines: Mutex<Vec<(Arc<str>, u64)>>,
+    deadlines: Mutex<deadline::History>,
 }
 
 impl Shared {
@@ -140,22 +136,12 @@
         self.pool.close_idle(server);
     }
 
-    /// Whether a caller has spent a part of its deadline in an earlier attempt, as far as its deadline shows. Also
-    /// records the deadline.
     fn is_returning(&self, route: &Route, deadline_ms: u64) -> bool {
         let mut deadlines = self
             .deadlines
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let at = deadlines
-            .binary_search_by(|(name, _)| name.cmp(&route.name))
-            .unwrap_or_else(|at| {
-                deadlines.insert(at, (Arc::clone(&route.name), 0));
-                at
-            });
-        let longest = &mut deadlines[at].1;
-        *longest = (*longest).max(deadline_ms);
-        (deadline_ms as f64) < *longest as f64 * RETURNING_DEADLINE_FRACTION
+        deadlines.is_returning(&route.name, route.timeout_ms, deadline_ms)
     }
 }
 
