Interrupt an answer whose forwarding task panics

Seen: while the product of a gap objective overflowed, the task that forwards resumable streams panicked, and the caller got a stream without its events that ended as complete.

Cause: the end of the channel was taken for the end of the answer, and a panic closes the channel too. The body now also waits for the task, which has ended by then, and is interrupted if it panicked.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -3,11 +3,12 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 /// The answer was interrupted. The connection to the caller is closed without the end of the answer, so that the
 /// answer does not look complete.
@@ -33,7 +34,12 @@
     /// A body that is completely known, or `None` if nothing is left to send.
     Full(Option<Bytes>),
     /// Chunks that another task sends as they arrive from the server.
-    Channel(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    Channel {
+        /// The chunks. The channel closes at the end of the answer.
+        chunks: mpsc::Receiver<Result<Bytes, Interrupted>>,
+        /// The task that sends the chunks. If it panics, the channel closes too, but the answer is not complete.
+        task: JoinHandle<()>,
+    },
     /// A body that is read from the server when the caller's connection is written.
     Stream(Pin<Box<dyn HttpBody<Data = Bytes, Error = Interrupted> + Send>>),
 }
@@ -54,11 +60,18 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Body::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Channel(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Body::Channel { chunks, task } => match ready!(chunks.poll_recv(context)) {
+                Some(chunk) => Poll::Ready(Some(chunk.map(Frame::data))),
+                None => {
+                    let result = ready!(Pin::new(task).poll(context));
+                    // A task must not be polled again after its end.
+                    *body = Body::Full(None);
+                    Poll::Ready(result.err().map(|_| Err(Interrupted)))
+                }
+            },
             Body::Stream(answer) => answer.as_mut().poll_frame(context),
         }
     }
@@ -72,7 +85,7 @@
             Body::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Body::Channel(_) | Body::Stream(_) => SizeHint::default(),
+            Body::Channel { .. } | Body::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -668,9 +668,9 @@
     /// Forwards an answer that has outgrown the buffer, from its buffered start on.
     fn forward_outgrown(self, answered: Answered, start: Bytes) -> Response<Body> {
         let mut response = forwarded_head(&answered.head);
-        let (sender, receiver) = mpsc::channel(1);
-        tokio::spawn(buffer::forward(self, answered, start, sender));
-        *response.body_mut() = Body::Channel(receiver);
+        let (sender, chunks) = mpsc::channel(1);
+        let task = tokio::spawn(buffer::forward(self, answered, start, sender));
+        *response.body_mut() = Body::Channel { chunks, task };
         response
     }
 
@@ -684,9 +684,9 @@
         if is_resumable {
             // The rest may come from another server, with another length.
             response.headers_mut().remove(CONTENT_LENGTH);
-            let (sender, receiver) = mpsc::channel(stream::MAX_WAITING_CHUNKS);
-            tokio::spawn(stream::forward(self, answered, sender));
-            *response.body_mut() = Body::Channel(receiver);
+            let (sender, chunks) = mpsc::channel(stream::MAX_WAITING_CHUNKS);
+            let task = tokio::spawn(stream::forward(self, answered, sender));
+            *response.body_mut() = Body::Channel { chunks, task };
         } else {
             let answer = direct::Answer::new(self, answered);
             *response.body_mut() = Body::Stream(Box::pin(answer));
