Fetch no cached parts over a link without bandwidth

Seen: with a link_mbps below 0 in the configuration, requests were told to fetch cached parts from another engine although it has no link.

Cause: the time of a transfer became negative, so it looked as if it ended before it began; only a bandwidth of 0, an infinite time, was ruled out.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -593,7 +593,8 @@
     ) -> Option<Fetch> {
         let engine = self.engine(&demand.pool)?;
         let tokens = source.cached_tokens.saturating_sub(cached_tokens);
-        if source.server == to || tokens < self.settings.min_fetch_tokens {
+        let has_link = engine.link_mbps > 0.0;
+        if source.server == to || tokens < self.settings.min_fetch_tokens || !has_link {
             return None;
         }
         let (from, into) = (&self.servers[source.server], &self.servers[to]);
--- a/crates/place/tests/extremes.rs
+++ b/crates/place/tests/extremes.rs
@@ -13,6 +13,7 @@
 use primrose_route::document::{Engine, Limits, Pool};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use test_case::test_case;
 
 /// Uses a fixed seed. `PRIMROSE_CASES` sets the number of cases (default 256).
 fn config() -> ProptestConfig {
@@ -145,3 +146,38 @@
         prop_assert_eq!(placer.assigned(), 0);
     }
 }
+
+/// Decisions on 200 requests that share a long part, on three engines whose links and capacity are these.
+fn decisions(link_mbps: f64, tokens_per_s: Option<f64>) -> Vec<Decision> {
+    let mut placer = support::placer(3);
+    let mut document = Document::clone(&support::document(tokens_per_s));
+    if let Some(engine) = &mut document.pools[0].engine {
+        engine.link_mbps = link_mbps;
+    }
+    placer.set_document(&Arc::new(document));
+    let mut now = Time::from_ms(1_000);
+    let requests = (0..200).map(|sequence| {
+        let demand = support::demand(sequence, 7, 8_000, 3_000);
+        let decision = placer.place(now, &demand);
+        now = now.plus_ms(20);
+        if sequence % 4 == 0 {
+            placer.record_first_event(now, demand.key);
+        }
+        decision
+    });
+    requests.collect()
+}
+
+// A bandwidth that is not above 0 names no link. With a negative one, a transfer of cached parts looked as if it ended
+// before it began, so every request was sent to an engine that had to fetch.
+#[test_case(-1.0; "negative")]
+#[test_case(-1e-300; "just below zero")]
+#[test_case(0.0; "zero")]
+#[test_case(-0.0; "negative zero")]
+fn nothing_is_fetched_without_a_link(link_mbps: f64) {
+    for decision in decisions(link_mbps, None) {
+        if let Decision::Place { fetch_from, .. } = decision {
+            assert_eq!(fetch_from, None);
+        }
+    }
+}
