Give no account a share of a capacity of nothing

Seen: with a tokens_per_s of 0 or less in the configuration, every account with a running request counted as beyond its share and was refused earlier.

Cause: the level of the shares was at most one token. A capacity that is not above 0 now counts like one that is not stated.

Evidence: both cases of capacity_of_nothing_gives_no_shares failed before and fail again without the check.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -626,11 +626,9 @@
         if total > f64::from(demand.remaining_ms) {
             return Some(refuse(Reason::Deadline, best.wait_ms, total));
         }
-        let excess = match (
-            &demand.account,
-            &demand.prompt,
-            self.document.limits.tokens_per_s,
-        ) {
+        let capacity = self.document.limits.tokens_per_s;
+        let capacity = capacity.filter(|tokens_per_s| *tokens_per_s > 0.0);
+        let excess = match (&demand.account, &demand.prompt, capacity) {
             (Some(account), Some(_), Some(capacity)) => {
                 Some(self.shares.excess(now, account, capacity))
             }
--- a/crates/place/tests/extremes.rs
+++ b/crates/place/tests/extremes.rs
@@ -181,3 +181,13 @@
         }
     }
 }
+
+// A capacity that is not above 0 gives no account a share. Otherwise every account was beyond its share.
+#[test_case(0.0; "zero")]
+#[test_case(-1.0; "negative")]
+fn capacity_of_nothing_gives_no_shares(tokens_per_s: f64) {
+    assert_eq!(
+        decisions(180_000.0, Some(tokens_per_s)),
+        decisions(180_000.0, None)
+    );
+}
