tests: Give the interrupted answers of the closing tests their task

A body that another task sends holds that task since its panic ends the answer as interrupted; the tests of the ends of connections were written before.

--- a/crates/entry/tests/closing.rs
+++ b/crates/entry/tests/closing.rs
@@ -132,7 +132,7 @@
         "/cut" | "/endless" => {
             let is_endless = path == "/endless";
             let (sender, receiver) = mpsc::channel(1);
-            tokio::spawn(async move {
+            let task = tokio::spawn(async move {
                 let chunk = Bytes::from(vec![b'x'; 64 << 10]);
                 while sender.send(Ok(chunk.clone())).await.is_ok() && is_endless {}
                 if !is_endless {
@@ -141,7 +141,10 @@
                     let _ = sender.send(Err(Interrupted)).await;
                 }
             });
-            *response.body_mut() = Body::Channel(receiver);
+            *response.body_mut() = Body::Channel {
+                chunks: receiver,
+                task,
+            };
         }
         _ => {}
     }
