entry: Read from answers that a server leaves or wants a pause

Callers see no difference yet: nothing consults the register.

The platform's new rules let a server say in the head of any answer that it leaves, and in a 503 for how long it wants no requests from this host.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod linger;
 pub mod link;
 pub mod listener;
+pub mod notice;
 pub mod overload;
 pub mod protocol;
 pub mod refusal;
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use hyper::HeaderMap;
 use hyper::http::{request, response};
+use hyper::{HeaderMap, StatusCode};
 use primrose_place::Server;
 use primrose_place::demand::Prompt;
 
+use crate::notice::Notice;
+
 /// The platform's functions that read and write headers.
 #[derive(Clone, Copy, Debug)]
 pub struct Protocol {
@@ -20,6 +22,8 @@
     /// Classifies an answer by its head. The other arguments are the attempt id of the request, and whether its
     /// connection has carried a request before, whose answer the server may have repeated.
     pub classify: fn(&response::Parts, &str, bool) -> Classification,
+    /// Reads what the head of an answer, also of an informational one, says about its server.
+    pub notice: fn(StatusCode, &HeaderMap) -> Notice,
 }
 
 /// The data in the head of a caller's request.
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -17,6 +17,7 @@
 use primrose_entry::idle::Timeouts;
 use primrose_entry::link;
 use primrose_entry::listener::{self, Limits, Phase};
+use primrose_entry::notice::Notice;
 use primrose_entry::overload::Detector;
 use primrose_entry::protocol::{Classification, Malformed, Protocol};
 use primrose_entry::refusal::Refusal;
@@ -265,6 +266,7 @@
         read: |_| Err(Malformed("not understood".to_owned())),
         write: |_, _| {},
         classify: |_, _, _| Classification::Invalid,
+        notice: |_, _| Notice::default(),
     };
     let budget = Budget::new(Settings {
         ratio: 0.2,
