entry: Send nothing to servers that leave or pause

Callers' requests no longer reach a server after it has told this host, in any answer, that it leaves, or in a 503 that it wants a pause. They go to another server of the pool. If all leave or pause, callers get 503 (not run, `pool_paused` or `no_server`) at once, with Retry-After until the first pause ends; before, they were sent to the server again after 60 ms.

Cause: only the platform's list told that a server leaves, and Retry-After of servers was not read.

An entry host keeps the notices itself and refuses an assignment to such a server, whichever core host made it, or its own placer. It asks again with the server excluded, which is no attempt and takes no retry budget. The list reaches the register through the link. Both rules share the register and the check before each send, so they come together.

Ruled out: naming all such servers in the first placement request. The placers count a request towards its account's share only if it excludes no server. Reading them from the list of core hosts is later than the rule allows without contact to them.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,6 +21,7 @@
 
 use crate::assignment::Assignment;
 use crate::failure::Failure;
+use crate::notice::Block;
 use crate::protocol::Classification;
 use crate::refusal::Refusal;
 use crate::request::{Answered, Job, Shared};
@@ -31,6 +32,8 @@
 enum Unanswered {
     /// No connection to the server could be opened, so it has not received the request.
     Unreachable(std::io::Error),
+    /// The server gave notice before the request was sent.
+    Blocked(Block),
     /// The connection broke; the server may have received the request.
     Broken(String),
 }
@@ -187,11 +190,20 @@
             Ok(placed) => placed,
             Err(refusal) => return Step::Refused(refusal),
         };
+        if let Err(failure) = self.check_server(&server) {
+            return Step::NotSent(failure);
+        }
         let assignment = Assignment::open(&self.shared.link, &demand, &server.id);
         let connection = match self.shared.take_idle(&server) {
             Some(connection) => connection,
             None => match self.shared.connect(&server).await {
-                Ok(connection) => connection,
+                Ok(connection) => {
+                    // The server may have given notice in the meantime.
+                    if let Err(failure) = self.check_server(&server) {
+                        return Step::NotSent(failure);
+                    }
+                    connection
+                }
                 Err(error) => {
                     assignment.end(Outcome::Unreachable);
                     return Step::NotSent(self.record_unreachable(&server, &error));
@@ -236,6 +248,11 @@
                 assignment.end(Outcome::Unreachable);
                 return Err(self.record_unreachable(&server, &error));
             }
+            Err(Unanswered::Blocked(block)) => {
+                self.sent -= 1;
+                assignment.end(Outcome::Cancelled);
+                return Err(Failure::blocked(&server.id, block));
+            }
             Err(Unanswered::Broken(error)) => {
                 assignment.end(Outcome::Answered { failed: true });
                 let message = format!(
@@ -250,6 +267,8 @@
             }
         };
         let (head, body) = response.into_parts();
+        self.shared
+            .record_notice(&server.id, head.status, &head.headers);
         let classify = self.shared.protocol.classify;
         match classify(&head, &self.metadata.attempt, connection.is_reused) {
             Classification::Answer { failed } => {
@@ -269,7 +288,7 @@
                 self.drain_short_answer(body, connection).await;
                 assignment.end(Outcome::Full);
                 self.shared.meter.count("server_full");
-                Err(Failure::full(&server.id))
+                Err(Failure::full(&server.id, self.full_retry_after_ms()))
             }
             Classification::Replaced => {
                 assignment.end(Outcome::Replaced);
@@ -311,6 +330,9 @@
         };
         let opened = shared.connect(&server).await;
         connection = opened.map_err(Unanswered::Unreachable)?;
+        if let Some(block) = shared.link.notices().block(Time::now(), &server.id) {
+            return Err(Unanswered::Blocked(block));
+        }
     }
 }
 
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 71] = [
+pub const ALL: [&str; 76] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -52,18 +52,23 @@
     "not_ready",
     "over_share",
     "overload",
+    "pool_paused",
     "resume_refused",
     "retry_answer_broken",
     "retry_not_sent",
     "retry_server_failed",
     "retry_server_full",
     "retry_server_gone",
+    "retry_server_leaving",
+    "retry_server_paused",
     "retry_silent",
     "retry_unreachable",
     "served",
     "server_failed",
     "server_full",
     "server_gone",
+    "server_leaving",
+    "server_paused",
     "silence_over",
     "silence_waited",
     "stream_broken",
--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 
+use crate::notice::Block;
 use crate::refusal::Refusal;
 
 /// The time after which a caller is told to retry if the server was full, in ms: some requests have ended by then.
@@ -35,9 +36,22 @@
         self
     }
 
-    pub(crate) fn full(server: &str) -> Failure {
+    /// The server refused the request as full. `retry_after_ms` is the time after which the caller is told to retry.
+    pub(crate) fn full(server: &str, retry_after_ms: u32) -> Failure {
         let message = format!("server {server} is full");
-        Failure::not_run("retry_server_full", "server_full", &message).received()
+        let mut failure = Failure::not_run("retry_server_full", "server_full", &message).received();
+        failure.refusal.retry_after_ms = Some(retry_after_ms);
+        failure
+    }
+
+    /// The assigned server must get no requests, so the request was not sent to it.
+    pub(crate) fn blocked(server: &str, block: Block) -> Failure {
+        let (retry_counter, reason) = match block {
+            Block::Leaving => ("retry_server_leaving", "is leaving"),
+            Block::Paused(_) => ("retry_server_paused", "has asked for a pause"),
+        };
+        let message = format!("server {server} {reason}");
+        Failure::not_run(retry_counter, "no_server", &message)
     }
 
     pub(crate) fn may_have_run(
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use primrose_base::clock::Time;
@@ -28,6 +28,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::hello;
+use crate::notice::Register;
 
 /// The longest time that a request waits for a host that has just started: about the time from the start of the first
 /// process of a fleet to that of the last one. A refused caller would be away for longer.
@@ -93,6 +94,7 @@
     table: watch::Receiver<Option<Arc<Table>>>,
     state: watch::Receiver<State>,
     schedule: hello::Schedule,
+    notices: Arc<Mutex<Register>>,
     /// Random number that identifies this incarnation of the process.
     pub incarnation: u64,
 }
@@ -150,6 +152,11 @@
         let _ = tokio::time::timeout(MAX_START_WAIT, ready).await;
     }
 
+    /// The servers that leave or pause. The link passes on to it each new list of servers.
+    pub fn notices(&self) -> MutexGuard<'_, Register> {
+        lock(&self.notices)
+    }
+
     /// Requests a server for `demand` from a core host. If no core host answers, this host decides itself.
     pub async fn place(&self, demand: &Arc<Demand>) -> Decision {
         let (reply, decision) = oneshot::channel();
@@ -188,10 +195,12 @@
     let (events, events_receiver) = mpsc::channel(64);
     let incarnation = rand::random();
     let schedule = hello::Schedule::new(Time::now());
+    let notices = Arc::default();
     let link = Link {
         schedule,
         links: peers::links(inputs.key.clone()),
         placer: Placer::new(inputs.placer_settings.clone()),
+        notices: Arc::clone(&notices),
         socket,
         events,
         table: table_sender,
@@ -212,6 +221,7 @@
         table,
         state,
         schedule,
+        notices,
         incarnation,
     })
 }
@@ -258,6 +268,7 @@
     socket: Arc<UdpSocket>,
     links: Links,
     placer: Placer,
+    notices: Arc<Mutex<Register>>,
     events: mpsc::Sender<Event>,
     table: watch::Sender<Option<Arc<Table>>>,
     state: watch::Sender<State>,
@@ -644,6 +655,7 @@
                         "servers" => directory.servers().len(), "age_ms" => freshness.age_ms);
                     self.directory = Some((freshness.fingerprint, read));
                     self.placer.set_servers(directory.servers());
+                    lock(&self.notices).set_servers(Time::now(), directory.servers());
                     self.state.send_modify(|state| state.has_directory = true);
                 }
             }
@@ -704,3 +716,8 @@
         }
     }
 }
+
+fn lock(notices: &Mutex<Register>) -> MutexGuard<'_, Register> {
+    // A panic cannot leave the register between two states that depend on each other.
+    notices.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -10,7 +10,8 @@
 use foldhash::quality::FixedState;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderValue};
+use hyper::ext::on_informational;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
 use primrose_base::clock::Time;
@@ -38,6 +39,7 @@
 use crate::hop;
 use crate::link;
 use crate::listener;
+use crate::notice::{Availability, Notice};
 use crate::overload::Detector;
 use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
 use crate::refusal::Refusal;
@@ -57,6 +59,14 @@
 /// would hold back the refusal.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(10);
 
+/// The time after which a caller is told to retry if all servers of a pool leave, in ms: about the time until those that
+/// replace them are discovered.
+const LEAVING_RETRY_AFTER_MS: u32 = 700;
+
+/// The most servers that a placement request excludes because they leave or pause. More could make it exceed the size
+/// of a datagram; servers beyond that are excluded once they are assigned.
+const MAX_EXCLUDED: usize = 16;
+
 /// State that all requests of an entry host share.
 pub struct Shared {
     /// The connection to the core hosts, which assign requests to servers.
@@ -136,6 +146,24 @@
         self.pool.close_idle(server);
     }
 
+    /// Records what the head of an answer says about the server with the id `server`.
+    pub(crate) fn record_notice(&self, server: &Arc<str>, status: StatusCode, headers: &HeaderMap) {
+        let notice = (self.protocol.notice)(status, headers);
+        if notice == Notice::default() {
+            return;
+        }
+        let news = self.link.notices().record(Time::now(), server, notice);
+        if news.is_leaving {
+            self.meter.count("server_leaving");
+            info!(self.log, "server leaves and gets no more requests"; "server" => &**server,
+                "status" => status.as_u16());
+        }
+        if let Some(ms) = news.pause_ms {
+            self.meter.count("server_paused");
+            info!(self.log, "server pauses and gets no requests until then"; "server" => &**server, "ms" => ms);
+        }
+    }
+
     fn is_returning(&self, route: &Route, deadline_ms: u64) -> bool {
         let mut deadlines = self
             .deadlines
@@ -280,6 +308,7 @@
         deadline,
         returning,
         tried: Vec::new(),
+        excluded: Vec::new(),
         sent: 0,
         unreachable: 0,
         may_have_run: false,
@@ -357,6 +386,8 @@
     returning: bool,
     /// Ids of the servers that must not be chosen again.
     pub(crate) tried: Vec<Arc<str>>,
+    /// Ids of servers that leave or pause and must not be chosen until that ends.
+    excluded: Vec<Arc<str>>,
     /// Number of times that the request was sent to a server.
     pub(crate) sent: u32,
     /// Number of times that no connection to the assigned server could be opened.
@@ -467,6 +498,7 @@
         if self.remaining_ms() == 0 {
             return Err(self.timed_out());
         }
+        self.check_pool()?;
         let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
         let now = Time::now();
         let demand = Arc::new(Demand {
@@ -482,7 +514,7 @@
             waited_ms: saturate(now.since(self.started)),
             remaining_ms: saturate(self.remaining_ms()),
             returning: self.returning,
-            tried: self.tried.clone(),
+            tried: [&self.tried[..], &self.excluded].concat(),
         });
         let decision = self.shared.link.place(&demand).await;
         self.shared.meter.record("placing", Time::now().since(now));
@@ -515,6 +547,56 @@
         }
     }
 
+    /// Refuses the request if all servers of its pool leave or pause. Also updates the excluded servers.
+    fn check_pool(&mut self) -> Result<(), Refusal> {
+        let now = Time::now();
+        let notices = self.shared.link.notices();
+        self.excluded
+            .retain(|server| notices.block(now, server).is_some());
+        let availability = notices.availability(now, &self.pool);
+        drop(notices);
+        let refusal = match availability {
+            Availability::Open => return Ok(()),
+            Availability::Paused(until) => Refusal::not_run(
+                "pool_paused",
+                remaining_pause_ms(now, until),
+                "all backend servers of the pool have asked for a pause",
+            ),
+            Availability::Leaving => Refusal::not_run(
+                "no_server",
+                LEAVING_RETRY_AFTER_MS,
+                "all backend servers of the pool are leaving",
+            ),
+        };
+        Err(self.correct_verdict(refusal))
+    }
+
+    /// Checks that a server may get a request. If not, it and the other such servers of the pool are excluded.
+    pub(crate) fn check_server(&mut self, server: &Server) -> Result<(), Failure> {
+        let now = Time::now();
+        let notices = self.shared.link.notices();
+        let Some(block) = notices.block(now, &server.id) else {
+            return Ok(());
+        };
+        let mut excluded = notices.blocked(now, &self.pool, MAX_EXCLUDED);
+        drop(notices);
+        excluded.push(Arc::clone(&server.id));
+        self.excluded.append(&mut excluded);
+        self.excluded.sort();
+        self.excluded.dedup();
+        Err(Failure::blocked(&server.id, block))
+    }
+
+    /// The time after which a caller is told to retry if a server was full, in ms: some requests have ended by then. If
+    /// all servers of the pool pause, the time until the first of them is free.
+    pub(crate) fn full_retry_after_ms(&self) -> u32 {
+        let now = Time::now();
+        match self.shared.link.notices().availability(now, &self.pool) {
+            Availability::Paused(until) => remaining_pause_ms(now, until),
+            Availability::Open | Availability::Leaving => FULL_RETRY_AFTER_MS,
+        }
+    }
+
     /// Replaces the verdict "not run" of a refusal if an earlier server may have run the request.
     fn correct_verdict(&self, refusal: Refusal) -> Refusal {
         if self.may_have_run && refusal.verdict == Verdict::NotRun {
@@ -604,6 +686,11 @@
         *request.uri_mut() = self.head.uri.clone();
         *request.version_mut() = Version::HTTP_11;
         *request.headers_mut() = headers;
+        // hyper skips informational answers.
+        let (shared, server) = (Arc::clone(&self.shared), Arc::clone(&server.id));
+        on_informational(&mut request, move |head| {
+            shared.record_notice(&server, head.status(), head.headers());
+        });
         request
     }
 
@@ -791,6 +878,11 @@
     u32::try_from(ms).unwrap_or(u32::MAX)
 }
 
+/// The time from `now` until the end of a pause, in ms.
+fn remaining_pause_ms(now: Time, until: Time) -> u32 {
+    u32::try_from(until.since(now)).unwrap_or(u32::MAX)
+}
+
 /// The answer of a server without its body and without the headers that concern only the connection to the server.
 fn forwarded_head(head: &response::Parts) -> Response<Body> {
     let mut response = Response::new(Body::full(Bytes::new()));
