--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,9 @@
 //! `attempt` sends a request to as many servers as needed, and [`silence`] decides when a silent one is not waited for
 //! alone.
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
-//! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the connections to backend servers. The platform supplies the header names as a [`Protocol`].
+//! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
+//! connections to backend servers. [`notice`] keeps requests away from servers that leave or pause. `linger` and
+//! [`idle`] end connections of callers. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 mod attempt;
