entry: Reproduce connections reset while a head that is too large is sent

The connection ends with a parse error after the 431, and the listener closes the socket with unread bytes. A caller that still sends the head gets a broken pipe in 8 of 8 requests; it can still read the 431 afterwards on loopback. The earlier form of this test did not check the writes and passed.

--- a/crates/entry/tests/review.rs
+++ b/crates/entry/tests/review.rs
@@ -93,7 +93,7 @@
         let sent = sending.await.expect("no panic");
         let mut bytes = Vec::new();
         let read = reader.read_to_end(&mut bytes).await;
-        if !bytes.starts_with(b"HTTP/1.1 431") || read.is_err() {
+        if !bytes.starts_with(b"HTTP/1.1 431") || sent.is_err() || read.is_err() {
             lost.push((sent.err(), read.err(), bytes.len()));
         }
     }
