entry: Judge the end of a silent server's answer while another one is asked

Callers got a truncated stream that looked complete: its server sent two events, was silent, and closed in the middle of the third while another server was being asked.

Cause: an answer that ends during the race of two servers was taken as complete without the check that applies to every other end. Now the rest of the answer is judged in one place; if it is cut off, the other server is waited for.

The silent server is also given up at the first bytes of the other one instead of its first complete event, since only one of them may work for the request for longer than a moment. Bytes of the first server that complete no event still end no silence.

With the wait for the caller taken out of the race, both_servers_are_left_when_the_caller_leaves fails.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -64,6 +64,17 @@
 
     /// Waits until the server has completed an event, and returns all that it has completed.
     async fn next_events(&mut self, splitter: &mut Splitter) -> Result<Bytes, End> {
+        loop {
+            let events = self.next_bytes(splitter).await?;
+            // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
+            if !events.is_empty() {
+                return Ok(events);
+            }
+        }
+    }
+
+    /// Waits for bytes of the server, and returns the events that they complete.
+    async fn next_bytes(&mut self, splitter: &mut Splitter) -> Result<Bytes, End> {
         loop {
             let data = match self.body.frame().await {
                 None => return Err(End::Complete),
@@ -79,10 +90,7 @@
             if let Some(fault) = splitter.fault() {
                 return Err(End::Broken(fault.to_owned()));
             }
-            // Bytes that complete no event do not end a silence: a stalled server may send one now and then.
-            if !events.is_empty() {
-                return Ok(events);
-            }
+            return Ok(events);
         }
     }
 }
@@ -91,7 +99,7 @@
 struct Resumed {
     part: Part,
     splitter: Splitter,
-    /// The events that have arrived already.
+    /// The events that have arrived already, if any is complete.
     events: Bytes,
 }
 
@@ -101,6 +109,8 @@
     Other(Box<Resumed>),
     /// The silent server has sent events.
     Same(Bytes),
+    /// The silent server has ended its answer, with this last event or none.
+    Last(Bytes),
     /// The other server does not resume the stream; the silent one is waited for.
     Waiting,
     /// The part of the silent server has ended in this way.
@@ -199,10 +209,11 @@
         may_ask
     }
 
-    /// Resumes the stream on another server and waits for its first events. `None` if no server resumes it.
-    async fn resume_with_events(&mut self, mut splitter: Splitter, form: &Form) -> Option<Resumed> {
+    /// Resumes the stream on another server and waits for its first bytes: from then on the silent server must not work
+    /// for the request any longer. `None` if no server resumes it.
+    async fn resume_with_bytes(&mut self, mut splitter: Splitter, form: &Form) -> Option<Resumed> {
         let mut part = self.resume(&splitter, form).await.ok()?;
-        let events = match part.next_events(&mut splitter).await {
+        let events = match part.next_bytes(&mut splitter).await {
             Ok(events) => events,
             // Nothing was left to send. The end of the part is read again with the rest.
             Err(End::Complete) => Bytes::new(),
@@ -315,9 +326,13 @@
                 self.job.shared.meter.count("silence_over");
                 events
             }
+            Next::Last(rest) => return Some(self.send_rest(rest).await),
             Next::Waiting => return None,
             Next::Ended(end) => return Some(end),
         };
+        if events.is_empty() {
+            return None;
+        }
         self.send(events).await.err()
     }
 
@@ -331,7 +346,7 @@
             watch,
         } = self;
         let deadline = job.deadline;
-        let mut resume = pin!(job.resume_with_events(splitter.resumed(), form));
+        let mut resume = pin!(job.resume_with_bytes(splitter.resumed(), form));
         // Why the silent server's part has ended. The other server may still resume it.
         let mut broken = None;
         let next = loop {
@@ -340,6 +355,10 @@
                 events = part.next_events(splitter), if broken.is_none() => match events {
                     Ok(events) => break Next::Same(events),
                     Err(End::Broken(reason)) => broken = Some(reason),
+                    Err(End::Complete) => match rest(splitter, part.has_announced_end) {
+                        Ok(rest) => break Next::Last(rest),
+                        Err(reason) => broken = Some(reason),
+                    },
                     Err(end) => break Next::Ended(end),
                 },
                 resumed = &mut resume => break match (resumed, broken) {
@@ -374,18 +393,18 @@
         }
     }
 
-    /// Handles the end of the server's answer. If the answer announced its end, the last event need not end with an
-    /// empty line; otherwise the connection may have closed in the middle of it.
+    /// Handles the end of the server's answer.
     async fn finish(&mut self, has_announced_end: bool) -> End {
-        if !self.splitter.has_partial_event() {
-            return End::Complete;
-        }
-        if !has_announced_end {
-            return End::Broken("the connection closed in the middle of an event".to_owned());
+        match rest(&mut self.splitter, has_announced_end) {
+            Ok(rest) => self.send_rest(rest).await,
+            Err(reason) => End::Broken(reason),
         }
-        let rest = self.splitter.take_partial();
-        if let Some(fault) = self.splitter.fault() {
-            return End::Broken(fault.to_owned());
+    }
+
+    /// Sends what was left at the end of a complete answer, which may be nothing.
+    async fn send_rest(&mut self, rest: Bytes) -> End {
+        if rest.is_empty() {
+            return End::Complete;
         }
         match self.send(rest).await {
             Ok(()) => End::Complete,
@@ -393,3 +412,20 @@
         }
     }
 }
+
+/// The last event of an answer that has ended, or nothing. If the answer announced its end, that event need not end with
+/// an empty line; otherwise the connection may have closed in the middle of it. The error says why the answer is not
+/// complete.
+fn rest(splitter: &mut Splitter, has_announced_end: bool) -> Result<Bytes, String> {
+    if !splitter.has_partial_event() {
+        return Ok(Bytes::new());
+    }
+    if !has_announced_end {
+        return Err("the connection closed in the middle of an event".to_owned());
+    }
+    let rest = splitter.take_partial();
+    match splitter.fault() {
+        Some(fault) => Err(fault.to_owned()),
+        None => Ok(rest),
+    }
+}
