entry: Keep a retry that was granted if the silent server fails meanwhile

A request whose silent server failed while another one was being asked could be answered with 502, although a retry had been granted: the failure took a second retry from the budget, and without one left ended the request.

Now the failure of a server that has the request ends nothing while another server is being asked. Checked with the tests of silent servers, which pass.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -111,6 +111,11 @@
                             }
                             return Ok(answered);
                         }
+                        // The retry that is under way was granted when this server was silent.
+                        Err(failure) if is_sending => {
+                            self.may_have_run |= failure.refusal.verdict != Verdict::NotRun;
+                            continue;
+                        }
                         Err(failure) => failure,
                     }
                 }
