entry: End connections without losing answers, and do not keep them for ever

Callers lost the tail of an answer that closes its connection if they had begun the next request (4.7 of 8.4 MB arrived before the reset), and the refusal of a head that is too large. A caller that did not read the rest of its answer held the connection and the memory of the answer without limit.

The host now ends only its own direction, and discards what arrives, after every answer that closes its connection while bytes of the caller are unread, and after a protocol error. The idle time of a connection begins with the last byte written, and at its end the connection is dropped, since hyper would wait for the caller to read.

--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -17,7 +17,13 @@
 use crate::idle::{self, Activity, Timeouts};
 
 /// The reason for the end of a connection on which a request was answered before its body was read.
-pub(crate) const BODY_UNREAD: &str = "closed_body_unread";
+const BODY_UNREAD: &str = "closed_body_unread";
+
+/// The reason for the end of a connection whose last answer said that it is closed.
+const ANNOUNCED: &str = "closed_announced";
+
+/// The reason for the end of a connection on which something else than a request arrived, or a head that is too large.
+const PROTOCOL: &str = "closed_protocol";
 
 /// Where the ends of connections are counted and logged.
 #[derive(Clone, Debug)]
@@ -180,6 +186,14 @@
         }
     }
 
+    /// Records that bytes of an answer were written. A connection is idle only after the last of them.
+    pub(crate) fn record_written(&self) {
+        let mut state = self.lock();
+        if state.stage == Stage::Idle {
+            state.since = Time::now();
+        }
+    }
+
     pub(crate) fn record_write_error(&self) {
         self.lock().has_write_error = true;
     }
@@ -254,7 +268,7 @@
             Some(Err(error)) if error.is_user() => "closed_interrupted",
             _ if end.is_expired && has_partial_head => "closed_partial_head",
             _ if end.is_expired => "closed_idle",
-            Some(Err(error)) if error.is_parse() => "closed_protocol",
+            Some(Err(error)) if error.is_parse() => PROTOCOL,
             Some(Err(_)) => "closed_other",
             // hyper discards a body that has arrived whole and keeps the connection. Otherwise it closes the connection
             // at once, so the end of a connection that it kept has one of the reasons above or is a shutdown.
@@ -263,7 +277,7 @@
             {
                 BODY_UNREAD
             }
-            Some(Ok(())) if self.is_close_announced => "closed_announced",
+            Some(Ok(())) if self.is_close_announced => ANNOUNCED,
             Some(Ok(())) if self.is_close_asked => "closed_as_asked",
             Some(Ok(())) if end.is_shutdown => "closed_shutdown",
             Some(Ok(())) => "closed_other",
@@ -313,7 +327,8 @@
         }
     }
 
-    /// Records the end of the connection and returns the reason. `unparsed` is the number of bytes that were read but
+    /// Records the end of the connection. Returns whether the caller may still be sending while an answer is on its way
+    /// to it, which would be lost if the connection were closed with unread bytes. `unparsed` is the number of bytes that were read but
     /// belong to no request whose head was parsed, `unread` the number of those that the process has not read.
     pub(crate) fn end(
         mut self,
@@ -321,7 +336,7 @@
         cause: Cause,
         unparsed: usize,
         unread: u64,
-    ) -> &'static str {
+    ) -> bool {
         let end = End {
             result: Some(result),
             unparsed,
@@ -333,7 +348,11 @@
         if let Some(log) = self.log.take() {
             self.write(&log, &end, reason);
         }
-        reason
+        match reason {
+            BODY_UNREAD | PROTOCOL => true,
+            ANNOUNCED => unparsed > 0 || unread > 0,
+            _ => false,
+        }
     }
 
     fn write(&self, log: &Log, end: &End, reason: &'static str) {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -321,16 +321,15 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
-            () = &mut timer, if !is_expired => {
+            () = &mut timer => {
                 let activity = record.activity();
                 let due = record.timeouts().due(activity);
                 is_expired = due.is_some_and(|due| due <= Time::now());
-                match activity {
-                    // hyper does not end a connection within a head.
-                    Activity::Head(_) if is_expired => break Ok(()),
-                    _ if is_expired => Pin::new(&mut connection).graceful_shutdown(),
-                    _ => timer.as_mut().reset(next_check(&record)),
+                if is_expired {
+                    // hyper neither ends a connection within a head nor one whose caller does not read the last answer.
+                    break Ok(());
                 }
+                timer.as_mut().reset(next_check(&record));
             }
         }
     };
@@ -345,8 +344,8 @@
     let parts = connection.into_parts();
     let mut socket = parts.io.into_inner();
     // After an error the connection is closed, which tells the caller.
-    let reason = guard.end(result, cause, parts.read_buf.len(), socket.unread());
-    if reason == closing::BODY_UNREAD {
+    let is_caller_sending = guard.end(result, cause, parts.read_buf.len(), socket.unread());
+    if is_caller_sending {
         linger::discard(&mut socket).await;
     }
 }
--- a/crates/entry/src/tracked.rs
+++ b/crates/entry/src/tracked.rs
@@ -29,10 +29,12 @@
         ioctl_fionread(&self.stream).unwrap_or(0)
     }
 
-    /// Records an error of a write.
-    fn check<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if let Poll::Ready(Err(_)) = &result {
-            self.record.record_write_error();
+    /// Records the result of a write.
+    fn check(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &result {
+            Poll::Ready(Ok(_)) => self.record.record_written(),
+            Poll::Ready(Err(_)) => self.record.record_write_error(),
+            Poll::Pending => {}
         }
         result
     }
--- a/crates/entry/tests/review.rs
+++ b/crates/entry/tests/review.rs
@@ -17,11 +17,14 @@
 
 const IDLE_MS: u64 = 300;
 
-async fn open(phase: Phase) -> (listener::Handle, watch::Sender<Phase>) {
+/// An idle limit that is longer than a caller of these tests takes to read an answer.
+const LONG_IDLE_MS: u64 = 5_000;
+
+async fn open(phase: Phase, idle_ms: u64) -> (listener::Handle, watch::Sender<Phase>) {
     let limits = Limits {
-        timeouts: Arc::new(|| Timeouts {
-            idle_ms: IDLE_MS,
-            head_ms: IDLE_MS,
+        timeouts: Arc::new(move || Timeouts {
+            idle_ms,
+            head_ms: idle_ms,
         }),
         max_connections: 100,
         overload: Detector::default(),
@@ -53,7 +56,7 @@
 // its next request: closing the socket with unread bytes resets the connection.
 #[tokio::test]
 async fn last_answer_is_whole_if_the_next_request_has_begun() {
-    let (handle, _phase) = open(Phase::Leaving).await;
+    let (handle, _phase) = open(Phase::Leaving, LONG_IDLE_MS).await;
     let mut stream = TcpStream::connect(handle.address).await.expect("accepted");
     let first = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     stream.write_all(first.as_bytes()).await.expect("sent");
@@ -73,7 +76,7 @@
 // A refusal of a head that is too large must reach a caller that still sends it.
 #[tokio::test]
 async fn refusal_of_a_large_head_reaches_the_caller() {
-    let (handle, _phase) = open(Phase::Serving).await;
+    let (handle, _phase) = open(Phase::Serving, IDLE_MS).await;
     let mut lost = Vec::new();
     for _ in 0..8 {
         let stream = TcpStream::connect(handle.address).await.expect("accepted");
@@ -103,7 +106,7 @@
 // A caller that does not read the rest of its answer must not hold a connection and the answer's memory for ever.
 #[tokio::test]
 async fn connection_of_a_caller_that_does_not_read_is_closed() {
-    let (handle, _phase) = open(Phase::Serving).await;
+    let (handle, _phase) = open(Phase::Serving, IDLE_MS).await;
     let mut stream = TcpStream::connect(handle.address).await.expect("accepted");
     let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     stream.write_all(request.as_bytes()).await.expect("sent");
