entry: Let a server be silent for two seconds while it is sent a request

Callers got a 502 if their request did not fit into the buffers of the connection and its server read nothing for 2 s before it went on.

Cause: TCP_USER_TIMEOUT was 1.5 s, and on Linux it also limits how long bytes wait for the window of a receiver that is alive but does not read. It is 3 s now, like the keepalive probes of an idle connection. Requests that may run twice are sent to another server long before, by the silence of the answer.

--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -25,9 +25,9 @@
 /// connections at once.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`). Long enough that a few lost packets do not close
-/// the connection; a lost path does.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long sent bytes may stay unacknowledged or unread (`TCP_USER_TIMEOUT`). A server that is silent for a second or
+/// two reads nothing either, and a few lost packets take as long; a lost path is found by requests before that.
+const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Silence after which a TCP keepalive probe is sent, and the interval between probes: the shortest that sockets
 /// offer.
