--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -328,8 +328,9 @@
     }
 
     /// Records the end of the connection. Returns whether the caller may still be sending while an answer is on its way
-    /// to it, which would be lost if the connection were closed with unread bytes. `unparsed` is the number of bytes that were read but
-    /// belong to no request whose head was parsed, `unread` the number of those that the process has not read.
+    /// to it, which would be lost if the connection were closed with unread bytes. `unparsed` is the number of bytes that
+    /// were read but belong to no request whose head was parsed, `unread` the number of those that the process has not
+    /// read.
     pub(crate) fn end(
         mut self,
         result: hyper::Result<()>,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -229,8 +229,8 @@
         })
     }
 
-    /// Asks another server to resume the stream, whose first answer has this form, after the last complete event. The error is the code with which the
-    /// answer ends if no server does.
+    /// Asks another server to resume the stream, whose first answer has this form, after the last complete event. The
+    /// error is the code with which the answer ends if no server does.
     async fn resume(&mut self, splitter: &Splitter, form: &Form) -> Result<Part, &'static str> {
         match self.send_until_answered(splitter.last_id()).await {
             Ok(answered) if form.can_be_continued_by(&Form::of(&answered.head)) => {
