base: Decide what a stopping host does with requests

An entry host passes requests on during its whole grace period, without knowing when it ends; those that last longer are cut off. Both routers need the same decisions: whether a request is passed on, and when one without an answer gets one from the host. They stand apart from input and output, as a function of the times of the stop and the request and of how long the latest requests of the route lasted.

--- /dev/null
+++ b/crates/base/src/stop.rs
@@ -0,0 +1,120 @@
+//! What a host does with requests during a planned stop.
+//!
+//! Load pattern: callers keep arriving for a while after a host was asked to stop, and the host is killed at the end of
+//! its grace period. Most requests are short, and passing them on serves their callers best. A request that could last
+//! longer than the grace period is refused before a server has it, since another host can serve it. A request that is
+//! not answered in time gets an answer that says so, and one that may run twice gets it while its caller still has time
+//! to send it elsewhere.
+
+use std::sync::Arc;
+
+use crate::clock::Time;
+
+/// Answers are written this long before the host ends, in ms, so that they reach their callers on a busy host.
+const ANSWER_MARGIN_MS: u64 = 300;
+
+/// Number of durations of a route that are kept.
+const KEPT_DURATIONS: usize = 64;
+
+/// The grace period of a host that was asked to stop. Invariant: `asked` is not later than `end`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grace {
+    /// When the host was asked to stop.
+    asked: Time,
+    /// When the host ends whatever is still open.
+    end: Time,
+}
+
+impl Grace {
+    /// A stop that was asked for at `now` and ends `ms` milliseconds later.
+    pub const fn new(now: Time, ms: u64) -> Grace {
+        Grace {
+            asked: now,
+            end: now.plus_ms(ms),
+        }
+    }
+
+    /// When the host ends whatever is still open.
+    pub const fn end(&self) -> Time {
+        self.end
+    }
+
+    /// When the last requests without an answer get one from the host.
+    pub fn answer_by(&self) -> Time {
+        let by = self.end.as_ms().saturating_sub(ANSWER_MARGIN_MS);
+        Time::from_ms(by).max(self.asked)
+    }
+
+    /// Whether a request is passed on at `now`: only if it ends in time. `longest_ms` is how long such requests last at
+    /// most, or `None` if that is unknown; then it may last until its `deadline`.
+    pub fn admits(&self, now: Time, deadline: Time, longest_ms: Option<u64>) -> bool {
+        let expected = longest_ms.map_or(deadline, |ms| now.plus_ms(ms).min(deadline));
+        expected <= self.answer_by()
+    }
+
+    /// When a request that arrived at `arrived` and of whose answer nothing was passed on gets an answer from the host
+    /// instead. It is the deadline of the request if that is in time. Otherwise a request that `may_run_twice` leaves
+    /// its caller half of the time that was left, for sending it to another host.
+    pub fn give_up(&self, arrived: Time, deadline: Time, may_run_twice: bool) -> Time {
+        if deadline <= self.answer_by() {
+            return deadline;
+        }
+        if !may_run_twice {
+            return self.answer_by();
+        }
+        let since = arrived.max(self.asked);
+        since
+            .plus_ms(deadline.since(since) / 2)
+            .min(self.answer_by())
+    }
+}
+
+/// How long the latest requests of each route lasted, from their arrival to the end of their answer.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Sorted by route.
+    routes: Vec<(Arc<str>, Durations)>,
+}
+
+/// The latest durations of one route in ms, at most [`KEPT_DURATIONS`].
+#[derive(Debug, Default)]
+struct Durations {
+    kept: Vec<u64>,
+    /// Where the next duration is put once all places are taken.
+    next: usize,
+}
+
+impl History {
+    /// Records that a request of `route` lasted `ms` milliseconds.
+    pub fn record(&mut self, route: &Arc<str>, ms: u64) {
+        let at = self
+            .routes
+            .binary_search_by(|(name, _)| name.cmp(route))
+            .unwrap_or_else(|at| {
+                self.routes
+                    .insert(at, (Arc::clone(route), Durations::default()));
+                at
+            });
+        let durations = &mut self.routes[at].1;
+        if durations.kept.len() < KEPT_DURATIONS {
+            durations.kept.push(ms);
+        } else {
+            durations.kept[durations.next] = ms;
+            durations.next = (durations.next + 1) % KEPT_DURATIONS;
+        }
+    }
+
+    /// The longest of the latest durations of a route in ms, or `None` if none was recorded.
+    pub fn longest_ms(&self, route: &str) -> Option<u64> {
+        let at = self
+            .routes
+            .binary_search_by(|(name, _)| (**name).cmp(route))
+            .ok()?;
+        self.routes[at].1.kept.iter().copied().max()
+    }
+
+    /// Forgets all routes that `is_known` does not hold for.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.routes.retain(|(name, _)| is_known(name));
+    }
+}
