entry: Log the time of a request within a planned stop

A request that the end of the process cut off was logged as caller_gone, as if its caller had left, and no line told how long after SIGTERM a request had arrived or ended, so the hypotheses about lost answers could not be told apart.

`request ended` and `request refused` carry arrived_stop_ms and stop_ms, and an answer that is dropped after the end of the grace period has the code stop_interrupted, a counter of its own.

--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// When the host was asked to stop.
+    pub const fn asked(&self) -> Time {
+        self.asked
+    }
+
     /// When the host ends whatever is still open.
     pub const fn end(&self) -> Time {
         self.end
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 76] = [
+pub const ALL: [&str; 77] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -71,6 +71,7 @@
     "server_paused",
     "silence_over",
     "silence_waited",
+    "stop_interrupted",
     "stream_broken",
     "stream_resumed",
     "stream_silent",
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
+use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use tokio::task::AbortHandle;
 
@@ -18,6 +19,7 @@
 use crate::body::Interrupted;
 use crate::form::{Form, Tail};
 use crate::request::{Answered, Job};
+use crate::stop;
 use crate::upstream::Connection;
 
 /// An answer that is being forwarded. Invariant: its end is counted and logged exactly once, even if the caller
@@ -106,7 +108,13 @@
     fn drop(&mut self) {
         self.timer.abort();
         if let Some(open) = lock(&self.open).take() {
-            open.interrupt(Outcome::Cancelled, "caller_gone");
+            let is_stop = open.job.shared.stop.is_over(Time::now());
+            let code = if is_stop {
+                stop::INTERRUPTED
+            } else {
+                "caller_gone"
+            };
+            open.interrupt(Outcome::Cancelled, code);
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,7 @@
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
 //! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
 //! connections to backend servers. [`notice`] keeps requests away from servers that leave or pause. `linger` and
-//! [`idle`] end connections of callers. The platform supplies the header names as a [`Protocol`].
+//! [`idle`] end connections of callers, and `stop` is the planned stop of the host. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 mod attempt;
@@ -33,6 +33,7 @@
 pub mod refusal;
 pub mod request;
 pub mod silence;
+mod stop;
 mod stream;
 mod tracked;
 mod upstream;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -15,6 +15,7 @@
 use hyper::http::{request, response};
 use hyper::{Request, Response, StatusCode, Version};
 use primrose_base::clock::Time;
+use primrose_base::stop::Grace;
 use primrose_base::verdict::Verdict;
 use primrose_observe::Meter;
 use primrose_place::Server;
@@ -43,6 +44,7 @@
 use crate::overload::Detector;
 use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
 use crate::refusal::Refusal;
+use crate::stop::Stop;
 use crate::stream;
 use crate::upstream::{Connection, Pool};
 
@@ -83,6 +85,7 @@
     pub meter: Arc<Meter>,
     /// The log of the process.
     pub log: Logger,
+    pub(crate) stop: Stop,
     pool: Pool,
     sequence: AtomicU64,
     deadlines: Mutex<deadline::History>,
@@ -107,6 +110,7 @@
             overload,
             meter,
             log,
+            stop: Stop::new(),
             pool: Pool::default(),
             sequence: AtomicU64::new(0),
             deadlines: Mutex::default(),
@@ -118,6 +122,11 @@
         self.pool.close_expired();
     }
 
+    /// Begins a planned stop of this host. Only the first call has an effect.
+    pub fn begin_stop(&self, grace: Grace) {
+        self.stop.begin(grace);
+    }
+
     /// Version of the document in force.
     fn version(&self) -> Option<u64> {
         self.link.table().map(|table| table.document().version)
@@ -199,7 +208,9 @@
             exchange.set_code(refusal.code);
             info!(shared.log, "request refused"; "id" => id.as_deref(), "code" => refusal.code,
                 "status" => refusal.status.as_u16(), "message" => &refusal.message,
-                "version_at_end" => shared.version());
+                "version_at_end" => shared.version(),
+                "arrived_stop_ms" => shared.stop.elapsed_ms(started),
+                "stop_ms" => shared.stop.elapsed_ms(Time::now()));
             let mut response = refusal.response();
             if discard(&mut body).await {
                 exchange.set_body_read();
@@ -869,7 +880,9 @@
             "message" => refusal.map(|refusal| &*refusal.message),
             "version_at_end" => self.shared.version(), "idle_limit_ms" => self.idle_limit_ms,
             "failure" => self.failure, "gave_up" => gave_up, "silent_ms" => self.silent_ms(),
-            "forwarded" => self.forwarded, "resumed" => self.resumed);
+            "forwarded" => self.forwarded, "resumed" => self.resumed,
+            "arrived_stop_ms" => self.shared.stop.elapsed_ms(self.started),
+            "stop_ms" => self.shared.stop.elapsed_ms(Time::now()));
     }
 }
 
