entry: Answer every request before a planned stop ends the host

Callers of a stopping host saw their connection closed without an answer if their request lasted until the end of the grace period, also requests that may run once only.

Cause: the host took requests for 2.3 s after SIGTERM, and later ones on connections with a head that had begun, waited for them until 0.4 s before the end of the grace period and ended. Nothing that handles requests knew that time.

The handler of SIGTERM now publishes the grace period (base::stop::Grace), and each request has a limit (entry::stop::Limit) in place of its deadline, which a stop that begins meanwhile makes earlier:

- A request is passed on only if requests of its route end in time, by the longest of the latest durations, or else by its deadline.
Others are refused as not run at once, before the body and again before the first server gets it.
- A request without any part of an answer is answered by the host at Grace::give_up: 503 if no server can have run it, otherwise 502.
A silent server is waited for and another one asked until then, as before.
- An answer that has begun goes on until 0.1 s before the end and is broken off with a code of its own.
The server of a request that the stop ends does not count as failed.
- With a short grace period the host no longer takes requests beyond the time at which they would be answered, and it keeps at most half of the period as its margin, so it ends in time.

The limit of a stream is waited for by one future per part of the stream, and that of a direct answer by the task that waited for its deadline, so no event costs a timer or a task more.

Ruled out: the process is not held by idle connections, by callers that do not read or by heads that never end (tested here); a host without a grace period ends.

Tests changed: end_of_the_process_is_counted also covers a part of a head, which used to be logged as no part of a request.

--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -13,6 +13,9 @@
 /// Answers are written this long before the host ends, in ms, so that they reach their callers on a busy host.
 const ANSWER_MARGIN_MS: u64 = 300;
 
+/// Answers that have begun are broken off this long before the host ends, in ms, so that their ends are logged.
+const BREAK_MARGIN_MS: u64 = 100;
+
 /// Number of durations of a route that are kept.
 const KEPT_DURATIONS: usize = 64;
 
@@ -46,8 +49,16 @@
 
     /// When the last requests without an answer get one from the host.
     pub fn answer_by(&self) -> Time {
-        let by = self.end.as_ms().saturating_sub(ANSWER_MARGIN_MS);
-        Time::from_ms(by).max(self.asked)
+        self.before_end(ANSWER_MARGIN_MS)
+    }
+
+    /// When answers of which a part was passed on are broken off.
+    pub fn break_off(&self) -> Time {
+        self.before_end(BREAK_MARGIN_MS)
+    }
+
+    fn before_end(&self, ms: u64) -> Time {
+        Time::from_ms(self.end.as_ms().saturating_sub(ms)).max(self.asked)
     }
 
     /// Whether a request is passed on at `now`: only if it ends in time. `longest_ms` is how long such requests last at
--- a/crates/base/tests/stop.rs
+++ b/crates/base/tests/stop.rs
@@ -57,10 +57,19 @@
     assert_eq!(given_up, after(4_000));
 }
 
+// Guards against answers that are broken off by the end of the process, which could not be logged.
+#[test]
+fn answers_that_have_begun_are_broken_off_before_the_end() {
+    assert_eq!(grace().break_off(), after(7_500));
+    assert!(grace().answer_by() < grace().break_off());
+    assert!(grace().break_off() < grace().end());
+}
+
 #[test]
 fn grace_period_shorter_than_the_margin_answers_at_once() {
     let grace = Grace::new(ASKED, 100);
     assert_eq!(grace.answer_by(), ASKED);
+    assert_eq!(Grace::new(ASKED, 50).break_off(), ASKED);
     assert!(!grace.admits(ASKED, after(50), None));
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -79,12 +79,15 @@
         // The servers that have the request, in the order in which they got it.
         let mut open: Vec<Attempt> = Vec::new();
         let mut watch = self.watch_head();
+        let limit = self.limit.clone();
         let mut is_sending = true;
         loop {
             let step = if is_sending {
                 tokio::select! {
                     biased;
                     (at, exchange) = next_end(&mut open) => Step::Ended(at, exchange),
+                    // Until its last step, nothing of the request is sent.
+                    () = limit.passed() => Step::TimedOut,
                     step = self.send(resume_after) => step,
                 }
             } else {
@@ -133,8 +136,12 @@
                     continue;
                 }
                 Step::TimedOut => {
-                    for silent in open {
-                        silent.end_silent(&self.shared);
+                    self.may_have_run |= !open.is_empty();
+                    // A server is not at fault if the host stops before it answers.
+                    if !self.limit.is_stop() {
+                        for silent in open {
+                            silent.end_silent(&self.shared);
+                        }
                     }
                     return Err(self.timed_out());
                 }
@@ -175,17 +182,15 @@
         watch
     }
 
-    /// Waits until an attempt ends, a silence is over its limit or the deadline has passed.
+    /// Waits until an attempt ends, a silence is over its limit or the limit of the request has passed.
     async fn next_step(&self, open: &mut [Attempt], watch: &Watch) -> Step {
         let now = Time::now();
         let due = watch.due().map(|due| Instant::now() + due.until(now));
-        let due = due.filter(|due| *due < self.deadline);
         tokio::select! {
             biased;
             (at, exchange) = next_end(open) => Step::Ended(at, exchange),
-            () = tokio::time::sleep_until(due.unwrap_or(self.deadline)) => {
-                if due.is_some() { Step::Silent } else { Step::TimedOut }
-            }
+            () = self.limit.passed() => Step::TimedOut,
+            () = sleep_until_some(due) => Step::Silent,
         }
     }
 
@@ -341,6 +346,14 @@
     }
 }
 
+/// Waits until `due`, or for ever if it is `None`.
+pub(crate) async fn sleep_until_some(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the exchange of an attempt ends. The result is its index and what the exchange returned.
 async fn next_end(open: &mut [Attempt]) -> (usize, Exchange) {
     poll_fn(|context| {
--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -2,8 +2,9 @@
 //!
 //! A complete answer in the buffer can still be replaced by that of another server if its connection breaks. A server
 //! in trouble may send bytes without end, so the buffer is bounded: a larger answer is forwarded as it arrives, no
-//! faster than the caller reads, until the deadline of the request.
+//! faster than the caller reads, until the limit of the request.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -11,10 +12,11 @@
 use hyper::body::Incoming;
 use primrose_place::placer::Outcome;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::body::Interrupted;
 use crate::request::{Answered, Job};
+use crate::stop;
 
 /// The most bytes of an answer that are buffered. A longer answer is forwarded as it arrives.
 pub(crate) const MAX_BYTES: usize = 512 << 10;
@@ -61,30 +63,44 @@
         ..
     } = answered;
     let mut chunk = start;
+    let limit = job.limit.clone();
+    let mut passed = pin!(limit.passed());
     let (outcome, code) = loop {
         job.record_forwarded();
         let waiting_since = Instant::now();
-        match timeout_at(job.deadline, sender.send(Ok(chunk))).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => break (Outcome::Cancelled, "caller_gone"),
-            Err(_) if waiting_since.elapsed() >= SLOW_CALLER => {
+        let sent = tokio::select! {
+            biased;
+            sent = sender.send(Ok(chunk)) => Some(sent),
+            () = &mut passed => None,
+        };
+        match sent {
+            Some(Ok(())) => {}
+            Some(Err(_)) => break (Outcome::Cancelled, "caller_gone"),
+            None if limit.is_stop() => break (Outcome::Cancelled, stop::INTERRUPTED),
+            None if waiting_since.elapsed() >= SLOW_CALLER => {
                 break (Outcome::Cancelled, "timeout");
             }
-            Err(_) => break (Outcome::Answered { failed: true }, "answer_endless"),
+            None => break (Outcome::Answered { failed: true }, "answer_endless"),
         }
-        chunk = match timeout_at(job.deadline, next_chunk(&mut body)).await {
-            Ok(Ok(Some(chunk))) => chunk,
-            Ok(Ok(None)) => {
+        let next = tokio::select! {
+            biased;
+            next = next_chunk(&mut body) => Some(next),
+            () = &mut passed => None,
+        };
+        chunk = match next {
+            Some(Ok(Some(chunk))) => chunk,
+            Some(Ok(None)) => {
                 job.release(connection);
                 assignment.end(Outcome::Answered { failed: false });
                 job.record_complete("served");
                 return;
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 job.log_interruption(&error.to_string(), false);
                 break (Outcome::Answered { failed: true }, "answer_broken");
             }
-            Err(_) => break (Outcome::Answered { failed: true }, "answer_endless"),
+            None if limit.is_stop() => break (Outcome::Cancelled, stop::INTERRUPTED),
+            None => break (Outcome::Answered { failed: true }, "answer_endless"),
         };
     };
     drop(connection);
--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -310,6 +310,14 @@
     is_expired: bool,
 }
 
+impl End {
+    /// Whether bytes were read that belong to no request so far. If the task of the connection was dropped, the record
+    /// of its reads tells.
+    fn is_within_head(&self, state: &State) -> bool {
+        self.unparsed > 0 || self.result.is_none() && state.head_since.is_some()
+    }
+}
+
 /// Counts and logs the end of a connection once. To be dropped before the connection, whose drop ends the answer.
 pub(crate) struct Guard {
     log: Option<Log>,
@@ -361,7 +369,7 @@
         log.meter.count(reason);
         // The bytes that follow an unread body belong to it.
         let has_partial_head =
-            state.stage == Stage::Idle && end.unparsed > 0 && reason != BODY_UNREAD;
+            state.stage == Stage::Idle && end.is_within_head(&state) && reason != BODY_UNREAD;
         let is_unanswered = state.stage != Stage::Idle || state.has_write_error || has_partial_head;
         // Most connections end in one of these ways, and a log line for each would cost too much.
         let is_usual = matches!(reason, "closed_by_caller_idle" | "closed_as_asked");
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 77] = [
+pub const ALL: [&str; 79] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -72,6 +72,8 @@
     "silence_over",
     "silence_waited",
     "stop_interrupted",
+    "stop_refused",
+    "stop_unanswered",
     "stream_broken",
     "stream_resumed",
     "stream_silent",
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -2,7 +2,8 @@
 //!
 //! An answer that cannot be resumed on another server needs no task that forwards it. Forwarded directly, an event
 //! costs two wake-ups of a task instead of three, and no channel; on a host with a tenth of a processor this is a
-//! noticeable part of its capacity. The only task of its own wakes at the deadline, if the answer lasts so long.
+//! noticeable part of its capacity. The only task of its own wakes at the limit of the request, if the answer
+//! lasts so long.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,7 +33,7 @@
     is_complete: bool,
     /// `Some` if the answer is a stream of events that ends with its connection.
     tail: Option<Tail>,
-    /// Ends the answer at the caller's deadline or the route's timeout. It is a task, because a caller that stops
+    /// Ends the answer at the limit of the request. It is a task, because a caller that stops
     /// reading also stops the polling of this body, and the server must not work for it any longer.
     timer: AbortHandle,
 }
@@ -61,7 +62,7 @@
 
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
-        let deadline = job.deadline;
+        let limit = job.limit.clone();
         let form = Form::of(&answered.head);
         let has_tail = form.is_event_stream() && !form.has_announced_end;
         let open = Arc::new(Mutex::new(Some(Open {
@@ -71,9 +72,10 @@
         })));
         let expiring = Arc::clone(&open);
         let timer = tokio::spawn(async move {
-            tokio::time::sleep_until(deadline).await;
+            limit.passed().await;
             if let Some(open) = lock(&expiring).take() {
-                open.interrupt(Outcome::Cancelled, "timeout");
+                let code = open.job.limit_code();
+                open.interrupt(Outcome::Cancelled, code);
             }
         });
         let mut answer = Answer {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -26,7 +26,6 @@
 use slog::{Logger, info};
 use std::hash::BuildHasher;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::assignment::Assignment;
 use crate::body::{Body, Interrupted};
@@ -44,7 +43,7 @@
 use crate::overload::Detector;
 use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
 use crate::refusal::Refusal;
-use crate::stop::Stop;
+use crate::stop::{self, Limit, Plan};
 use crate::stream;
 use crate::upstream::{Connection, Pool};
 
@@ -57,6 +56,9 @@
 /// The time after which a caller is told to retry if this host is overloaded, in ms: retries reach other hosts.
 const OVERLOADED_RETRY_AFTER_MS: u32 = 50;
 
+/// The time after which a caller is told to retry if this host stops, in ms: retries reach other hosts.
+const STOPPING_RETRY_AFTER_MS: u32 = 50;
+
 /// How long the rest of the body of a refused request is waited for, which is on its way at that moment. A longer wait
 /// would hold back the refusal.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(10);
@@ -85,7 +87,8 @@
     pub meter: Arc<Meter>,
     /// The log of the process.
     pub log: Logger,
-    pub(crate) stop: Stop,
+    /// The planned stop of this host.
+    pub(crate) stop: Plan,
     pool: Pool,
     sequence: AtomicU64,
     deadlines: Mutex<deadline::History>,
@@ -110,16 +113,20 @@
             overload,
             meter,
             log,
-            stop: Stop::new(),
+            stop: Plan::new(),
             pool: Pool::default(),
             sequence: AtomicU64::new(0),
             deadlines: Mutex::default(),
         }
     }
 
-    /// Closes connections to backend servers that have been idle for too long. To be called periodically.
-    pub fn close_expired_connections(&self) {
+    /// Closes connections to backend servers that have been idle for too long, and forgets routes that are gone. To be
+    /// called periodically.
+    pub fn remove_expired(&self) {
         self.pool.close_expired();
+        if let Some(table) = self.link.table() {
+            self.stop.forget_other_routes(&table);
+        }
     }
 
     /// Begins a planned stop of this host. Only the first call has an effect.
@@ -185,7 +192,6 @@
 /// Handles a caller's request and returns the answer of a backend server or a refusal.
 pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let started = Time::now();
-    let start_instant = Instant::now();
     let (head, mut body) = request.into_parts();
     let exchange = head
         .extensions
@@ -200,7 +206,7 @@
     if let Some(id) = &id {
         exchange.set_attempt(id);
     }
-    let admitted = admit(&shared, head, &mut body, metadata, started, start_instant);
+    let admitted = admit(&shared, head, &mut body, metadata, started);
     let mut response = match admitted.await {
         Ok(job) => job.run().await,
         Err(refusal) => {
@@ -236,7 +242,6 @@
     body: &mut Incoming,
     metadata: Result<Metadata, Malformed>,
     started: Time,
-    start_instant: Instant,
 ) -> Result<Job, Refusal> {
     // The first request of a connection is exempt: it was decided when the connection was accepted.
     let is_first = head.extensions.get::<listener::FirstRequest>().is_some();
@@ -296,9 +301,15 @@
             message,
         ));
     };
-    let deadline = start_instant + Duration::from_millis(timeout_ms);
+    let deadline = started.plus_ms(timeout_ms);
+    if !shared.stop.admits(&route.name, deadline) {
+        return Err(refuse_for_stop());
+    }
+    let limit = shared
+        .stop
+        .limit(started, deadline, route.kind.is_repeatable());
     let limits = &table.document().limits;
-    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let body = read_body(body, limits.max_body_bytes, &limit).await?;
     if let Some(exchange) = head.extensions.get::<Exchange>() {
         exchange.set_body_read();
     }
@@ -317,6 +328,7 @@
         idle_limit_ms: limits.idle_timeout_ms,
         started,
         deadline,
+        limit,
         returning,
         tried: Vec::new(),
         excluded: Vec::new(),
@@ -337,6 +349,12 @@
     })
 }
 
+/// Refuses a request that might not end before this host does, or that no server has got when it must be answered.
+fn refuse_for_stop() -> Refusal {
+    let message = "this host stops and does not pass the request on";
+    Refusal::not_run("stop_refused", STOPPING_RETRY_AFTER_MS, message)
+}
+
 /// Discards the body of a refused request if it arrives within [`REFUSED_BODY_WAIT`]. Returns whether it did: only then
 /// can the connection carry a further request.
 async fn discard(body: &mut Incoming) -> bool {
@@ -354,22 +372,28 @@
     )
 }
 
-async fn read_body(body: &mut Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Refusal> {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let read = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
+/// Reads a request body of at most `max_bytes`, until the limit of the request has passed.
+async fn read_body(body: &mut Incoming, max_bytes: u64, limit: &Limit) -> Result<Bytes, Refusal> {
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let read = tokio::select! {
+        biased;
+        read = Limited::new(body, max_bytes).collect() => Some(read),
+        () = limit.passed() => None,
+    };
     match read {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the request body is larger than {limit} bytes");
+        Some(Ok(collected)) => Ok(collected.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            let message = format!("the request body is larger than {max_bytes} bytes");
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(Refusal::invalid_request("body_too_large", status, message))
         }
-        Ok(Err(error)) => {
+        Some(Err(error)) => {
             let message = format!("reading the request body failed: {error}");
             let status = StatusCode::BAD_REQUEST;
             Err(Refusal::invalid_request("body_unreadable", status, message))
         }
-        Err(_) => {
+        None if limit.is_stop() => Err(refuse_for_stop()),
+        None => {
             let message = "the request body did not arrive before the deadline";
             let status = StatusCode::REQUEST_TIMEOUT;
             Err(Refusal::invalid_request("body_unreadable", status, message))
@@ -392,7 +416,9 @@
     idle_limit_ms: u64,
     pub(crate) started: Time,
     /// The end of the caller's deadline or of the route's timeout, whichever comes first.
-    pub(crate) deadline: Instant,
+    deadline: Time,
+    /// Until when the host works on the request.
+    pub(crate) limit: Limit,
     /// Whether the caller has spent a part of its deadline in an earlier attempt.
     returning: bool,
     /// Ids of the servers that must not be chosen again.
@@ -498,17 +524,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn remaining_ms(&self) -> u64 {
-        self.deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis() as u64
-    }
-
     /// Requests a server that has not been tried yet.
     pub(crate) async fn place(&mut self) -> Result<(Server, Arc<Demand>), Refusal> {
-        if self.remaining_ms() == 0 {
+        if self.limit.has_passed() {
             return Err(self.timed_out());
         }
+        // The stop may have begun, or the time may have become too short, since the request was admitted.
+        if self.sent == 0 && !self.shared.stop.admits(&self.route.name, self.deadline) {
+            return Err(refuse_for_stop());
+        }
         self.check_pool()?;
         let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
         let now = Time::now();
@@ -523,7 +547,7 @@
             prompt: self.metadata.prompt.clone(),
             objective_ms: saturate(self.route.objective_ms),
             waited_ms: saturate(now.since(self.started)),
-            remaining_ms: saturate(self.remaining_ms()),
+            remaining_ms: saturate(self.limit.remaining_ms()),
             returning: self.returning,
             tried: [&self.tried[..], &self.excluded].concat(),
         });
@@ -617,7 +641,11 @@
         refusal
     }
 
+    /// The answer to a request whose limit has passed.
     pub(crate) fn timed_out(&self) -> Refusal {
+        if self.limit.is_stop() {
+            return self.stopped();
+        }
         if self.sent == 0 {
             return Refusal::not_run(
                 "timeout",
@@ -633,13 +661,37 @@
         )
     }
 
+    /// The answer to a request that the stop of this host ends.
+    fn stopped(&self) -> Refusal {
+        if self.limit.has_begun() {
+            let message = "this host stops before the end of the answer";
+            return Refusal::may_have_run(stop::INTERRUPTED, StatusCode::BAD_GATEWAY, message);
+        }
+        if !self.may_have_run {
+            return refuse_for_stop();
+        }
+        let message = "this host stops before the backend server has answered";
+        Refusal::may_have_run("stop_unanswered", StatusCode::BAD_GATEWAY, message)
+    }
+
+    /// The code of an answer that is broken off because the limit of the request has passed.
+    pub(crate) fn limit_code(&self) -> &'static str {
+        if self.limit.is_stop() {
+            stop::INTERRUPTED
+        } else {
+            "timeout"
+        }
+    }
+
     /// Checks whether a request that got no answer may be sent again; if not, returns the refusal for the caller. A
     /// retry is taken from the budget only if a server may have received the request.
     pub(crate) fn check_retry(&mut self, failure: &Failure) -> Result<(), Refusal> {
         let refusal = self.correct_verdict(failure.refusal.clone());
         self.failure = Some(failure.retry_counter);
-        if self.remaining_ms() == 0 {
-            self.gave_up = Some("gave_up_deadline");
+        if self.limit.has_passed() {
+            if !self.limit.is_stop() {
+                self.gave_up = Some("gave_up_deadline");
+            }
             return Err(self.timed_out());
         }
         if !failure.was_received {
@@ -686,7 +738,7 @@
         headers.remove(CONTENT_LENGTH);
         let outgoing = Outgoing {
             server,
-            remaining_ms: self.remaining_ms(),
+            remaining_ms: self.limit.remaining_ms(),
             account: self.account.as_deref(),
             fetch_from: self.fetch_from,
             resume_after,
@@ -717,9 +769,13 @@
     /// Buffers an answer until it is complete, so that the request can be sent again if the connection breaks.
     async fn buffer(&mut self, mut answered: Answered) -> Result<Next, Refusal> {
         let failed = answered.failed;
-        let read = tokio::time::timeout_at(self.deadline, buffer::read(&mut answered.body)).await;
+        let read = tokio::select! {
+            biased;
+            read = buffer::read(&mut answered.body) => Some(read),
+            () = self.limit.passed() => None,
+        };
         let failure = match read {
-            Ok(Ok(Buffered::Whole(bytes))) => {
+            Some(Ok(Buffered::Whole(bytes))) => {
                 self.shared.pool.release(answered.connection);
                 answered.assignment.end(Outcome::Answered { failed });
                 let failure = Failure::may_have_run("retry_server_failed", "server_failed", "");
@@ -730,16 +786,17 @@
                 let response = self.complete(answered.head, bytes, failed);
                 return Ok(Next::Complete(response));
             }
-            Ok(Ok(Buffered::Start(start))) => return Ok(Next::Outgrown(answered, start)),
-            Ok(Err(error)) => {
+            Some(Ok(Buffered::Start(start))) => return Ok(Next::Outgrown(answered, start)),
+            Some(Err(error)) => {
                 let outcome = Outcome::Answered { failed: true };
                 answered.assignment.end(outcome);
                 let message =
                     format!("the connection to the server broke during the answer: {error}");
                 Failure::may_have_run("retry_answer_broken", "answer_broken", &message)
             }
-            Err(_) => {
+            None => {
                 answered.assignment.end(Outcome::Cancelled);
+                self.may_have_run = true;
                 return Err(self.timed_out());
             }
         };
@@ -764,7 +821,8 @@
     }
 
     /// Forwards an answer that has outgrown the buffer, from its buffered start on.
-    fn forward_outgrown(self, answered: Answered, start: Bytes) -> Response<Body> {
+    fn forward_outgrown(mut self, answered: Answered, start: Bytes) -> Response<Body> {
+        self.limit.begin();
         let mut response = forwarded_head(&answered.head);
         let (sender, chunks) = mpsc::channel(1);
         let task = tokio::spawn(buffer::forward(self, answered, start, sender));
@@ -773,7 +831,8 @@
     }
 
     /// Forwards an answer as it arrives.
-    fn forward(self, answered: Answered) -> Response<Body> {
+    fn forward(mut self, answered: Answered) -> Response<Body> {
+        self.limit.begin();
         let mut response = forwarded_head(&answered.head);
         let is_resumable = answered.head.status.is_success()
             && self.route.kind.is_stream()
@@ -858,6 +917,12 @@
     /// it.
     pub(crate) fn record_end(&self, outcome: &'static str, refusal: Option<&Refusal>) {
         self.shared.meter.count(outcome);
+        let duration_ms = Time::now().since(self.started);
+        if self.sent > 0 {
+            self.shared
+                .stop
+                .record_duration(&self.route.name, duration_ms);
+        }
         // A silent server may have answered after no other one could be asked.
         let gave_up = self.gave_up.filter(|_| outcome != "served");
         if let Some(reason) = gave_up {
@@ -875,7 +940,7 @@
             "shared" => self.metadata.prompt.as_ref().map(Prompt::shared_tokens), "kept" => self.cached_tokens,
             "fetch_from" => self.fetch_from.map(|address| address.to_string()),
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
-            "first_ms" => self.first_ms, "ms" => Time::now().since(self.started), "outcome" => outcome,
+            "first_ms" => self.first_ms, "ms" => duration_ms, "outcome" => outcome,
             "verdict" => refusal.map(|refusal| refusal.verdict.as_str()),
             "message" => refusal.map(|refusal| &*refusal.message),
             "version_at_end" => self.shared.version(), "idle_limit_ms" => self.idle_limit_ms,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -4,6 +4,7 @@
 //! on with it. The silent server keeps the request until then.
 
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -157,7 +158,7 @@
             End::TimedOut => {
                 // The caller may not read, and the server must not work for it any longer.
                 part.end(Outcome::Cancelled);
-                job.interrupt(&sender, "timeout").await;
+                job.interrupt(&sender, job.limit_code()).await;
                 return;
             }
             End::Broken(reason) => reason,
@@ -249,11 +250,10 @@
     }
 }
 
-/// When the stream is checked next: when its silence is over the limit, or at the deadline.
-fn next_check(watch: &Watch, deadline: Instant) -> Instant {
+/// When the silence of the stream is over its limit, or now if no other server is asked.
+fn next_check(watch: &Watch) -> Instant {
     let now = Time::now();
-    let due = watch.due().map(|due| Instant::now() + due.until(now));
-    due.map_or(deadline, |due| due.min(deadline))
+    Instant::now() + watch.due().map_or(Duration::ZERO, |due| due.until(now))
 }
 
 struct Forwarder<'a> {
@@ -271,7 +271,9 @@
         let sender = self.sender;
         let mut closed = pin!(sender.closed());
         // The timer is reset only when it fires, since most events arrive long before.
-        let mut timer = pin!(tokio::time::sleep_until(self.next_check()));
+        let mut timer = pin!(tokio::time::sleep_until(next_check(&self.watch)));
+        let limit = self.job.limit.clone();
+        let mut passed = pin!(limit.passed());
         loop {
             let can_resume = self.splitter.is_resumable();
             let events = {
@@ -281,10 +283,8 @@
                         biased;
                         events = &mut events => break events,
                         () = &mut closed => return Some(End::CallerGone),
-                        () = &mut timer => {}
-                    }
-                    if Instant::now() >= self.job.deadline {
-                        return Some(End::TimedOut);
+                        () = &mut passed => return Some(End::TimedOut),
+                        () = &mut timer, if self.watch.due().is_some() => {}
                     }
                     if self.watch.is_due(Time::now()) {
                         if can_resume && self.job.may_ask_another() {
@@ -292,8 +292,7 @@
                         }
                         self.watch.stop();
                     }
-                    let next_check = next_check(&self.watch, self.job.deadline);
-                    timer.as_mut().reset(next_check);
+                    timer.as_mut().reset(next_check(&self.watch));
                 }
             };
             let sent = match events {
@@ -308,10 +307,6 @@
         }
     }
 
-    fn next_check(&self) -> Instant {
-        next_check(&self.watch, self.job.deadline)
-    }
-
     /// Asks another server to resume the stream of a silent one. `part` is then the one that goes on. Returns the end
     /// of the stream if it has ended meanwhile.
     async fn ask_another(&mut self, part: &mut Part) -> Option<End> {
@@ -345,7 +340,8 @@
             splitter,
             watch,
         } = self;
-        let deadline = job.deadline;
+        let limit = job.limit.clone();
+        let mut passed = pin!(limit.passed());
         let mut resume = pin!(job.resume_with_bytes(splitter.resumed(), form));
         // Why the silent server's part has ended. The other server may still resume it.
         let mut broken = None;
@@ -367,7 +363,7 @@
                     (None, None) => Next::Waiting,
                 },
                 () = sender.closed() => break Next::Ended(End::CallerGone),
-                () = tokio::time::sleep_until(deadline) => break Next::Ended(End::TimedOut),
+                () = &mut passed => break Next::Ended(End::TimedOut),
             }
         };
         match next {
@@ -378,7 +374,7 @@
         next
     }
 
-    /// Passes events on to the caller, and waits for a slow one until the deadline. The error is the end of the answer.
+    /// Passes events on to the caller, and waits for a slow one until the limit of the request. The error is the end of the answer.
     async fn send(&mut self, bytes: Bytes) -> Result<(), End> {
         self.job.record_forwarded();
         let bytes = match self.sender.try_send(Ok(bytes)) {
@@ -386,10 +382,10 @@
             Err(TrySendError::Full(bytes)) => bytes,
             Err(TrySendError::Closed(_)) => return Err(End::CallerGone),
         };
-        match tokio::time::timeout_at(self.job.deadline, self.sender.send(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(End::CallerGone),
-            Err(_) => Err(End::TimedOut),
+        tokio::select! {
+            biased;
+            sent = self.sender.send(bytes) => sent.map_err(|_| End::CallerGone),
+            () = self.job.limit.passed() => Err(End::TimedOut),
         }
     }
 
--- a/crates/entry/tests/closing.rs
+++ b/crates/entry/tests/closing.rs
@@ -317,14 +317,14 @@
     assert!(line.is_some_and(|line| line["unanswered"] == false));
 }
 
-// A request that is open when the process ends must be visible as unanswered.
-#[test]
-fn end_of_the_process_is_counted() {
+// A request that is open when the process ends, or of whose head a part was read, must be visible as unanswered.
+#[test_case("GET /hang HTTP/1.1\r\nHost: a\r\n\r\n", false ; "whole request")]
+#[test_case("GET /hang HTTP/1.1\r\n", true ; "part of a head")]
+fn end_of_the_process_is_counted(request: &str, is_partial: bool) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let host = runtime.block_on(async {
         let host = Host::open().await;
         let mut stream = host.connect().await;
-        let request = "GET /hang HTTP/1.1\r\nHost: a\r\n\r\n";
         let sent = stream.write_all(request.as_bytes()).await;
         sent.expect("the request is sent");
         tokio::time::sleep(PAUSE).await;
@@ -335,4 +335,6 @@
     assert_eq!(host.counted(), ["closed_at_stop"]);
     let text = String::from_utf8(host.log.take()).expect("the log is text");
     assert!(text.contains("\"unanswered\":true"), "{text}");
+    let partial = format!("\"partial_head\":{is_partial}");
+    assert!(text.contains(&partial), "{text}");
 }
