entry: Judge the duration of requests only by those that ran

A stopping host estimates how long a request lasts from the latest requests of its route. Requests that servers refused as full were among them and last a moment, so a burst of them could hide how long the route's requests take, and the host would pass on requests that it can only give up later. Found by reading; no test shows it.

Only requests that a server may have run are recorded now. The limit of a request is also the only place that holds its deadline.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -302,12 +302,11 @@
         ));
     };
     let deadline = started.plus_ms(timeout_ms);
-    if !shared.stop.admits(&route.name, deadline) {
+    let may_run_twice = route.kind.is_repeatable();
+    let limit = shared.stop.limit(started, deadline, may_run_twice);
+    if !shared.stop.admits(&route.name, &limit) {
         return Err(refuse_for_stop());
     }
-    let limit = shared
-        .stop
-        .limit(started, deadline, route.kind.is_repeatable());
     let limits = &table.document().limits;
     let body = read_body(body, limits.max_body_bytes, &limit).await?;
     if let Some(exchange) = head.extensions.get::<Exchange>() {
@@ -327,7 +326,6 @@
         version: table.document().version,
         idle_limit_ms: limits.idle_timeout_ms,
         started,
-        deadline,
         limit,
         returning,
         tried: Vec::new(),
@@ -415,8 +413,6 @@
     /// How long a caller's connection may stay idle according to that document, in ms.
     idle_limit_ms: u64,
     pub(crate) started: Time,
-    /// The end of the caller's deadline or of the route's timeout, whichever comes first.
-    deadline: Time,
     /// Until when the host works on the request.
     pub(crate) limit: Limit,
     /// Whether the caller has spent a part of its deadline in an earlier attempt.
@@ -530,7 +526,7 @@
             return Err(self.timed_out());
         }
         // The stop may have begun, or the time may have become too short, since the request was admitted.
-        if self.sent == 0 && !self.shared.stop.admits(&self.route.name, self.deadline) {
+        if self.sent == 0 && !self.shared.stop.admits(&self.route.name, &self.limit) {
             return Err(refuse_for_stop());
         }
         self.check_pool()?;
@@ -918,7 +914,8 @@
     pub(crate) fn record_end(&self, outcome: &'static str, refusal: Option<&Refusal>) {
         self.shared.meter.count(outcome);
         let duration_ms = Time::now().since(self.started);
-        if self.sent > 0 {
+        let was_run = refusal.is_none_or(|refusal| refusal.verdict != Verdict::NotRun);
+        if was_run {
             self.shared
                 .stop
                 .record_duration(&self.route.name, duration_ms);
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Plan {
     /// `None` until the host is asked to stop; it does not change after that.
     grace: watch::Sender<Option<Grace>>,
-    /// How long the latest requests lasted that were sent to a server.
+    /// How long the latest requests lasted that a server may have run.
     durations: Mutex<History>,
     /// Version of the document whose routes were kept last.
     version: AtomicU64,
@@ -42,16 +42,16 @@
         });
     }
 
-    /// Whether a request of `route` may be passed on now. Its own time ends at `deadline`.
-    pub(crate) fn admits(&self, route: &str, deadline: Time) -> bool {
+    /// Whether a request of `route` with this limit may be passed on now.
+    pub(crate) fn admits(&self, route: &str, limit: &Limit) -> bool {
         let Some(grace) = *self.grace.borrow() else {
             return true;
         };
         let longest_ms = self.durations().longest_ms(route);
-        grace.admits(Time::now(), deadline, longest_ms)
+        grace.admits(Time::now(), limit.deadline, longest_ms)
     }
 
-    /// Records that a request of `route` that was sent to a server lasted `ms` milliseconds.
+    /// Records that a request of `route` that a server may have run lasted `ms` milliseconds.
     pub(crate) fn record_duration(&self, route: &Arc<str>, ms: u64) {
         self.durations().record(route, ms);
     }
