entry: Answer a pipelined request of a host that begins to stop

A caller that sent a second request before the answer to the first one got nothing for it if the host began to stop in between.

Cause: the first answer said `Connection: close`, and the HTTP library drops what it has read after it. It does not tell whether it has read more, so framing::Tracker follows the bytes of a connection: a head ends at its first empty line, and its body has the length that Content-Length gives. Where the end is not certain (a body in chunks, a length that is no number) it reports nothing further, and the connection is closed as before. While a part of a further request has arrived, the answer does not close the connection and the closing phase leaves it open; a head that never ends is closed by its time limit. What the tracker finds decides nothing else.

The cost of following the bytes was not measured: heads are scanned once for line feeds, bodies are skipped.

Not covered: a connection that is closed because the host is overloaded or has too many connections.

--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, info};
 use tokio::sync::watch;
 
+use crate::framing::Tracker;
 use crate::idle::{self, Activity, Timeouts};
 
 /// The reason for the end of a connection on which a request was answered before its body was read.
@@ -99,6 +100,8 @@
     head_since: Option<Time>,
     /// The limit for an idle connection that was in force when the stage began, in ms.
     idle_limit_ms: u64,
+    /// What has been read.
+    framing: Tracker,
     /// Number of request heads received.
     requests: u64,
     /// Number of answers that were passed on whole.
@@ -136,6 +139,7 @@
             last_read: now,
             head_since: None,
             idle_limit_ms,
+            framing: Tracker::default(),
             requests: 0,
             answered: 0,
             exchange: None,
@@ -172,9 +176,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn record_read(&self, bytes: usize) {
+    /// Records bytes that were read, or the end of the connection if there are none.
+    pub(crate) fn record_read(&self, bytes: &[u8]) {
         let mut state = self.lock();
-        if bytes > 0 {
+        state.framing.read(bytes);
+        if !bytes.is_empty() {
             let now = Time::now();
             state.last_read = now;
             // The rest of a body that was not read is no head.
@@ -186,6 +192,11 @@
         }
     }
 
+    /// Whether a part of a further request has arrived while one is handled.
+    pub(crate) fn has_further_request(&self) -> bool {
+        self.lock().has_further_request()
+    }
+
     /// Records that bytes of an answer were written. A connection is idle only after the last of them.
     pub(crate) fn record_written(&self) {
         let mut state = self.lock();
@@ -237,6 +248,7 @@
         if !state.is_interrupted && !state.has_ended {
             state.answered += 1;
             state.begin(Stage::Idle);
+            state.head_since = state.has_further_request().then_some(state.since);
             state.idle_limit_ms = (self.timeouts)().idle_ms;
         }
     }
@@ -249,6 +261,10 @@
         self.head_since = None;
     }
 
+    fn has_further_request(&self) -> bool {
+        self.framing.begun() > self.requests
+    }
+
     fn is_body_read(&self) -> bool {
         self.exchange.as_ref().is_none_or(Exchange::is_body_read)
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,7 @@
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
 //! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
 //! connections to backend servers. [`notice`] keeps requests away from servers that leave or pause. `linger` and
-//! [`idle`] end connections of callers, and `stop` is the planned stop of the host. The platform supplies the header names as a [`Protocol`].
+//! [`idle`] end connections of callers, [`framing`] tells whether a further request has arrived, and `stop` is the planned stop of the host. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 mod attempt;
@@ -21,6 +21,7 @@
 pub mod event;
 mod failure;
 mod form;
+pub mod framing;
 pub mod hello;
 mod hop;
 pub mod idle;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -50,7 +50,7 @@
 pub enum Phase {
     /// Connections are kept open for further requests.
     Serving,
-    /// Each answer closes its connection.
+    /// Each answer closes its connection, unless a further request has arrived on it.
     Leaving,
     /// Idle connections are closed too, and no new connections are accepted.
     Closing,
@@ -290,7 +290,10 @@
         let (admission, record) = (&admission, record.clone());
         async move {
             let mut response = answer.await;
-            if admission.closes_after_answer() || *phase.borrow() != Phase::Serving {
+            // A caller takes no answer after one that closes the connection, so a request that has arrived already is
+            // answered before.
+            let is_last = *phase.borrow() != Phase::Serving && !record.has_further_request();
+            if admission.closes_after_answer() || is_last {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -316,8 +319,8 @@
             result = &mut connection => break result,
             _ = &mut closing, if !is_closing => {
                 is_closing = true;
-                // The answer to a request of which a part has arrived closes the connection in this phase.
-                if !matches!(record.activity(), Activity::Head(_)) {
+                // The answer to the last request of which a part has arrived closes the connection in this phase.
+                if !matches!(record.activity(), Activity::Head(_)) && !record.has_further_request() {
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
--- a/crates/entry/src/tracked.rs
+++ b/crates/entry/src/tracked.rs
@@ -50,9 +50,9 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut socket.stream).poll_read(context, buffer);
         match &result {
-            Poll::Ready(Ok(())) => socket.record.record_read(buffer.filled().len() - before),
+            Poll::Ready(Ok(())) => socket.record.record_read(&buffer.filled()[before..]),
             // A reset by the caller, for example.
-            Poll::Ready(Err(_)) => socket.record.record_read(0),
+            Poll::Ready(Err(_)) => socket.record.record_read(&[]),
             Poll::Pending => {}
         }
         result
