wire: Take over the closing of refused connections from entry

primrosed is to close connections of refused callers in the same way as entry hosts. Both depend on wire, so the function moves there unchanged.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,8 +6,8 @@
 //! alone.
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
 //! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
-//! connections to backend servers. [`notice`] keeps requests away from servers that leave or pause. `linger` and
-//! [`idle`] end connections of callers. The platform supplies the header names as a [`Protocol`].
+//! connections to backend servers. [`notice`] keeps requests away from servers that leave or pause. [`idle`] ends
+//! connections of callers. The platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 mod attempt;
@@ -24,7 +24,6 @@
 pub mod hello;
 mod hop;
 pub mod idle;
-mod linger;
 pub mod link;
 pub mod listener;
 pub mod notice;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use primrose_base::clock::Time;
+use primrose_wire::linger;
 use rustix::io::Errno;
 use rustix::net::{SocketFlags, accept_with};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,7 +27,6 @@
 use crate::body::Body;
 use crate::closing::{self, Cause, Guard, Record};
 use crate::idle::{self, Activity};
-use crate::linger;
 use crate::overload::{self, Detector};
 use crate::tracked::{Answer, Socket};
 
--- a/crates/entry/src/linger.rs
+++ b/crates/wire/src/linger.rs
@@ -17,7 +17,7 @@
 const BUFFER_BYTES: usize = 4 << 10;
 
 /// Discards what a caller still sends, after the host has ended its direction of the connection.
-pub(crate) async fn discard<S: AsyncRead + Unpin>(socket: &mut S) {
+pub async fn discard<S: AsyncRead + Unpin>(socket: &mut S) {
     let deadline = Instant::now() + MAX_TIME;
     let mut buffer = [0; BUFFER_BYTES];
     // The end of the stream, a reset and the deadline all end the wait.
