proxy: Let refusals reach callers that still send the body

A caller that was refused while it sent its body lost the refusal: in refusal_reaches_caller_that_still_sends_the_body, 8 of 8 callers got a broken pipe while they sent 2 MiB, so they could not know that the request had not run.

The server answers without reading the body, ends its direction and drops the socket. Closing a socket with unread bytes resets the connection, and the reset discards the refusal that is on its way. A stop waits for these connections, since a process that ends would reset them. The wait is the one of entry hosts, which get the bound of 64 MiB too: without it, a caller that sends without end takes processor time for all of the 3 s.

Reading the rest of the body before the refusal is sent was ruled out: the refusal would be late, and the caller would be asked to go on with a body that it holds back until 100 (Continue).

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! answer. The scheduler decides which server a request is sent to and when; the task asks it through
 //! [`dispatch::Client`] and reports progress and outcome. [`server::bind`] starts the listener.
 
+mod acceptor;
 mod attempt;
 mod body;
 mod claim;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use primrose_config::Configuration;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::server::ServerHandle;
 use salvo::{Depot, FlowCtrl, Request, Response, Router, Server, async_trait};
@@ -13,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::acceptor::{Acceptor, Lingering};
 pub use crate::attempt::Count;
 use crate::attempt::{Forwarder, REQUEST_ID_HEADER};
 use crate::dispatch;
@@ -38,6 +38,7 @@
     address: SocketAddr,
     server: ServerHandle,
     task: JoinHandle<()>,
+    lingering: Lingering,
 }
 
 impl Handle {
@@ -46,11 +47,13 @@
         self.address
     }
 
-    /// Accepts no new connections and returns when all requests in flight have finished. There is no time limit.
+    /// Accepts no new connections and returns when all requests in flight have finished, and callers have had the time
+    /// to read their refusals. There is no time limit for the requests.
     pub async fn drain(self) {
         self.server.stop_graceful(None);
         // The task ends only by the graceful stop; a panic in it has been reported by the runtime.
         let _ = self.task.await;
+        self.lingering.ended().await;
     }
 }
 
@@ -62,7 +65,8 @@
 pub async fn bind(address: SocketAddr, settings: Settings, inputs: Inputs) -> io::Result<Handle> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let acceptor = TcpAcceptor::try_from(listener)?;
+    let lingering = Lingering::default();
+    let acceptor = Acceptor::new(listener, lingering.clone())?;
     let state = State {
         forwarder: Forwarder {
             dispatch: inputs.dispatch,
@@ -80,6 +84,7 @@
         address,
         server: handle,
         task,
+        lingering,
     })
 }
 
--- a/crates/wire/src/linger.rs
+++ b/crates/wire/src/linger.rs
@@ -11,15 +11,26 @@
 
 /// The longest wait for the caller to close. A caller on a slow link needs some time for a body, and one that does not
 /// close must not hold the connection for long.
-const MAX_TIME: Duration = Duration::from_secs(3);
+pub const MAX_TIME: Duration = Duration::from_secs(3);
+
+/// The most bytes that are discarded on one connection. A caller that sends without end would otherwise take processor
+/// time for all of [`MAX_TIME`].
+pub const MAX_BYTES: usize = 64 << 20;
 
 /// Size of the buffer for discarded bytes.
 const BUFFER_BYTES: usize = 4 << 10;
 
-/// Discards what a caller still sends, after the host has ended its direction of the connection.
+/// Discards what a caller still sends, after the host has ended its direction of the connection. Returns when the caller
+/// has closed, and after [`MAX_TIME`] or [`MAX_BYTES`] at the latest.
 pub async fn discard<S: AsyncRead + Unpin>(socket: &mut S) {
     let deadline = Instant::now() + MAX_TIME;
     let mut buffer = [0; BUFFER_BYTES];
-    // The end of the stream, a reset and the deadline all end the wait.
-    while let Ok(Ok(1..)) = tokio::time::timeout_at(deadline, socket.read(&mut buffer)).await {}
+    let mut discarded = 0;
+    while discarded < MAX_BYTES {
+        // The end of the stream, a reset and the deadline all end the wait.
+        match tokio::time::timeout_at(deadline, socket.read(&mut buffer)).await {
+            Ok(Ok(count @ 1..)) => discarded += count,
+            _ => return,
+        }
+    }
 }
