daemon: Test answers that end at any byte

The counterpart of platform/tests/heads.rs for primrosed: answers of nine forms are ended after each byte by a close, a reset or a close of one direction, for documents of a plain service and streams of a model, for requests that may run only once and for others on new and on used connections. The scripted servers move from copies.rs to scripted.rs unchanged.

--- a/crates/daemon/tests/fleet/copies.rs
+++ b/crates/daemon/tests/fleet/copies.rs
@@ -1,172 +1,23 @@
 //! Backend servers that repeat an earlier answer on a kept connection, or break off in the middle of an answer (G3 to
 //! G5).
 
-use std::io;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
-
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use primrose_config::{Action, spec};
 use primrose_engine::answer;
 use test_case::test_case;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 
 use crate::harness::{
     Answer, ExchangeError, Fleet, VOTERS, account_and_pools, chat, eventually, exchange,
-    idempotent_call, name,
+    idempotent_call,
 };
-
-/// How long a server waits before it repeats an answer on an idle connection, and before it resets one: longer than it
-/// takes the daemon to read what was sent before.
-const IDLE: Duration = Duration::from_millis(60);
-
-/// A request that a server has received.
-#[derive(Clone)]
-struct Receipt {
-    text: String,
-    request_id: String,
-    /// Whether its connection had carried a request before.
-    is_reused: bool,
-    /// How many requests with this text the servers have received, with this one.
-    count: usize,
-}
-
-/// What a server does after a request has arrived.
-enum Step {
-    Send(String),
-    Pause(Duration),
-    /// Closes the connection.
-    Close,
-    /// Resets the connection.
-    Reset,
-}
-
-type Script = fn(&Receipt) -> Vec<Step>;
-
-/// Backend servers that follow a script.
-struct Servers {
-    addresses: Vec<SocketAddr>,
-    receipts: Arc<Mutex<Vec<Receipt>>>,
-}
-
-impl Servers {
-    async fn open(count: usize, script: Script) -> Servers {
-        let mut servers = Servers {
-            addresses: Vec::new(),
-            receipts: Arc::default(),
-        };
-        for _ in 0..count {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("an address");
-            servers.addresses.push(address);
-            let receipts = Arc::clone(&servers.receipts);
-            tokio::spawn(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    // A connection that the daemon closes ends with an error.
-                    tokio::spawn(serve(stream, script, Arc::clone(&receipts)));
-                }
-            });
-        }
-        servers
-    }
-
-    fn actions(&self, pool: &str) -> Vec<Action> {
-        let addresses = self.addresses.iter().enumerate();
-        let actions = addresses.map(|(at, address)| {
-            Action::AddServer(spec::Server {
-                name: name(&format!("s{at}")),
-                pool: name(pool),
-                address: *address,
-                domain: name("d1"),
-                slots: 8,
-                checks_fencing: false,
-            })
-        });
-        actions.collect()
-    }
-
-    /// How often requests with `text` in their body have arrived at the servers.
-    fn count(&self, text: &str) -> usize {
-        let receipts = self.receipts.lock().expect("not poisoned");
-        let same = receipts
-            .iter()
-            .filter(|receipt| receipt.text.contains(text));
-        same.count()
-    }
-}
-
-async fn serve(
-    mut stream: TcpStream,
-    script: Script,
-    receipts: Arc<Mutex<Vec<Receipt>>>,
-) -> io::Result<()> {
-    let mut bytes = Vec::new();
-    let mut is_reused = false;
-    loop {
-        while !is_whole(&bytes) {
-            if stream.read_buf(&mut bytes).await? == 0 {
-                return Ok(());
-            }
-        }
-        let text = String::from_utf8_lossy(&std::mem::take(&mut bytes)).into_owned();
-        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
-        let receipt = {
-            let mut receipts = receipts.lock().expect("not poisoned");
-            let earlier = receipts.iter().filter(|receipt| receipt.text == body);
-            let receipt = Receipt {
-                count: earlier.count() + 1,
-                text: body.to_owned(),
-                request_id: header(head, "x-request-id").unwrap_or_default().to_owned(),
-                is_reused,
-            };
-            receipts.push(receipt.clone());
-            receipt
-        };
-        for step in script(&receipt) {
-            match step {
-                Step::Send(text) => stream.write_all(text.as_bytes()).await?,
-                Step::Pause(time) => tokio::time::sleep(time).await,
-                Step::Close => return Ok(()),
-                Step::Reset => {
-                    tokio::time::sleep(IDLE).await;
-                    return stream.set_zero_linger();
-                }
-            }
-        }
-        is_reused = true;
-    }
-}
-
-fn is_whole(bytes: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(bytes);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return false;
-    };
-    match header(head, "content-length") {
-        Some(length) => body.len() >= length.parse().expect("a length"),
-        None => header(head, "transfer-encoding").is_none() || body.ends_with("0\r\n\r\n"),
-    }
-}
-
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-    lines.find_map(|(key, value)| key.eq_ignore_ascii_case(name).then_some(value))
-}
+use crate::scripted::{IDLE, Receipt, Servers, Step, chat_body, complete};
 
 /// The text by which the answer to a plain request is known.
 fn plain_text(body: &str) -> String {
     format!("answer to {body}")
 }
 
-fn complete(headers: &str, body: &str) -> String {
-    let length = body.len();
-    format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
-}
-
 /// Repeats an answer. The text of a request names whether answers have a request id and when the copy is sent.
 fn repeat(receipt: &Receipt) -> Vec<Step> {
     let text = &receipt.text;
@@ -289,13 +140,6 @@
     "nothing", "head", "sized", "half", "chunked", "chunk", "end", "trailers", "unsized",
 ];
 
-fn chat_body() -> String {
-    let event = |text: &str| {
-        format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
-    };
-    event("one") + &event("two") + "data: [DONE]\n\n"
-}
-
 fn call(kind: &str, id: &str) -> Request<Full<Bytes>> {
     if kind == "chat" {
         chat(id, 8, true)
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,8 @@
 mod copies;
 mod delivery;
 mod harness;
+mod heads;
 mod network;
 mod restart;
+mod scripted;
 mod strangers;
