proxy: Refuse answers with another transfer coding than chunked

A server that closed right after the head of an answer with a transfer coding other than chunked made the caller get a 200 with an empty body that was framed as whole; after a close in the body it got a short one.

The end of such a body is the end of its connection (RFC 9112, section 6.3), which hyper follows, but any Transfer-Encoding counted as a detectable end. Now only chunked as the last coding does. A document without a detectable end is refused as before (answer_unbounded, may have run, or another server if it may run twice).

Ruled out: the head itself. Answers that end in their head were not passed on, in any form.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -181,7 +181,9 @@
             return Err(fail_discarded(registration, "wrong_answer", message));
         }
         let format = format_of(job.plain, &head.headers);
-        if !has_detectable_end(format, &head.headers, &body) {
+        let has_announced_end = has_announced_end(&head.headers, &body);
+        // The last event of a plain service is not known.
+        if !has_announced_end && format != Format::Events {
             let message =
                 "the end of the backend server's answer cannot be told from a lost connection";
             return Err(fail_discarded(registration, "answer_unbounded", message));
@@ -290,12 +292,15 @@
     headers
 }
 
-/// Whether the end of the answer can be told from a lost connection: by the length, the last chunk or the last event.
-/// The last event of a plain service is not known.
-fn has_detectable_end(format: Format, headers: &HeaderMap, body: &Incoming) -> bool {
-    hyper::body::Body::size_hint(body).exact().is_some()
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || format == Format::Events
+/// Whether the answer announces its end with a length or a last chunk. Otherwise it ends with its connection, also with
+/// another transfer coding (RFC 9112, section 6.3).
+fn has_announced_end(headers: &HeaderMap, body: &Incoming) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings
+        .last()
+        .and_then(|codings| codings.as_bytes().rsplit(|&byte| byte == b',').next());
+    let is_chunked = last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"));
+    is_chunked || hyper::body::Body::size_hint(body).exact().is_some()
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
