proxy: Break off streams that end in their last event

A server that closed a stream without a length after 'data: [DONE]' and one line end made the caller get a stream that was framed as whole, though the empty line that ends its last event was missing: a part of the server's answer, in which clients do not see [DONE] at all.

A stream counted as complete as soon as the line with [DONE] had arrived. Without an announced end, the empty line after it is now needed too. With a length or chunks, their end shows that nothing is missing, so nothing changes.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -202,7 +202,7 @@
                 return Err(fail_discarded(registration, "answer_timeout", message));
             }
         };
-        let meter = Meter::new(format, job.call.input_tokens, sent_at);
+        let meter = Meter::new(format, has_announced_end, job.call.input_tokens, sent_at);
         let claim = job.claim.take();
         let count = Arc::clone(&self.count);
         let on_cut_short = Box::new(move || count("answer_cut_short"));
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -35,8 +35,12 @@
     last_token_at: Time,
     /// The incomplete last line of an event stream, or the last [`TAIL_BYTES`] of a JSON answer.
     buffer: Vec<u8>,
+    /// Whether the answer announces its end. Otherwise a lost connection ends it too.
+    has_announced_end: bool,
     /// Whether `data: [DONE]` has been received.
     done: bool,
+    /// Whether the empty line after `data: [DONE]`, which ends the event, has been received.
+    done_ended: bool,
 }
 
 #[derive(Deserialize)]
@@ -53,7 +57,12 @@
 
 impl Meter {
     /// Creates a meter for the answer to a request that was sent at `sent_at`; `input_tokens` is an estimate.
-    pub(crate) fn new(format: Format, input_tokens: u64, sent_at: Time) -> Meter {
+    pub(crate) fn new(
+        format: Format,
+        has_announced_end: bool,
+        input_tokens: u64,
+        sent_at: Time,
+    ) -> Meter {
         let usage = Usage {
             input_tokens,
             ..Usage::default()
@@ -64,7 +73,9 @@
             sent_at,
             last_token_at: sent_at,
             buffer: Vec::new(),
+            has_announced_end,
             done: false,
+            done_ended: false,
         }
     }
 
@@ -75,7 +86,8 @@
     /// Whether the end of the answer has arrived, as far as the contents show it. Only an event stream marks its end.
     pub(crate) fn is_complete(&self) -> bool {
         match self.format {
-            Format::Events => self.done,
+            Format::Events if self.has_announced_end => self.done,
+            Format::Events => self.done_ended,
             Format::Json | Format::Opaque => true,
         }
     }
@@ -120,6 +132,7 @@
 
     fn process_line(&mut self, line: &[u8], now: Time) {
         let Some(data) = line.strip_prefix(b"data:") else {
+            self.done_ended |= self.done && line.trim_ascii().is_empty();
             return;
         };
         let data = data.trim_ascii();
