proxy: Send streams that end right after their head to another server

A server that closed a stream without a length right after its head made the caller get a 200 that broke off, although nothing of the answer had been passed on: a request that may run twice was not sent to another server, and one that may not got no error that says that it may have run.

The status is sent with the first bytes of the body, but the end of the body counted as first bytes too. A stream has at least its last event, so its end is now a failed attempt (answer_cut_short). An empty document remains an answer.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -191,8 +191,9 @@
         // The status is sent to the caller with the first bytes, so an attempt that fails before them can be retried.
         let limit = Duration::from_millis(self.settings.answer_timeout_ms);
         let first = match tokio::time::timeout(limit, first_bytes(&mut body)).await {
-            Ok(Ok(first)) => first,
-            Ok(Err(_)) => {
+            // A stream has at least its last event.
+            Ok(Ok(first)) if first.is_some() || format != Format::Events => first,
+            Ok(_) => {
                 (self.count)("answer_cut_short");
                 let message = "the backend server cut the answer short";
                 return Err(fail_discarded(registration, "answer_cut_short", message));
