entry: Break off streams with another transfer coding than chunked

A server that closed a stream with a transfer coding other than chunked in the middle of an event made the caller get a stream that was framed as whole; a resumable one was not resumed.

The end of such a body is the end of its connection (RFC 9112, section 6.3), which hyper follows, also if the head names a length. But any Transfer-Encoding counted as an announced end, so a close in the middle of an event did too. Now only chunked as the last coding announces the end, and a length only without a transfer coding.

--- a/crates/entry/src/form.rs
+++ b/crates/entry/src/form.rs
@@ -1,7 +1,7 @@
 //! What the head of an answer says about its body: whether the body is a stream of events, and how it ends.
 
 use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response;
 
 /// The form of an answer. A stream may be continued only by an answer of the same form.
@@ -18,8 +18,7 @@
         Form {
             status: head.status,
             content_type: headers.get(CONTENT_TYPE).cloned(),
-            has_announced_end: headers.contains_key(CONTENT_LENGTH)
-                || headers.contains_key(TRANSFER_ENCODING),
+            has_announced_end: has_announced_end(headers),
         }
     }
 
@@ -53,6 +52,16 @@
     }
 }
 
+/// Whether a length or a last chunk announces the end of the body. With another transfer coding, the body ends with its
+/// connection, whatever its length is said to be (RFC 9112, section 6.3).
+fn has_announced_end(headers: &HeaderMap) -> bool {
+    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().last() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let last = codings.as_bytes().rsplit(|&byte| byte == b',').next();
+    last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// The last bytes of a stream of events whose end is not announced, which tell whether it ended in the middle of an
 /// event.
 #[derive(Default)]
