--- a/crates/entry/src/form.rs
+++ b/crates/entry/src/form.rs
@@ -3,6 +3,7 @@
 use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response;
+use primrose_wire::coding;
 
 /// The form of an answer. A stream may be continued only by an answer of the same form.
 pub(crate) struct Form {
@@ -52,14 +53,13 @@
     }
 }
 
-/// Whether a length or a last chunk announces the end of the body. With another transfer coding, the body ends with its
-/// connection, whatever its length is said to be (RFC 9112, section 6.3).
+/// Whether a length or a last chunk announces the end of the body.
 fn has_announced_end(headers: &HeaderMap) -> bool {
-    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
-        return headers.contains_key(CONTENT_LENGTH);
-    };
-    let last = codings.as_bytes().rsplit(|&byte| byte == b',').next();
-    last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    codings.map_or_else(
+        || headers.contains_key(CONTENT_LENGTH),
+        |codings| coding::is_chunked(codings.as_bytes()),
+    )
 }
 
 /// The last bytes of a stream of events whose end is not announced, which tell whether it ended in the middle of an
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -11,6 +11,7 @@
 use primrose_base::clock::Time;
 use primrose_base::verdict::Verdict;
 use primrose_schedule::retry;
+use primrose_wire::coding;
 use salvo::http::StatusCode;
 
 use crate::body::Body;
@@ -293,15 +294,14 @@
     headers
 }
 
-/// Whether the answer announces its end with a length or a last chunk. Otherwise it ends with its connection, also with
-/// another transfer coding (RFC 9112, section 6.3).
+/// Whether the answer announces its end with a length or a last chunk. Otherwise it ends with its connection.
 fn has_announced_end(headers: &HeaderMap, body: &Incoming) -> bool {
-    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let last = codings
-        .next_back()
-        .and_then(|codings| codings.as_bytes().rsplit(|&byte| byte == b',').next());
-    let is_chunked = last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"));
-    is_chunked || hyper::body::Body::size_hint(body).exact().is_some()
+    let codings = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    codings.is_some_and(|codings| coding::is_chunked(codings.as_bytes()))
+        || hyper::body::Body::size_hint(body).exact().is_some()
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
