daemon: Answer requests before the end of the grace period

A supervisor that kills primrosed some time after SIGTERM cut off the requests that lasted longer: the daemon waits for them without a limit, so their callers got no answer and could not know whether the request had run.

limits.grace_ms (optional, 1000 or more; none by default, as before) is the time until the process ends. The decisions are those of primrose_base::stop::Grace. What waits in the queue is refused at once, as before. At the end of the grace period the process ends, which breaks off answers that have begun; they have a length or chunks, so none looks complete.

Requests name no deadline here, so one that may run twice is not answered earlier than others, and none is refused because of how long it may last: Grace::admits is not used.

requests_are_answered_at_the_end_of_the_grace_period fails without the change, since the setting is unknown and the daemon does not start; with the setting, but without the answers, its callers get a broken connection. The harness of the tests gets restart_with.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -65,6 +65,7 @@
     "retry_idempotent",
     "retry_not_run",
     "served",
+    "stopped",
     "unknown_key",
     "unknown_model",
     "unknown_path",
@@ -73,7 +74,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 60;
+const COUNT: usize = 61;
 
 /// Prefix of the counter names that `cadence` sends.
 const PREFIX: &str = "primrose";
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use primrose_base::clock::Time;
 use primrose_base::name::Name;
+use primrose_base::stop::Grace;
 use primrose_config::Configuration;
 use primrose_consensus::message::{Body, Message};
 use primrose_member::view::Location;
@@ -65,6 +67,8 @@
     ready: watch::Receiver<bool>,
     queries: mpsc::Sender<Query>,
     replica: Option<replica::Handle>,
+    /// Time from the start of a stop until the daemon ends, in ms; `None` without a time limit.
+    grace_ms: Option<u64>,
     log: Logger,
 }
 
@@ -84,19 +88,37 @@
     ///
     /// New connections are accepted until then, and their requests refused as not run. A connection that is not
     /// accepted would hang until the process ends, and its caller would not know whether the request ran.
+    ///
+    /// With a grace period it returns at its end at the latest. Requests without an answer got one shortly before; answers
+    /// that have begun are broken off when the process ends.
     pub async fn drain(self) {
         info!(self.log, "leaving");
+        let grace = self.grace_ms.map(|ms| Grace::new(Time::now(), ms));
         self.draining.send_replace(true);
         if let Some(replica) = &self.replica {
             replica.send(Input::TransferLeadership);
         }
-        self.wait_for_requests().await;
-        self.callers.drain().await;
-        info!(self.log, "all requests have finished");
+        let log = self.log.clone();
+        let finish = self.finish_requests();
+        let Some(grace) = grace else {
+            finish.await;
+            info!(log, "all requests have finished");
+            return;
+        };
+        let left = grace.end().until(Time::now());
+        match tokio::time::timeout(left, finish).await {
+            Ok(()) => info!(log, "all requests have finished"),
+            Err(_) => warn!(log, "the grace period has ended before all requests"),
+        }
     }
 }
 
 impl Handle {
+    async fn finish_requests(self) {
+        self.wait_for_requests().await;
+        self.callers.drain().await;
+    }
+
     /// Waits until no request of this host is in flight to a backend server.
     async fn wait_for_requests(&self) {
         while *self.ready.borrow() && self.in_flight().await.is_some_and(|count| count > 0) {
@@ -299,6 +321,7 @@
         let operator_address =
             operator_address.map_err(socket_error("operators", self.settings.operator_address))?;
         let log = self.log.clone();
+        let grace_ms = self.settings.limits.grace_ms;
         let is_ready = ready.subscribe();
         let join_inputs = JoinInputs {
             membership,
@@ -317,6 +340,7 @@
             ready: is_ready,
             queries: query_sender,
             replica,
+            grace_ms,
             log,
         })
     }
@@ -327,6 +351,7 @@
             max_body_bytes: limits.max_body_bytes,
             queue_timeout_ms: limits.queue_timeout_ms,
             answer_timeout_ms: limits.answer_timeout_ms,
+            grace_ms: limits.grace_ms,
         };
         let counters = Arc::clone(&self.counters);
         let inputs = server::Inputs {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -76,6 +76,9 @@
     pub level: logger::Threshold,
 }
 
+/// The shortest grace period, in ms: requests without an answer get one some time before its end.
+pub const MIN_GRACE_MS: u64 = 1_000;
+
 /// Limits on requests of callers to this host.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -89,6 +92,9 @@
     pub answer_timeout_ms: u64,
     /// Maximum number of requests that wait for a slot on this host; 4,000 by default.
     pub waiting_per_host: u32,
+    /// Time from the signal to stop until the process ends, in ms, at least [`MIN_GRACE_MS`]. By default it ends once all
+    /// requests in flight have finished.
+    pub grace_ms: Option<u64>,
 }
 
 impl Default for Limits {
@@ -98,6 +104,7 @@
             queue_timeout_ms: 60_000,
             answer_timeout_ms: 120_000,
             waiting_per_host: 4_000,
+            grace_ms: None,
         }
     }
 }
@@ -226,6 +233,11 @@
             "peers: the failure_domain listed for this host differs from its own".to_owned(),
         );
     }
+    if settings.limits.grace_ms.is_some_and(|ms| ms < MIN_GRACE_MS) {
+        return Err(format!(
+            "limits.grace_ms must be at least {MIN_GRACE_MS}; leave it out for no time limit"
+        ));
+    }
     Ok(())
 }
 
--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -165,6 +165,15 @@
         self.process = Some(process);
     }
 
+    /// Ends the process and starts it again with lines that are added to its settings file.
+    pub(crate) async fn restart_with(&mut self, settings: &str) {
+        self.kill();
+        let text = std::fs::read_to_string(self.settings_file()).expect("a settings file");
+        std::fs::write(self.settings_file(), text + settings).expect("a settings file");
+        self.start();
+        self.wait_ready().await;
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: Signal) {
         let process = self.process.as_ref().expect("a running daemon");
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -14,4 +14,5 @@
 mod network;
 mod restart;
 mod scripted;
+mod stop;
 mod strangers;
--- a/crates/daemon/tests/fleet/scripted.rs
+++ b/crates/daemon/tests/fleet/scripted.rs
@@ -68,10 +68,15 @@
     }
 
     pub(crate) fn actions(&self, pool: &str) -> Vec<Action> {
+        self.actions_named(pool, "s")
+    }
+
+    /// Like [`Servers::actions`], with names that begin with `prefix`.
+    pub(crate) fn actions_named(&self, pool: &str, prefix: &str) -> Vec<Action> {
         let addresses = self.addresses.iter().enumerate();
         let actions = addresses.map(|(at, address)| {
             Action::AddServer(spec::Server {
-                name: name(&format!("s{at}")),
+                name: name(&format!("{prefix}{at}")),
                 pool: name(pool),
                 address: *address,
                 domain: name("d1"),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -64,6 +64,7 @@
 #[test_case("data_folder: data\n", "", "data_folder is missing"; "a voter without a data folder")]
 #[test_case("voter: true", "voter: false", "at least one peer"; "no voter")]
 #[test_case("failure_domain: d1\n", "failure_domain: d2\n", "differs from its own"; "two failure domains")]
+#[test_case("data_folder: data\n", "data_folder: data\nlimits: {grace_ms: 999}\n", "limits.grace_ms must be at least 1000"; "no time for answers")]
 fn contradictory_settings_are_refused(from: &str, to: &str, message: &str) {
     let invalid = refused(&VALID.replacen(from, to, 1));
     assert!(invalid.message.contains(message), "{}", invalid.message);
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one request to backend servers, with retries.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -54,6 +55,8 @@
     pub(crate) plain: bool,
     pub(crate) request_id: HeaderValue,
     pub(crate) claim: Option<claim::Handle>,
+    /// Set before the first byte is sent to a backend server.
+    pub(crate) sent: Arc<AtomicBool>,
 }
 
 impl Job {
@@ -132,6 +135,7 @@
         {
             return Err(fail_unsent(registration, failure));
         }
+        job.sent.store(true, Ordering::Relaxed);
         let sent_at = Time::now();
         let exchange = self.upstream.send(request, job.idempotent);
         let limit = Duration::from_millis(self.settings.answer_timeout_ms);
--- a/crates/proxy/src/failure.rs
+++ b/crates/proxy/src/failure.rs
@@ -64,6 +64,14 @@
         )
     }
 
+    /// Creates the failure for a request that a backend server has not answered at the end of the grace period.
+    pub(crate) fn stopped() -> Failure {
+        Failure::after_sending(
+            "stopped",
+            "this host is shutting down and the backend server has not answered yet",
+        )
+    }
+
     /// Writes status, verdict header and JSON body of the error answer.
     pub(crate) fn render(&self, response: &mut salvo::Response) {
         let document = Document {
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -2,10 +2,12 @@
 
 use std::hash::BuildHasher;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use foldhash::fast::FixedState;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use primrose_base::clock::Time;
+use primrose_base::stop::Grace;
 use primrose_config::{Account, Configuration, KeyHash, Kind, Pool};
 use primrose_schedule::claim::{DEADLINE_MS, Guard};
 use salvo::http::{Method, StatusCode};
@@ -88,7 +90,9 @@
         _: &mut FlowCtrl,
     ) {
         let id = new_request_id();
-        let result = self.0.chat(request, &id).await;
+        let sent = Arc::default();
+        let result = self.0.chat(request, &id, &sent);
+        let result = self.0.answer_in_time(result, &sent).await;
         self.0.respond(result, id, response);
     }
 }
@@ -103,7 +107,9 @@
         _: &mut FlowCtrl,
     ) {
         let id = new_request_id();
-        let result = self.0.plain(request, &id).await;
+        let sent = Arc::default();
+        let result = self.0.plain(request, &id, &sent);
+        let result = self.0.answer_in_time(result, &sent).await;
         self.0.respond(result, id, response);
     }
 }
@@ -156,7 +162,43 @@
 }
 
 impl State {
-    async fn chat(&self, request: &mut Request, id: &HeaderValue) -> Result<Answer, Failure> {
+    /// Waits for the answer to a request, but not longer than the grace period of this host lets it.
+    async fn answer_in_time(
+        &self,
+        answer: impl Future<Output = Result<Answer, Failure>>,
+        sent: &AtomicBool,
+    ) -> Result<Answer, Failure> {
+        tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = self.wait_until_given_up() => Err(if sent.load(Ordering::Relaxed) {
+                Failure::stopped()
+            } else {
+                Failure::draining()
+            }),
+        }
+    }
+
+    /// Returns when requests without an answer get one because this host ends soon. Without a grace period it never
+    /// returns.
+    async fn wait_until_given_up(&self) {
+        let mut draining = self.draining.clone();
+        let is_stopping = draining.wait_for(|is_draining| *is_draining).await.is_ok();
+        let (Some(grace_ms), true) = (self.forwarder.settings.grace_ms, is_stopping) else {
+            return std::future::pending().await;
+        };
+        let now = Time::now();
+        let grace = Grace::new(now, grace_ms);
+        tokio::time::sleep(grace.answer_by().until(now)).await;
+    }
+
+    /// `sent` is set before the first byte is sent to a backend server.
+    async fn chat(
+        &self,
+        request: &mut Request,
+        id: &HeaderValue,
+        sent: &Arc<AtomicBool>,
+    ) -> Result<Answer, Failure> {
         let caller = self.authenticate(request)?;
         let body = Body::read(request.take_body(), self.forwarder.settings.max_body_bytes).await?;
         let fields = body.fields()?;
@@ -180,10 +222,16 @@
             max_output_tokens: limit,
             id: id.clone(),
         };
-        self.forward(request, &caller, target).await
+        self.forward(request, &caller, target, sent).await
     }
 
-    async fn plain(&self, request: &mut Request, id: &HeaderValue) -> Result<Answer, Failure> {
+    /// `sent` is set before the first byte is sent to a backend server.
+    async fn plain(
+        &self,
+        request: &mut Request,
+        id: &HeaderValue,
+        sent: &Arc<AtomicBool>,
+    ) -> Result<Answer, Failure> {
         let caller = self.authenticate(request)?;
         let (name, path) = plain_target(request)?;
         let Some(pool) = caller.configuration.plain_pool(&name) else {
@@ -203,7 +251,7 @@
             max_output_tokens: Some(1),
             id: id.clone(),
         };
-        self.forward(request, &caller, target).await
+        self.forward(request, &caller, target, sent).await
     }
 
     async fn forward(
@@ -211,6 +259,7 @@
         request: &Request,
         caller: &Caller,
         target: Target,
+        sent: &Arc<AtomicBool>,
     ) -> Result<Answer, Failure> {
         let idempotent = is_idempotent(request.headers())?;
         let key = idempotency_key(request.headers())?;
@@ -246,6 +295,7 @@
             plain: matches!(target.pool.kind, Kind::Plain),
             request_id: target.id,
             claim,
+            sent: Arc::clone(sent),
         };
         self.forwarder.forward(job).await
     }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -9,6 +9,9 @@
     pub queue_timeout_ms: u64,
     /// Time limit for the header section of an answer and, after it, for the first bytes of the body, in ms each.
     pub answer_timeout_ms: u64,
+    /// Time from the start of the shutdown until the process ends, in ms; `None` if it ends once all requests have
+    /// finished.
+    pub grace_ms: Option<u64>,
 }
 
 impl Default for Settings {
@@ -17,6 +20,7 @@
             max_body_bytes: 16 << 20,
             queue_timeout_ms: 60_000,
             answer_timeout_ms: 120_000,
+            grace_ms: None,
         }
     }
 }
