daemon: Test copies without a request id on connections with ids

A server that repeats the request id in its answers may still write a copy that lacks it. The existing tests have the id in both or in none; a connection whose answer has none is not used again, so a copy there meets no other request.

The cause is that primrosed compares an id only if there is one, and that its client for backend servers does not say whether a connection carried a request before. Entry hosts know that and discard such answers.

--- a/crates/daemon/tests/fleet/copies.rs
+++ b/crates/daemon/tests/fleet/copies.rs
@@ -87,6 +87,81 @@
     }
 }
 
+/// Answers with the request id, and repeats an answer without it, as the text of a request says.
+fn repeat_without_id(receipt: &Receipt) -> Vec<Step> {
+    let text = &receipt.text;
+    let is_chat = text.contains("messages");
+    let body = if is_chat {
+        chat_body()
+    } else {
+        plain_text(text)
+    };
+    let kind = if is_chat {
+        "Content-Type: text/event-stream\r\n"
+    } else {
+        ""
+    };
+    let headers = format!("X-Request-Id: {}\r\n{kind}", receipt.request_id);
+    let own = complete(&headers, &body);
+    let copy = complete(kind, &body.replace("two", "copy").replace("answer", "copy"));
+    let copy = if text.contains("refusal") {
+        copy.replacen("200 OK", "503 Service Unavailable", 1)
+    } else {
+        copy
+    };
+    if text.contains("first") && text.contains("idle") {
+        return vec![Step::Send(own), Step::Pause(IDLE), Step::Send(copy)];
+    }
+    if text.contains("first") && text.contains("after") {
+        return vec![Step::Send(own + &copy)];
+    }
+    if text.contains("next") && text.contains("sent") && receipt.is_reused {
+        return vec![Step::Send(copy), Step::Pause(IDLE), Step::Send(own)];
+    }
+    vec![Step::Send(own)]
+}
+
+// A copy may lack the request id although the server repeats it in its answers, for instance if it was written by another
+// part of the server. On a connection on which the server has repeated an id, the next caller must not get it.
+#[test_case("plain", "answer", "idle" ; "answer on an idle connection")]
+#[test_case("plain", "answer", "after" ; "answer right after an answer")]
+#[test_case("plain", "answer", "sent" ; "answer after a request was sent")]
+#[test_case("plain", "refusal", "idle" ; "refusal on an idle connection")]
+#[test_case("plain", "refusal", "after" ; "refusal right after an answer")]
+#[test_case("plain", "refusal", "sent" ; "refusal after a request was sent")]
+#[test_case("chat", "answer", "idle" ; "stream on an idle connection")]
+#[test_case("chat", "answer", "after" ; "stream right after an answer")]
+#[test_case("chat", "answer", "sent" ; "stream after a request was sent")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn copy_without_an_id_reaches_no_other_caller(pool: &str, copy: &str, point: &str) {
+    let fleet = Fleet::start(&VOTERS[..1]).await;
+    let servers = Servers::open(1, repeat_without_id).await;
+    let mut actions = account_and_pools();
+    actions.extend(servers.actions(if pool == "chat" { pool } else { "payouts" }));
+    fleet
+        .wait_version(fleet.change("set-up", actions).await)
+        .await;
+    let callers = fleet.hosts[0].callers;
+    for number in 0..5 {
+        let first = format!("first-{copy}-{point}-{number}");
+        eventually("the first request is served", async || {
+            let answer = exchange(callers, call(pool, &first)).await.ok()?;
+            (answer.status == StatusCode::OK).then_some(())
+        })
+        .await;
+        tokio::time::sleep(2 * IDLE).await;
+        let next = format!("next-{copy}-{point}-{number}");
+        let answer = exchange(callers, call(pool, &next)).await;
+        let expected = if pool == "chat" {
+            chat_body()
+        } else {
+            plain_text(&answer::format_nonce(&next))
+        };
+        check(&next, answer, &expected);
+        assert!(servers.count(&next) > 0, "{next} has reached no server");
+    }
+}
+
 /// Breaks off the first answer to a request at the point and in the way that its text names. The next one is whole.
 fn break_off(receipt: &Receipt) -> Vec<Step> {
     let text = &receipt.text;
