entry: Wait during a stop for requests that end in time as a rule

Callers of a stopping host got a 502 for requests that may run twice and that their servers were about to answer, long before the end of the grace period.

Cause: such a request is passed on because the requests of its route end in time, but was given up when half of the time until its deadline was over, whatever the requests of the route last. Now it is waited for as long as the longest of the latest ones, and an eighth longer, if that is before the end of the stop. Where nothing is known, or such requests would last longer than the host, half of the time remains.

--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -70,8 +70,16 @@
 
     /// When a request that arrived at `arrived` and of whose answer nothing was passed on gets an answer from the host
     /// instead. It is the deadline of the request if that is in time. Otherwise a request that `may_run_twice` leaves
-    /// its caller half of the time that was left, for sending it to another host.
-    pub fn give_up(&self, arrived: Time, deadline: Time, may_run_twice: bool) -> Time {
+    /// its caller half of the time that was left, for sending it to another host. If such requests last `longest_ms` at
+    /// most and this one then ends in time, it is waited for until then, and an eighth longer since the longest of the
+    /// latest requests is no exact bound.
+    pub fn give_up(
+        &self,
+        arrived: Time,
+        deadline: Time,
+        may_run_twice: bool,
+        longest_ms: Option<u64>,
+    ) -> Time {
         if deadline <= self.answer_by() {
             return deadline;
         }
@@ -79,9 +87,10 @@
             return self.answer_by();
         }
         let since = arrived.max(self.asked);
-        since
-            .plus_ms(deadline.since(since) / 2)
-            .min(self.answer_by())
+        let half = since.plus_ms(deadline.since(since) / 2);
+        let in_time = longest_ms.filter(|ms| arrived.plus_ms(*ms) <= self.answer_by());
+        let expected = in_time.map_or(half, |ms| arrived.plus_ms(ms.saturating_add(ms / 8)));
+        expected.max(half).min(self.answer_by())
     }
 }
 
--- a/crates/base/tests/stop.rs
+++ b/crates/base/tests/stop.rs
@@ -39,13 +39,23 @@
 
 // Guards against a request that ends with the process and without an answer, and against callers that could send it
 // elsewhere but learn too late that they must.
-#[test_case(200, 5_000, true, 5_000 ; "deadline is in time")]
-#[test_case(200, 5_000, false, 5_000 ; "deadline is in time and the request may run once")]
-#[test_case(200, 9_700, false, 7_300 ; "may run once")]
-#[test_case(200, 9_700, true, 4_950 ; "half of the time is left")]
-#[test_case(0, 30_000, true, 7_300 ; "half of the time is after the stop")]
-fn request_is_given_up_in_time(arrived: u64, deadline: u64, may_run_twice: bool, expected: u64) {
-    let given_up = grace().give_up(after(arrived), after(deadline), may_run_twice);
+#[test_case(200, 5_000, true, None, 5_000 ; "deadline is in time")]
+#[test_case(200, 5_000, false, None, 5_000 ; "deadline is in time and the request may run once")]
+#[test_case(200, 9_700, false, None, 7_300 ; "may run once")]
+#[test_case(200, 9_700, true, None, 4_950 ; "half of the time is left")]
+#[test_case(0, 30_000, true, None, 7_300 ; "half of the time is after the stop")]
+#[test_case(200, 9_700, true, Some(900), 4_950 ; "such requests are short")]
+#[test_case(200, 9_700, true, Some(6_000), 6_950 ; "such requests end in time")]
+#[test_case(200, 9_700, true, Some(7_000), 7_300 ; "such requests just end in time")]
+#[test_case(200, 9_700, true, Some(7_200), 4_950 ; "such requests last longer than the host")]
+fn request_is_given_up_in_time(
+    arrived: u64,
+    deadline: u64,
+    may_run_twice: bool,
+    longest: Option<u64>,
+    expected: u64,
+) {
+    let given_up = grace().give_up(after(arrived), after(deadline), may_run_twice, longest);
     assert_eq!(given_up, after(expected));
 }
 
@@ -53,7 +63,7 @@
 #[test]
 fn request_from_before_the_stop_keeps_half_of_its_remaining_time() {
     let arrived = Time::from_ms(1_000);
-    let given_up = grace().give_up(arrived, after(8_000), true);
+    let given_up = grace().give_up(arrived, after(8_000), true, None);
     assert_eq!(given_up, after(4_000));
 }
 
@@ -80,7 +90,7 @@
     let last = Time::from_ms(u64::MAX);
     assert!(!grace.admits(ASKED, last, None));
     assert!(grace.admits(ASKED, last, Some(1_000)));
-    assert!(grace.give_up(ASKED, last, true) < last);
+    assert!(grace.give_up(ASKED, last, true, None) < last);
 }
 
 #[test]
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -302,9 +302,8 @@
         ));
     };
     let deadline = started.plus_ms(timeout_ms);
-    let may_run_twice = route.kind.is_repeatable();
-    let limit = shared.stop.limit(started, deadline, may_run_twice);
-    if !shared.stop.admits(&route.name, &limit) {
+    let limit = shared.stop.limit(&route, started, deadline);
+    if !limit.admits() {
         return Err(refuse_for_stop());
     }
     let limits = &table.document().limits;
@@ -526,7 +525,7 @@
             return Err(self.timed_out());
         }
         // The stop may have begun, or the time may have become too short, since the request was admitted.
-        if self.sent == 0 && !self.shared.stop.admits(&self.route.name, &self.limit) {
+        if self.sent == 0 && !self.limit.admits() {
             return Err(refuse_for_stop());
         }
         self.check_pool()?;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,6 +7,7 @@
 use primrose_base::clock::Time;
 use primrose_base::stop::{Grace, History};
 use primrose_route::Table;
+use primrose_route::document::Route;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
@@ -19,7 +20,7 @@
     /// `None` until the host is asked to stop; it does not change after that.
     grace: watch::Sender<Option<Grace>>,
     /// How long the latest requests lasted that a server may have run.
-    durations: Mutex<History>,
+    durations: Arc<Mutex<History>>,
     /// Version of the document whose routes were kept last.
     version: AtomicU64,
 }
@@ -28,7 +29,7 @@
     pub(crate) fn new() -> Plan {
         Plan {
             grace: watch::Sender::new(None),
-            durations: Mutex::default(),
+            durations: Arc::default(),
             version: AtomicU64::new(0),
         }
     }
@@ -42,18 +43,9 @@
         });
     }
 
-    /// Whether a request of `route` with this limit may be passed on now.
-    pub(crate) fn admits(&self, route: &str, limit: &Limit) -> bool {
-        let Some(grace) = *self.grace.borrow() else {
-            return true;
-        };
-        let longest_ms = self.durations().longest_ms(route);
-        grace.admits(Time::now(), limit.deadline, longest_ms)
-    }
-
     /// Records that a request of `route` that a server may have run lasted `ms` milliseconds.
     pub(crate) fn record_duration(&self, route: &Arc<str>, ms: u64) {
-        self.durations().record(route, ms);
+        lock(&self.durations).record(route, ms);
     }
 
     /// Forgets the durations of routes that a newer table does not have.
@@ -65,8 +57,7 @@
         let routes = document.routes.iter();
         let mut names: Vec<&str> = routes.map(|route| &*route.name).collect();
         names.sort_unstable();
-        self.durations()
-            .retain(|route| names.binary_search(&route).is_ok());
+        lock(&self.durations).retain(|route| names.binary_search(&route).is_ok());
     }
 
     /// Time since the host was asked to stop in ms; `None` if it was asked later than `at` or not at all.
@@ -80,29 +71,26 @@
         self.grace.borrow().is_some_and(|grace| grace.end() <= now)
     }
 
-    /// The limit of a request that arrived at `arrived` and whose own time ends at `deadline`.
-    pub(crate) fn limit(&self, arrived: Time, deadline: Time, may_run_twice: bool) -> Limit {
+    /// The limit of a request of `route` that arrived at `arrived` and whose own time ends at `deadline`.
+    pub(crate) fn limit(&self, route: &Route, arrived: Time, deadline: Time) -> Limit {
         Limit {
+            route: Arc::clone(&route.name),
             arrived,
             deadline,
-            may_run_twice,
+            may_run_twice: route.kind.is_repeatable(),
             has_begun: false,
             grace: self.grace.subscribe(),
+            durations: Arc::clone(&self.durations),
         }
     }
-
-    fn durations(&self) -> MutexGuard<'_, History> {
-        // Nothing can panic between two changes, so the value is valid even after a panic.
-        self.durations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Until when the host works on a request: its own time or, during a stop, the time at which the caller must have an
 /// answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Limit {
+    /// Name of the route.
+    route: Arc<str>,
     arrived: Time,
     /// The end of the caller's deadline or of the route's timeout, whichever comes first.
     deadline: Time,
@@ -110,6 +98,8 @@
     /// Whether a part of the answer was passed on, so that nothing else can be answered.
     has_begun: bool,
     grace: watch::Receiver<Option<Grace>>,
+    /// How long the latest requests of each route lasted that a server may have run.
+    durations: Arc<Mutex<History>>,
 }
 
 impl Limit {
@@ -122,6 +112,14 @@
         self.has_begun
     }
 
+    /// Whether the request may be passed on now.
+    pub(crate) fn admits(&self) -> bool {
+        let Some(grace) = *self.grace.borrow() else {
+            return true;
+        };
+        grace.admits(Time::now(), self.deadline, self.longest_ms())
+    }
+
     pub(crate) fn has_passed(&self) -> bool {
         self.end() <= Time::now()
     }
@@ -154,9 +152,22 @@
         match *self.grace.borrow() {
             None => self.deadline,
             Some(grace) if self.has_begun => grace.break_off().min(self.deadline),
-            Some(grace) => grace.give_up(self.arrived, self.deadline, self.may_run_twice),
+            Some(grace) => {
+                let longest_ms = self.longest_ms();
+                grace.give_up(self.arrived, self.deadline, self.may_run_twice, longest_ms)
+            }
         }
     }
+
+    /// How long requests of the route last at most, in ms; `None` if that is unknown.
+    fn longest_ms(&self) -> Option<u64> {
+        lock(&self.durations).longest_ms(&self.route)
+    }
+}
+
+fn lock(durations: &Mutex<History>) -> MutexGuard<'_, History> {
+    // Nothing can panic between two changes, so the value is valid even after a panic.
+    durations.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn instant(time: Time) -> Instant {
