entry: Refuse requests that a stopping host has not passed on

A caller whose request a full server had refused as not run got 502 at the end of a stop, although the host had passed it on to a second server after SIGTERM and it could not end in time. It may run once only, so the caller could not send it elsewhere.

Cause: whether a request ends in time was checked before its first placement only. It is checked now as long as no server can have run it, before each placement and again right before it is sent, since the stop may begin while a server is assigned or connected.

Evidence: request_that_a_full_server_refused_is_not_passed_on_by_a_stopping_host failed before with 502 and two servers that got the request; now it is refused with 503 and one of them got it. All tests of stop.rs pass. The check after the connection is by reading: no test begins a stop while a server is connected.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -220,6 +220,10 @@
                 }
             },
         };
+        // The stop may have begun while the server was assigned or connected.
+        if let Err(refusal) = self.check_stop() {
+            return Step::Refused(refusal);
+        }
         let request = self.request(&server, resume_after);
         self.sent += 1;
         self.server = Some(Arc::clone(&server.id));
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -524,10 +524,7 @@
         if self.limit.has_passed() {
             return Err(self.timed_out());
         }
-        // The stop may have begun, or the time may have become too short, since the request was admitted.
-        if self.sent == 0 && !self.limit.admits() {
-            return Err(refuse_for_stop());
-        }
+        self.check_stop()?;
         self.check_pool()?;
         let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
         let now = Time::now();
@@ -577,6 +574,15 @@
         }
     }
 
+    /// Refuses the request if no server can have run it and it might not end before this host does. The stop may have
+    /// begun, or the time may have become too short, since the request was admitted.
+    pub(crate) fn check_stop(&self) -> Result<(), Refusal> {
+        if self.may_have_run || self.limit.admits() {
+            return Ok(());
+        }
+        Err(refuse_for_stop())
+    }
+
     /// Refuses the request if all servers of its pool leave or pause. Also updates the excluded servers.
     fn check_pool(&mut self) -> Result<(), Refusal> {
         let now = Time::now();
