entry: Do not take a body for a request after a long Content-Length

A caller that sent a length with many zeros in front, in parts, kept its connection when the host began to stop: the last answer did not close it, and the head that seemed to have begun held it until the time limit of heads.

Cause: framing::Tracker keeps 64 bytes of a line that arrives in parts and read the length from them, so the body counted as a further request. The end of a request whose length is on a line that long is not known now, which closes the connection as for chunks.

Evidence: body_after_a_long_line_is_no_request failed before, with 2 requests in place of 1 in parts of 1 byte. That the connection is kept is by reading.

--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -140,6 +140,8 @@
     if !name.eq_ignore_ascii_case(b"content-length") || length.is_none() {
         return Line::Header(length);
     }
-    let value = std::str::from_utf8(value).ok();
+    // The rest of a longer line was not kept.
+    let is_whole = line.len() < KEPT_LINE_BYTES;
+    let value = std::str::from_utf8(value).ok().filter(|_| is_whole);
     Line::Header(value.and_then(|value| value.trim().parse().ok()))
 }
--- a/crates/entry/tests/framing.rs
+++ b/crates/entry/tests/framing.rs
@@ -53,3 +53,18 @@
     tracker.read(GET.as_bytes());
     assert_eq!(tracker.begun(), 2);
 }
+
+// The HTTP library takes any number of zeros before a length. A body that is taken for a further request would keep the
+// connection of a host that stops.
+#[test]
+fn body_after_a_long_line_is_no_request() {
+    let zeros = "0".repeat(100);
+    let request = format!("POST / HTTP/1.1\r\nContent-Length: {zeros}5\r\n\r\nG\r\n\r\n");
+    for size in 1..=request.len() {
+        let mut tracker = Tracker::default();
+        for part in request.as_bytes().chunks(size) {
+            tracker.read(part);
+        }
+        assert_eq!(tracker.begun(), 1, "in parts of {size} bytes");
+    }
+}
