entry: Break off streams that end right after their head

A server that closed a stream without a length right after its head made the caller get a 200 with an empty body that was framed as whole.

Cause: an end that is not announced counted as whole between two events, also if there was no event. A stream has at least one event, so one without any is broken off now, and a resumable one is sent to another server. An answer to HEAD has no body and is whole; that is by reading, no test asks for one.

--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -159,7 +159,7 @@
                     return Poll::Ready(Some(Err(interrupt_broken(guard))));
                 }
                 None if answer.tail.as_ref().is_some_and(|tail| !tail.ends_event()) => {
-                    let reason = "the connection closed in the middle of an event";
+                    let reason = "the connection closed before the end of an event";
                     open.job.log_interruption(reason, false);
                     return Poll::Ready(Some(Err(interrupt_broken(guard))));
                 }
--- a/crates/entry/src/form.rs
+++ b/crates/entry/src/form.rs
@@ -78,8 +78,8 @@
         self.last[start..].copy_from_slice(kept);
     }
 
-    /// Whether the bytes end with an empty line, or there are none.
+    /// Whether the bytes end with an empty line. A stream without an event is not whole.
     pub(crate) fn ends_event(&self) -> bool {
-        self.last == [0; 3] || self.last.ends_with(b"\n\n") || self.last == *b"\n\r\n"
+        self.last.ends_with(b"\n\n") || self.last == *b"\n\r\n"
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use primrose_base::clock::Time;
@@ -48,7 +49,9 @@
 impl From<Answered> for Part {
     fn from(answered: Answered) -> Part {
         Part {
-            has_announced_end: Form::of(&answered.head).has_announced_end,
+            // An answer to HEAD has no body, whatever its head says.
+            has_announced_end: Form::of(&answered.head).has_announced_end
+                || answered.body.is_end_stream(),
             body: answered.body,
             connection: answered.connection,
             assignment: answered.assignment,
@@ -342,6 +345,7 @@
         } = self;
         let limit = job.limit.clone();
         let mut passed = pin!(limit.passed());
+        let has_events = job.has_forwarded();
         let mut resume = pin!(job.resume_with_bytes(splitter.resumed(), form));
         // Why the silent server's part has ended. The other server may still resume it.
         let mut broken = None;
@@ -351,7 +355,7 @@
                 events = part.next_events(splitter), if broken.is_none() => match events {
                     Ok(events) => break Next::Same(events),
                     Err(End::Broken(reason)) => broken = Some(reason),
-                    Err(End::Complete) => match rest(splitter, part.has_announced_end) {
+                    Err(End::Complete) => match rest(splitter, part.has_announced_end, has_events) {
                         Ok(rest) => break Next::Last(rest),
                         Err(reason) => broken = Some(reason),
                     },
@@ -391,7 +395,11 @@
 
     /// Handles the end of the server's answer.
     async fn finish(&mut self, has_announced_end: bool) -> End {
-        match rest(&mut self.splitter, has_announced_end) {
+        match rest(
+            &mut self.splitter,
+            has_announced_end,
+            self.job.has_forwarded(),
+        ) {
             Ok(rest) => self.send_rest(rest).await,
             Err(reason) => End::Broken(reason),
         }
@@ -410,10 +418,17 @@
 }
 
 /// The last event of an answer that has ended, or nothing. If the answer announced its end, that event need not end with
-/// an empty line; otherwise the connection may have closed in the middle of it. The error says why the answer is not
-/// complete.
-fn rest(splitter: &mut Splitter, has_announced_end: bool) -> Result<Bytes, String> {
+/// an empty line; otherwise the connection may have closed in the middle of it, or before the first event, without which
+/// no stream is whole: `has_events` tells whether an event was passed on. The error says why the answer is not complete.
+fn rest(
+    splitter: &mut Splitter,
+    has_announced_end: bool,
+    has_events: bool,
+) -> Result<Bytes, String> {
     if !splitter.has_partial_event() {
+        if !has_announced_end && !has_events {
+            return Err("the connection closed before the first event".to_owned());
+        }
         return Ok(Bytes::new());
     }
     if !has_announced_end {
