--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -302,9 +302,8 @@
         ));
     };
     let deadline = started.plus_ms(timeout_ms);
-    let may_run_twice = route.kind.is_repeatable();
-    let limit = shared.stop.limit(started, deadline, may_run_twice);
-    if !shared.stop.admits(&route.name, &limit) {
+    let limit = shared.stop.limit(&route, started, deadline);
+    if !limit.admits() {
         return Err(refuse_for_stop());
     }
     let limits = &table.document().limits;
@@ -525,10 +524,7 @@
         if self.limit.has_passed() {
             return Err(self.timed_out());
         }
-        // The stop may have begun, or the time may have become too short, since the request was admitted.
-        if self.sent == 0 && !self.shared.stop.admits(&self.route.name, &self.limit) {
-            return Err(refuse_for_stop());
-        }
+        self.check_stop()?;
         self.check_pool()?;
         let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
         let now = Time::now();
@@ -578,6 +574,15 @@
         }
     }
 
+    /// Refuses the request if no server can have run it and it might not end before this host does. The stop may have
+    /// begun, or the time may have become too short, since the request was admitted.
+    pub(crate) fn check_stop(&self) -> Result<(), Refusal> {
+        if self.may_have_run || self.limit.admits() {
+            return Ok(());
+        }
+        Err(refuse_for_stop())
+    }
+
     /// Refuses the request if all servers of its pool leave or pause. Also updates the excluded servers.
     fn check_pool(&mut self) -> Result<(), Refusal> {
         let now = Time::now();
@@ -870,6 +875,11 @@
             "resumed" => self.resumed, "sent" => self.sent);
     }
 
+    /// Whether a part of the body of the answer was forwarded.
+    pub(crate) const fn has_forwarded(&self) -> bool {
+        self.forwarded > 0
+    }
+
     /// Time since the last chunk was forwarded, in ms; `None` before the first one.
     pub(crate) fn silent_ms(&self) -> Option<u64> {
         self.last_forwarded
