--- a/crates/consensus/tests/cluster.rs
+++ b/crates/consensus/tests/cluster.rs
@@ -11,7 +11,8 @@
 mod drive;
 
 use cluster::{Cluster, Lease};
-use primrose_consensus::node::Role;
+use drive::FULL;
+use primrose_consensus::node::{Node, Role};
 use rand::RngExt;
 use test_case::test_case;
 
@@ -28,6 +29,8 @@
     Process,
     /// All of the above, and lost disks, membership changes and leadership transfers.
     Everything,
+    /// All of the above, and full disks.
+    Space,
 }
 
 fn inject_fault(cluster: &mut Cluster, faults: Faults) {
@@ -35,6 +38,7 @@
         Faults::Network => cluster.rng.random_range(0..4),
         Faults::Process => cluster.rng.random_range(3..9),
         Faults::Everything => cluster.rng.random_range(0..12),
+        Faults::Space => cluster.rng.random_range(0..16),
     };
     let at = cluster.rng.random_range(0..5);
     let leader = cluster.leader().unwrap_or(at);
@@ -62,6 +66,9 @@
         9 if cluster.is_repaired() => cluster.lose_disk(at),
         10 => cluster.target_voters = cluster.rng.random_range(3..=5),
         11 => cluster.transfer_leadership(leader),
+        12 => fill(cluster, at),
+        13 => fill(cluster, leader),
+        14 | 15 => cluster.hosts[at].drive.make_room(),
         _ => {}
     }
 }
@@ -75,6 +82,11 @@
     }
 }
 
+fn fill(cluster: &mut Cluster, at: usize) {
+    let full = FULL[cluster.rng.random_range(0..FULL.len())];
+    cluster.hosts[at].drive.fill(full);
+}
+
 fn freeze(cluster: &mut Cluster, at: usize) {
     let ms = cluster.rng.random_range(100..3000);
     cluster.hosts[at].frozen_until = cluster.now + ms;
@@ -117,6 +129,8 @@
 #[test_case(Faults::Network, Lease::None)]
 #[test_case(Faults::Process, Lease::None)]
 #[test_case(Faults::Everything, Lease::None)]
+#[test_case(Faults::Space, Lease::Kept)]
+#[test_case(Faults::Space, Lease::None)]
 fn random_faults(faults: Faults, lease: Lease) {
     let first = number_from_env("PRIMROSE_FIRST_SEED", 1);
     for seed in first..first + number_from_env("PRIMROSE_SEEDS", 6) {
@@ -196,3 +210,92 @@
         "seed {seed}: the latest snapshot is at index {snapshot}, expected above 1000"
     );
 }
+
+/// The longest time in ms in which a change must be acknowledged, from the users' bound `ack_ms`.
+const ACK_MS: u64 = 4000;
+
+/// Which voter's disk is filled first.
+#[derive(Clone, Copy, Debug)]
+enum First {
+    Leader,
+    Follower,
+    Random,
+}
+
+/// The voters in the order in which their disks are filled.
+fn order(cluster: &mut Cluster, first: First) -> Vec<usize> {
+    let leader = cluster.leader().expect("a leader is elected");
+    let mut order: Vec<usize> = (0..3).collect();
+    let shift = cluster.rng.random_range(0..3);
+    match first {
+        First::Leader => order.rotate_left(leader),
+        First::Follower => order.rotate_left((leader + 1) % 3),
+        First::Random => order.rotate_left(shift),
+    }
+    order
+}
+
+/// Runs for `ms` and checks that there is never a pause of [`ACK_MS`] between acknowledged writes, counted from
+/// `since` at the earliest.
+fn run_acknowledged(cluster: &mut Cluster, ms: u64, since: u64, longest: &mut u64) {
+    for _ in 0..ms {
+        cluster.step();
+        let pause = cluster.now - cluster.clients.last_write().max(since);
+        *longest = pause.max(*longest);
+        assert!(
+            pause <= ACK_MS,
+            "seed {}: at {} ms no write has been acknowledged for {pause} ms",
+            cluster.seed,
+            cluster.now
+        );
+    }
+}
+
+// Full disks, one after another and never two at once, must neither end a replica nor stop the acknowledgement of
+// writes, and each replica must go on by itself once its disk has room again.
+#[test_case(First::Leader, Lease::Kept)]
+#[test_case(First::Follower, Lease::Kept)]
+#[test_case(First::Random, Lease::Kept)]
+#[test_case(First::Leader, Lease::None)]
+#[test_case(First::Follower, Lease::None)]
+#[test_case(First::Random, Lease::None)]
+fn disks_are_full_in_turn(first: First, lease: Lease) {
+    let first_seed = number_from_env("PRIMROSE_FIRST_SEED", 1);
+    for seed in first_seed..first_seed + number_from_env("PRIMROSE_SEEDS", 6) {
+        let mut cluster = Cluster::new(seed, 4, lease);
+        cluster.run(3000);
+        let mut longest = 0;
+        for round in 0..3 {
+            for at in order(&mut cluster, first) {
+                let since = cluster.now;
+                // Without writes, a leader notices the full disk only at the next one.
+                if round == 1 {
+                    cluster.clients.set_paused(true);
+                    cluster.run(2500);
+                }
+                fill(&mut cluster, at);
+                if round == 1 {
+                    cluster.run(2500);
+                    cluster.clients.set_paused(false);
+                }
+                let since = since.max(cluster.now);
+                let ms = cluster.rng.random_range(500..8000);
+                run_acknowledged(&mut cluster, ms, since, &mut longest);
+                let committed = cluster.oracle.committed.len() as u64;
+                cluster.hosts[at].drive.make_room();
+                run_acknowledged(&mut cluster, ACK_MS, since, &mut longest);
+                let applied = cluster.hosts[at].node().map_or(0, Node::applied);
+                assert!(
+                    applied >= committed,
+                    "seed {seed}: host {at} has applied {applied} of {committed} entries after {ACK_MS} ms with room"
+                );
+                let ms = cluster.rng.random_range(0..500);
+                run_acknowledged(&mut cluster, ms, since, &mut longest);
+            }
+        }
+        cluster.settle();
+        cluster.clients.check(seed);
+        assert_eq!(cluster.crashes, 0, "seed {seed}: a replica has ended");
+        println!("seed {seed}: longest pause between acknowledged writes: {longest} ms");
+    }
+}
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use drive::{CRASHES, Crash, Drive};
+use drive::{CRASHES, Crash, Drive, FULL, Full};
 use primrose_base::name::Name;
 use primrose_consensus::disk::{Disk, Error, Options, Recovered};
 use primrose_consensus::entry::{Entry, Hard, Payload, Position, Snapshot};
@@ -158,6 +158,23 @@
         next
     }
 
+    /// This state with the older snapshot of `found` and the entries of `found` that the newer snapshot covers. `None`
+    /// if these entries do not reach the newer snapshot.
+    fn with_older_snapshot(&self, found: &Model) -> Option<Model> {
+        let covered = |e: &&Entry| e.position.index <= self.snapshot.index;
+        let mut entries: Vec<Entry> = found.entries.iter().filter(covered).cloned().collect();
+        let last = entries.last().map_or(found.snapshot, |e| e.position);
+        if last != self.snapshot {
+            return None;
+        }
+        entries.extend(self.entries.iter().cloned());
+        Some(Model {
+            snapshot: found.snapshot,
+            entries,
+            hard: self.hard,
+        })
+    }
+
     /// Whether `found` equals this state. The commit index may be lower, because it is not always synced.
     fn accepts(&self, found: &Model) -> bool {
         let mut found = found.clone();
@@ -283,6 +300,165 @@
     }
 }
 
+/// Like [`run_steps`], but writes each batch again that a full disk has refused. The disk has room again after the
+/// append was refused `tries` times.
+fn run_steps_on_full_disk(
+    drive: &Drive,
+    disk: &mut Disk,
+    model: &mut Model,
+    tries: u64,
+) -> Option<[Model; 2]> {
+    for step in &workload() {
+        let ready = model.ready(step);
+        let next = model.after(&ready);
+        while let Err(error) = disk.write(&ready) {
+            if drive.stopped() {
+                return Some([model.after_snapshot(&ready), next]);
+            }
+            assert!(
+                drive.is_full() && !matches!(error, Error::Failed),
+                "a write failed: {error}"
+            );
+            if drive.refused() >= tries {
+                drive.make_room();
+            }
+        }
+        if drive.is_full() && drive.refused() >= tries {
+            drive.make_room();
+        }
+        *model = next;
+    }
+    None
+}
+
+/// Like [`open`], but tries again when there is room.
+fn open_on_full_disk(drive: &Drive) -> Option<Disk> {
+    loop {
+        match open(drive) {
+            Ok((disk, _)) => return Some(disk),
+            Err(_) if drive.stopped() => return None,
+            Err(error) => assert!(drive.is_full(), "the folder does not open: {error}"),
+        }
+        drive.make_room();
+    }
+}
+
+// A refused append leaves the log as it was: the same batch can be written when the disk has room again, and nothing
+// that was acknowledged is lost.
+#[test_case(Full::Nothing, 1)]
+#[test_case(Full::Nothing, 3)]
+#[test_case(Full::Name, 1)]
+#[test_case(Full::Name, 3)]
+#[test_case(Full::Part, 1)]
+#[test_case(Full::Part, 3)]
+fn goes_on_after_the_disk_was_full_at_each_operation(full: Full, tries: u64) {
+    let total = operations_of_workload();
+    for start in 0..total {
+        let context = format!("{full:?} from operation {start} of {total}, {tries} refused");
+        let drive = Drive::default();
+        drive.fill_after(start, full);
+        let mut disk = open_on_full_disk(&drive).expect("the folder opens");
+        let mut model = Model::new();
+        assert!(
+            run_steps_on_full_disk(&drive, &mut disk, &mut model, tries).is_none(),
+            "{context}: the drive stopped"
+        );
+        check_recovery_with_older_snapshot(&drive, &model, &[], &context);
+    }
+}
+
+// A crash at any operation after the disk was full, or while it still is, must not lose what was acknowledged.
+#[test_case(Crash::Lose)]
+#[test_case(Crash::Keep)]
+#[test_case(Crash::KeepNames)]
+#[test_case(Crash::Tear)]
+fn recovers_from_a_crash_after_the_disk_was_full(crash: Crash) {
+    let total = operations_of_workload();
+    for start in 0..total {
+        for (at, full) in FULL.into_iter().enumerate() {
+            for later in (0..12).chain([20, 40]) {
+                let context = format!(
+                    "{full:?} from operation {start} of {total}, {crash:?} {later} operations later"
+                );
+                let drive = Drive::default();
+                drive.fill_after(start, full);
+                drive.stop_after(start + later);
+                let mut model = Model::new();
+                let mut alternatives = Vec::new();
+                if let Some(mut disk) = open_on_full_disk(&drive) {
+                    let tries = 1 + 2 * at as u64;
+                    let interrupted = run_steps_on_full_disk(&drive, &mut disk, &mut model, tries);
+                    alternatives.extend(interrupted.into_iter().flatten());
+                }
+                drive.restart(crash, later);
+                drive.make_room();
+                check_recovery_with_older_snapshot(&drive, &model, &alternatives, &context);
+            }
+        }
+    }
+}
+
+// A folder that cannot be opened because the disk is full must open with the same content when there is room.
+#[test_case(Full::Nothing)]
+#[test_case(Full::Name)]
+#[test_case(Full::Part)]
+fn opens_after_the_disk_was_full(full: Full) {
+    let total = operations_of_workload();
+    let mut refused = 0;
+    for stop in 0..total {
+        let drive = Drive::default();
+        drive.stop_after(stop);
+        let mut model = Model::new();
+        let mut alternatives = Vec::new();
+        if let Ok((mut disk, _)) = open(&drive) {
+            let interrupted = run_steps(&mut disk, &mut model, &workload());
+            alternatives.extend(interrupted.into_iter().flatten());
+        }
+        drive.restart(CRASHES[stop as usize % CRASHES.len()], stop);
+        for start in 0..4 {
+            let drive = drive.fork();
+            let context = format!("stopped at {stop} of {total}, {full:?} from operation {start}");
+            drive.fill_after(start, full);
+            if let Err(error) = open(&drive) {
+                assert!(drive.is_full(), "{context}: {error}");
+                refused += 1;
+            }
+            drive.make_room();
+            check_recovery(&drive, &model, &alternatives, &context);
+        }
+    }
+    assert!(refused > 0, "no opening was refused");
+}
+
+fn operations_of_workload() -> u64 {
+    let drive = Drive::default();
+    let (mut disk, _) = open(&drive).expect("the folder opens");
+    run_steps(&mut disk, &mut Model::new(), &workload());
+    drive.operations()
+}
+
+/// Like [`check_recovery`], but the recovered state may also consist of an older snapshot and the entries after it,
+/// because a refused snapshot file is written later than the log.
+fn check_recovery_with_older_snapshot(
+    drive: &Drive,
+    model: &Model,
+    alternatives: &[Model],
+    context: &str,
+) {
+    let (disk, recovered) = open(drive).unwrap_or_else(|e| panic!("{context}: {e}"));
+    drop(disk);
+    let found = Model::from_recovered(recovered);
+    let expected = std::iter::once(model).chain(alternatives);
+    let equivalent = expected
+        .filter_map(|model| model.with_older_snapshot(&found))
+        .find(|model| model.accepts(&found));
+    assert!(
+        equivalent.is_some(),
+        "{context}: recovered {found:?}, but acknowledged was {model:?}, and the interrupted write allows {alternatives:?}"
+    );
+    check_recovery(drive, &found, &[], context);
+}
+
 // A corrupted byte must be reported with the name of its file, not treated as a torn write. Only in the last record
 // can the two not be distinguished.
 #[test]
--- a/crates/consensus/tests/support/client.rs
+++ b/crates/consensus/tests/support/client.rs
@@ -79,6 +79,8 @@
     last_event: usize,
     last_value: u32,
     last_context: u64,
+    /// When a write was last acknowledged.
+    last_write: u64,
     paused: bool,
 }
 
@@ -90,6 +92,7 @@
             last_event: 0,
             last_value: 0,
             last_context: 0,
+            last_write: 0,
             paused: false,
         }
     }
@@ -239,6 +242,9 @@
                 }
             };
             self.clients[at].next = self.clients[at].next.max(now + 1);
+            if matches!(operation, Some(Operation::Write(_))) {
+                self.last_write = now;
+            }
             let response = Some(self.next_event());
             self.events.extend(operation.map(|operation| Event {
                 key: pending.key,
@@ -249,6 +255,11 @@
         }
     }
 
+    /// When a write was last acknowledged.
+    pub(crate) fn last_write(&self) -> u64 {
+        self.last_write
+    }
+
     /// The number of operations that were answered.
     pub(crate) fn answered(&self) -> usize {
         self.events.iter().filter(|e| e.response.is_some()).count()
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -22,6 +22,8 @@
 
 pub(crate) const KEYS: usize = 8;
 const SNAPSHOT_EVERY: u64 = 40;
+/// The pause after which a host opens its folder again that could not be opened on a full disk.
+const OPEN_RETRY_MS: u64 = 200;
 
 /// Whether leaders have a lease that restarted voters respect.
 #[derive(Clone, Copy, Debug)]
@@ -263,8 +265,14 @@
             segment_bytes: 2000,
             ..disk::Options::new(name("fleet"), host_name(at), fresh)
         };
-        let opened = Disk::open_files(host.drive.files(), options_of_disk)
-            .unwrap_or_else(|e| panic!("seed {}: host {at}: {e}", self.seed));
+        let opened = match Disk::open_files(host.drive.files(), options_of_disk) {
+            Ok(opened) => opened,
+            Err(_) if host.drive.is_full() => {
+                host.restart_at = self.now + OPEN_RETRY_MS;
+                return;
+            }
+            Err(error) => panic!("seed {}: host {at}: {error}", self.seed),
+        };
         host.id = opened.0.id();
         host.machine = Arc::default();
         host.checked_index = 0;
@@ -458,6 +466,9 @@
     }
 
     pub(crate) fn heal(&mut self) {
+        for host in &self.hosts {
+            host.drive.make_room();
+        }
         self.blocked = vec![vec![false; 5]; 5];
         self.loss = 0;
         self.max_delay_ms = 5;
--- a/crates/consensus/tests/support/drive.rs
+++ b/crates/consensus/tests/support/drive.rs
@@ -1,4 +1,4 @@
-//! A simulated file system in memory that can crash at any operation and lose unsynced data.
+//! A simulated file system in memory that can crash at any operation, lose unsynced data and run out of space.
 
 #![allow(dead_code, reason = "each test file uses only some of the functions")]
 
@@ -25,6 +25,19 @@
 
 pub(crate) const CRASHES: [Crash; 4] = [Crash::Lose, Crash::Keep, Crash::KeepNames, Crash::Tear];
 
+/// What an append does on a full disk before it is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Full {
+    /// Nothing; a missing file is not created.
+    Nothing,
+    /// It creates a missing file.
+    Name,
+    /// It creates a missing file and writes half of the bytes.
+    Part,
+}
+
+pub(crate) const FULL: [Full; 3] = [Full::Nothing, Full::Name, Full::Part];
+
 #[derive(Clone, Default)]
 struct File {
     durable: Vec<u8>,
@@ -46,6 +59,12 @@
     /// The number of the operation that fails without effect, counted from 1.
     fail_at: Option<u64>,
     stopped: bool,
+    /// Set while the disk is full. Only appends are refused.
+    full: Option<Full>,
+    /// The number of the operation from which on the disk is full, counted from 1.
+    full_at: Option<(u64, Full)>,
+    /// The number of appends that were refused since the disk was filled.
+    refused: u64,
 }
 
 /// A handle of the simulated file system. Clones share its content.
@@ -115,6 +134,34 @@
         state.fail_at = Some(state.operations + count + 1);
     }
 
+    /// Fills the disk. Unlike other settings, this one outlasts a restart.
+    pub(crate) fn fill(&self, full: Full) {
+        let mut state = self.state();
+        state.full = Some(full);
+        state.refused = 0;
+    }
+
+    /// Fills the disk after `count` more operations.
+    pub(crate) fn fill_after(&self, count: u64, full: Full) {
+        let mut state = self.state();
+        state.full_at = Some((state.operations + count + 1, full));
+    }
+
+    pub(crate) fn make_room(&self) {
+        let mut state = self.state();
+        state.full = None;
+        state.full_at = None;
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.state().full.is_some()
+    }
+
+    /// The number of appends that were refused since the disk was filled.
+    pub(crate) fn refused(&self) -> u64 {
+        self.state().refused
+    }
+
     pub(crate) fn stopped(&self) -> bool {
         self.state().stopped
     }
@@ -138,6 +185,7 @@
         state.operations = 0;
         state.stop_at = None;
         state.fail_at = None;
+        state.full_at = None;
         state.stopped = false;
     }
 }
@@ -168,6 +216,15 @@
             return Err(io::Error::other("failed"));
         }
         self.stopped = self.stop_at == Some(self.operations);
+        if let Some((_, full)) = self.full_at.take_if(|(at, _)| *at == self.operations) {
+            self.full = Some(full);
+            self.refused = 0;
+        }
+        if let (Some(full), Operation::Append { name, bytes }) = (self.full, operation) {
+            self.refused += 1;
+            self.refuse(full, name, bytes);
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         let sync = matches!(operation, Operation::Sync { .. } | Operation::SyncFolder);
         if !self.stopped || !sync {
             self.execute(operation);
@@ -178,6 +235,16 @@
         }
     }
 
+    fn refuse(&mut self, full: Full, name: &str, bytes: &[u8]) {
+        let written = match full {
+            Full::Nothing => return,
+            Full::Name => 0,
+            Full::Part => bytes.len() / 2,
+        };
+        let at = self.open_or_create(name);
+        self.files[at].cached.extend_from_slice(&bytes[..written]);
+    }
+
     fn execute(&mut self, operation: Operation<'_>) {
         match operation {
             Operation::Append { name, bytes } => {
