consensus: Do not end a replica whose disk is full

Operators saw core processes end by themselves, again and again, while the disk of their host was full, and changes that stayed unanswered meanwhile. Every error of the disk was fatal, also a refused append.

After a failed sync it is unknown what is on the disk, so that stays fatal. A refused append is different: the length of the file is known. The disk now cuts the file back, or removes it if the append would have started it, and returns Error::Full; the same batch can be written again. If cutting back fails and the file has another length, the error is fatal as before.

The replica keeps the refused batch, tries again every 100 ms, sends nothing and accepts no proposals meanwhile, but goes on handling messages, so that it knows the leader. A leader resigns at once and asks the voter with the highest match index to take over. The entries of its refused batch have neither been written nor sent, so it drops them, and callers can be told for certain that they take no effect. Node::applied now counts only batches that were persisted, because the state machine lags behind a refused batch.

Ruled out: holding the leadership until check-quorum ends it (followers would wait for an election timeout), and applying the committed entries of a refused batch (a restart could then show an older state).

Dropped writes must not appear in the history.

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -13,13 +13,17 @@
 //! segment and no later record states that it was synced. Any other unreadable record is reported as damage, and the
 //! folder is not opened. Two cases cannot be detected: damage to the very last synced record looks like a torn write,
 //! and the loss of the whole last segment looks like a crash before that segment was created.
+//!
+//! If the disk is full, an append is refused and its file is cut back to the length that it had before, so that the
+//! same batch can be written again.
 
 mod recover;
+mod space;
 
 use std::borrow::Cow;
 use std::fmt;
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -107,8 +111,8 @@
 
 /// Why a folder cannot be opened, or can no longer be used.
 ///
-/// All errors of [`Disk::write`] are fatal, and the process must exit: after a failed fsync it is unknown what is on
-/// the disk, and a second fsync may succeed without having written anything.
+/// All errors of [`Disk::write`] except [`Error::Full`] are fatal, and the process must exit: after a failed fsync it
+/// is unknown what is on the disk, and a second fsync may succeed without having written anything.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// A file operation failed.
@@ -121,6 +125,15 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// The disk has no room for a file, or the quota is used up. The folder is as it was before, so the call can be
+    /// repeated when there is room.
+    #[error("the disk has no room for {file:?}")]
+    Full {
+        /// The name of the file within the folder, or the path of the folder itself.
+        file: String,
+        /// The error of the operating system.
+        source: io::Error,
+    },
     /// Another process holds the lock of the folder.
     #[error("the data folder {folder:?} is in use by another process")]
     Locked {
@@ -218,6 +231,15 @@
     sequence: u64,
 }
 
+/// What a full disk has refused and what can be written later, because the log on the disk is complete without it.
+#[derive(Debug, Default)]
+struct Deferred {
+    /// A snapshot of this replica. The log holds all entries that it covers.
+    snapshot: Option<Arc<Snapshot>>,
+    /// Whether the commit index of [`Disk::hard`] is not in the log.
+    commit: bool,
+}
+
 /// A segment file of the log.
 #[derive(Clone, Copy, Debug)]
 struct Segment {
@@ -240,6 +262,7 @@
     /// The latest hard state. It is repeated at the start of each segment, so that older segments can be removed.
     hard: Hard,
     snapshot_index: u64,
+    deferred: Deferred,
     counters: Counters,
     failed: bool,
     /// The lock file; closing it releases the lock.
@@ -262,7 +285,7 @@
     ///
     /// Returns an [`Error`] if the folder is in use, is damaged or has another owner than `options` say.
     pub fn open(folder: &Path, options: Options) -> Result<(Disk, Recovered), Error> {
-        create_folder(folder).map_err(failure("creation", &folder.to_string_lossy()))?;
+        create_folder(folder).map_err(refusal("creation", &folder.to_string_lossy()))?;
         let lock = lock(folder)?;
         let (mut disk, recovered) = Disk::open_files(Files::folder(folder), options)?;
         disk._lock = Some(lock);
@@ -289,31 +312,32 @@
     }
 
     /// Persists the hard state, snapshot, truncation and entries of `ready`. If `ready.sync` is set, they are synced
-    /// when the call returns.
+    /// when the call returns, except a snapshot that is deferred; see [`Disk::is_deferring`].
     ///
     /// # Errors
     ///
-    /// Every error is fatal; all later calls fail with [`Error::Failed`].
+    /// After [`Error::Full`], nothing of `ready` may be relied on, and the next call must pass the same `ready` again.
+    /// Every other error is fatal; all later calls fail with [`Error::Failed`].
     pub fn write(&mut self, ready: &Ready) -> Result<(), Error> {
+        self.guard(|disk| disk.write_or_defer(ready))
+    }
+
+    /// Calls `write`, and refuses all later calls if it fails otherwise than with [`Error::Full`].
+    fn guard(&mut self, write: impl FnOnce(&mut Disk) -> Result<(), Error>) -> Result<(), Error> {
         if self.failed {
             return Err(Error::Failed);
         }
-        // Cleared at the end, so it stays set if the write fails.
-        self.failed = true;
-        if let Some(snapshot) = &ready.snapshot {
-            self.save_snapshot(snapshot)?;
-        }
-        self.write_batch(ready)?;
-        if ready.snapshot.is_some() {
-            self.remove_segments()?;
-        }
-        self.failed = false;
-        Ok(())
+        let result = write(self);
+        self.failed = !matches!(result, Ok(()) | Err(Error::Full { .. }));
+        result
     }
 
     fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
-        self.replace_file(SNAPSHOT, &encode(snapshot))?;
-        self.snapshot_index = snapshot.position.index;
+        // The file was written already if the batch with its record was refused.
+        if self.snapshot_index < snapshot.position.index {
+            self.replace_file(SNAPSHOT, &encode(snapshot))?;
+            self.snapshot_index = snapshot.position.index;
+        }
         Ok(())
     }
 
@@ -321,16 +345,20 @@
     fn replace_file(&mut self, name: &str, payload: &[u8]) -> Result<(), Error> {
         let temporary = format!("{name}{TEMPORARY_SUFFIX}");
         let bytes = &record::encode(0, payload);
-        self.append(&temporary, bytes)?;
+        if let Err(error) = self.append(&temporary, bytes) {
+            return Err(self.remove_refused(&temporary, error));
+        }
         self.sync_file(&temporary)?;
         let (from, to) = (temporary.as_str(), name);
         (self.files.change)(Operation::Rename { from, to }).map_err(failure("rename", from))?;
         self.sync_folder()
     }
 
+    /// Writes one record with everything in `ready` but the content of its snapshot.
     fn write_batch(&mut self, ready: &Ready) -> Result<(), Error> {
         let mut items = Vec::new();
-        items.extend(ready.hard.map(Item::Hard));
+        let deferred = self.deferred.commit.then_some(self.hard);
+        items.extend(ready.hard.or(deferred).map(Item::Hard));
         let snapshot = ready.snapshot.as_ref();
         items.extend(snapshot.map(|s| Item::Snapshot(s.position)));
         items.extend(ready.truncate.map(Item::Truncate));
@@ -341,10 +369,12 @@
         let starts_segment = self.length >= self.segment_bytes;
         if starts_segment {
             self.sync_log()?;
-            self.start_segment()?;
+            self.write_in_new_segment(items)?;
+        } else {
+            self.write_in_segment(items)?;
         }
-        self.write_record(items)?;
         self.hard = ready.hard.unwrap_or(self.hard);
+        self.deferred.commit = false;
         if let Some(entry) = ready.entries.last() {
             let at = self.segments.len() - 1;
             let last = &mut self.segments[at].last_index;
@@ -405,7 +435,7 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), Error> {
-        (self.files.change)(Operation::Append { name, bytes }).map_err(failure("write", name))
+        (self.files.change)(Operation::Append { name, bytes }).map_err(refusal("write", name))
     }
 
     fn sync_log(&mut self) -> Result<(), Error> {
@@ -450,7 +480,7 @@
         .create(true)
         .truncate(false)
         .open(&path)
-        .map_err(failure("opening", LOCK))?;
+        .map_err(refusal("opening", LOCK))?;
     match rustix::fs::flock(&file, FlockOperation::NonBlockingLockExclusive) {
         Ok(()) => Ok(file),
         Err(rustix::io::Errno::WOULDBLOCK) => Err(Error::Locked {
@@ -469,6 +499,18 @@
     }
 }
 
+/// Like [`failure`], but returns [`Error::Full`] if the disk is full.
+fn refusal(operation: &'static str, file: &str) -> impl FnOnce(io::Error) -> Error {
+    let file = file.to_owned();
+    move |source| match source.kind() {
+        // A write of 0 bytes is reported as `WriteZero`.
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::WriteZero => {
+            Error::Full { file, source }
+        }
+        _ => failure(operation, &file)(source),
+    }
+}
+
 fn segment_name(sequence: u64) -> String {
     format!("{SEGMENT_PREFIX}{sequence:016x}")
 }
--- a/crates/consensus/src/disk/recover.rs
+++ b/crates/consensus/src/disk/recover.rs
@@ -5,8 +5,8 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    Batch, Counters, Disk, Error, FORMAT, Header, IDENTITY, Identity, Item, Options, Recovered,
-    SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, segment_name,
+    Batch, Counters, Deferred, Disk, Error, FORMAT, Header, IDENTITY, Identity, Item, Options,
+    Recovered, SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, segment_name,
 };
 use crate::entry::{Entry, Hard, Position, Snapshot};
 use crate::files::{Files, Operation};
@@ -32,6 +32,7 @@
         synced: 0,
         hard: Hard::default(),
         snapshot_index: 0,
+        deferred: Deferred::default(),
         counters: Counters::default(),
         failed: false,
         _lock: None,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -60,6 +60,9 @@
         /// The leader, if known.
         leader: Option<Id>,
     },
+    /// The disk of this replica is full; see [`crate::Replica::full_since`].
+    #[error("the disk of this replica is full")]
+    DiskFull,
     /// The uncommitted entries have reached their size limit.
     #[error("{bytes} bytes of entries are waiting to be committed, the limit is {limit}")]
     Full {
@@ -171,6 +174,8 @@
 struct Outstanding {
     /// The last entry of the log when the [`Ready`] was returned; the default if that entry has been truncated since.
     last: Position,
+    /// [`Node::submitted_applied`] when the [`Ready`] was returned.
+    applied: u64,
 }
 
 /// The protocol state of one replica of the log.
@@ -224,8 +229,10 @@
     outbox: Vec<Message>,
     released_reads: Vec<u64>,
     aborted_reads: Vec<u64>,
-    /// The last index returned in [`Ready::committed`], or covered by a snapshot to restore.
+    /// The last index in [`Ready::committed`] of a persisted [`Ready`], or covered by its snapshot to restore.
     applied: u64,
+    /// Like `applied`, but of the latest [`Ready`]. Never lower than `applied`.
+    submitted_applied: u64,
     /// The last index in the log that was recovered from the disk at the start.
     recovered_index: u64,
     /// The last index returned in [`Ready::entries`] to be persisted.
@@ -305,6 +312,7 @@
             released_reads: Vec::new(),
             aborted_reads: Vec::new(),
             applied: base.index,
+            submitted_applied: base.index,
             recovered_index: last.index,
             submitted_index: last.index,
             durable_index: last.index,
@@ -374,7 +382,8 @@
         self.hard.commit
     }
 
-    /// The index of the last entry that was returned in [`Ready::committed`] or is covered by a restored snapshot.
+    /// The index of the last entry that was returned in [`Ready::committed`], or is covered by a restored snapshot, in
+    /// a [`Ready`] that has been persisted.
     pub fn applied(&self) -> u64 {
         self.applied
     }
@@ -534,9 +543,14 @@
         }
         self.durable_index = self.durable_index.min(index - 1);
         if self.outstanding.is_some_and(|o| o.last.index >= index) {
-            self.outstanding = Some(Outstanding {
-                last: Position::default(),
-            });
+            self.forget_outstanding_entries();
+        }
+    }
+
+    /// Prevents that the entries of the outstanding [`Ready`] count as durable once it is persisted.
+    fn forget_outstanding_entries(&mut self) {
+        if let Some(outstanding) = &mut self.outstanding {
+            outstanding.last = Position::default();
         }
     }
 
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -5,7 +5,7 @@
 use super::{Barrier, Error, Node, Role, Transfer};
 use crate::entry::{Payload, Position};
 use crate::membership::{Change, Id, Membership};
-use crate::message::{Body, Outcome, Stamp};
+use crate::message::{Body, Message, Outcome, Stamp};
 use crate::progress::{Flow, Progress};
 
 impl Node {
@@ -111,6 +111,35 @@
         Ok(to)
     }
 
+    /// Ends the leadership at once, because the outstanding [`super::Ready`] cannot be written. `unwritten` is the
+    /// index of its first entry; this entry and all later ones are dropped, and its messages must not be sent, so that
+    /// the dropped entries can never be committed. Returns the first dropped index.
+    ///
+    /// Also returns the message with which the voter with the highest match index takes over, if there is another
+    /// voter. It can be sent before the outstanding [`super::Ready`] is written: it states only the term, which is on
+    /// the disk, because other voters have elected this leader in it.
+    pub fn resign(&mut self, now: Time, unwritten: Option<u64>) -> (Option<u64>, Option<Message>) {
+        self.observe_time(now);
+        if self.role != Role::Leader {
+            return (None, None);
+        }
+        let voters = self.peers.iter().filter(|p| self.is_other_voter(p.id));
+        let successor = voters.max_by_key(|p| (p.matched, p.acked)).map(|p| p.id);
+        let dropped = unwritten.filter(|&index| index > self.hard.commit);
+        if let Some(index) = dropped {
+            self.truncate(index);
+        }
+        let term = self.hard.term;
+        self.become_follower(term, None);
+        let message = successor.map(|to| Message {
+            from: self.id,
+            to,
+            term,
+            body: Body::Transfer,
+        });
+        (dropped, message)
+    }
+
     /// The end of the leader lease on this node's clock; `None` if this node is not the leader, if no majority has
     /// answered yet in this term, or without [`super::Options::keeps_lease_over_restart`].
     pub fn lease_until(&self) -> Option<Time> {
@@ -460,7 +489,7 @@
         };
         let confirmed = confirmed.unwrap_or(0);
         while let Some(barrier) = self.barriers.front() {
-            if barrier.round > confirmed || barrier.index > self.applied {
+            if barrier.round > confirmed || barrier.index > self.submitted_applied {
                 break;
             }
             self.released_reads.push(barrier.context);
--- a/crates/consensus/src/node/ready.rs
+++ b/crates/consensus/src/node/ready.rs
@@ -94,16 +94,18 @@
         self.submitted_hard = self.hard;
         self.submitted_index = last.index;
         self.reported_status = self.status();
-        self.outstanding = Some(Outstanding { last });
+        let applied = self.submitted_applied;
+        self.outstanding = Some(Outstanding { last, applied });
         Some(ready)
     }
 
     /// Reports that the latest [`Ready`] has been persisted. A leader then counts its own entries towards the
     /// majority.
     pub fn persisted(&mut self) {
-        let Some(Outstanding { last }) = self.outstanding.take() else {
+        let Some(Outstanding { last, applied }) = self.outstanding.take() else {
             return;
         };
+        self.applied = self.applied.max(applied);
         if last != Position::default() && self.log.holds(last) {
             self.durable_index = self.durable_index.max(last.index);
         }
@@ -112,6 +114,11 @@
         }
     }
 
+    /// Drops the messages that are to be sent but not in a [`Ready`] yet. The protocol tolerates their loss.
+    pub fn drop_messages(&mut self) {
+        self.outbox.clear();
+    }
+
     fn needs_sync(&self, ready: &Ready) -> bool {
         let Hard {
             term, voted_for, ..
@@ -126,9 +133,9 @@
     fn take_committed(&mut self) -> Vec<Entry> {
         let limit = self.options.max_apply_bytes;
         let commit = self.hard.commit;
-        let committed = self.log.slice(self.applied + 1, commit, limit);
+        let committed = self.log.slice(self.submitted_applied + 1, commit, limit);
         if let Some(last) = committed.last() {
-            self.applied = last.position.index;
+            self.submitted_applied = last.position.index;
         }
         committed
     }
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -151,12 +151,10 @@
             self.submitted_index = position.index;
             self.durable_index = position.index;
             self.truncate_from = Some(position.index + 1);
-            self.outstanding = self.outstanding.map(|_| super::Outstanding {
-                last: Position::default(),
-            });
+            self.forget_outstanding_entries();
         }
         self.hard.commit = position.index;
-        self.applied = position.index;
+        self.submitted_applied = position.index;
         let snapshot = Arc::new(snapshot);
         self.snapshot = Some(Arc::clone(&snapshot));
         self.persist_snapshot = Some(Arc::clone(&snapshot));
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -1,4 +1,8 @@
 //! A replica: a node connected to its disk and to the caller's state machine.
+//!
+//! While the disk is full, the replica keeps the batch that could not be written, sends no messages and accepts no
+//! proposals. A leader gives up the leadership. The replica still handles messages, so that it knows the leader, and
+//! continues by itself when the batch can be written.
 
 use primrose_base::clock::Time;
 
@@ -6,7 +10,10 @@
 use crate::entry::{Entry, Payload, Position};
 use crate::membership::{Change, Id, Membership};
 use crate::message::Message;
-use crate::node::{self, Node, Status};
+use crate::node::{self, Node, Ready, Status};
+
+/// The shortest interval between two attempts to write to a full disk, in ms.
+const RETRY_INTERVAL_MS: u64 = 100;
 
 /// An operation on the state machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +49,9 @@
     /// its position will never take effect, unless an [`Action::Restore`] skipped its index. In that case, only the
     /// restored state shows whether it did.
     pub applied: u64,
+    /// Proposals of this replica at or above this index will never take effect: they were dropped before they were
+    /// written or sent, because the disk is full.
+    pub dropped: Option<u64>,
 }
 
 /// Executes an [`Action`] on the state machine.
@@ -52,6 +62,15 @@
     node: Node,
     disk: Disk,
     apply: Apply,
+    /// The time of the latest input. Never decreases.
+    now: Time,
+    /// The batch that a full disk has refused. The node returns no other one until it is written.
+    refused: Option<Ready>,
+    /// Since when the disk refuses writes; `None` if the latest write succeeded and nothing is deferred.
+    full_since: Option<Time>,
+    last_try: Time,
+    /// The status as of the latest [`Output`].
+    reported_status: Status,
 }
 
 impl Replica {
@@ -64,10 +83,16 @@
         seed: u64,
         apply: impl FnMut(Action<'_>) + Send + 'static,
     ) -> Replica {
+        let node = Node::new(recovered, options, now, seed);
         Replica {
-            node: Node::new(recovered, options, now, seed),
+            reported_status: node.status(),
+            node,
             disk,
             apply: Box::new(apply),
+            now,
+            refused: None,
+            full_since: None,
+            last_try: now,
         }
     }
 
@@ -81,22 +106,30 @@
         &self.disk
     }
 
+    /// Since when the disk refuses writes because it is full; `None` if it does not, as far as is known.
+    pub fn full_since(&self) -> Option<Time> {
+        self.full_since
+    }
+
     /// Starts a new fleet; see [`Node::bootstrap`].
     ///
     /// # Errors
     ///
     /// See [`Node::bootstrap`].
     pub fn bootstrap(&mut self, now: Time, membership: Membership) -> Result<(), node::Error> {
+        self.observe_time(now);
         self.node.bootstrap(now, membership)
     }
 
     /// Handles timeouts and heartbeats; see [`Node::tick`].
     pub fn tick(&mut self, now: Time) {
+        self.observe_time(now);
         self.node.tick(now);
     }
 
     /// Handles a message from another replica; see [`Node::step`].
     pub fn receive(&mut self, now: Time, message: Message) {
+        self.observe_time(now);
         self.node.step(now, message);
     }
 
@@ -104,8 +137,9 @@
     ///
     /// # Errors
     ///
-    /// See [`Node::propose`].
+    /// [`node::Error::DiskFull`], and see [`Node::propose`].
     pub fn propose(&mut self, now: Time, data: Vec<u8>) -> Result<Position, node::Error> {
+        self.check_written(now)?;
         self.node.propose(now, data)
     }
 
@@ -113,12 +147,13 @@
     ///
     /// # Errors
     ///
-    /// See [`Node::change_membership`].
+    /// [`node::Error::DiskFull`], and see [`Node::change_membership`].
     pub fn change_membership(
         &mut self,
         now: Time,
         change: &Change,
     ) -> Result<Position, node::Error> {
+        self.check_written(now)?;
         self.node.change_membership(now, change)
     }
 
@@ -126,8 +161,9 @@
     ///
     /// # Errors
     ///
-    /// See [`Node::read_barrier`].
+    /// [`node::Error::DiskFull`], and see [`Node::read_barrier`].
     pub fn read_barrier(&mut self, now: Time, context: u64) -> Result<(), node::Error> {
+        self.check_written(now)?;
         self.node.read_barrier(now, context)
     }
 
@@ -135,14 +171,17 @@
     ///
     /// # Errors
     ///
-    /// See [`Node::transfer_leadership`].
+    /// [`node::Error::DiskFull`], and see [`Node::transfer_leadership`].
     pub fn transfer_leadership(&mut self, now: Time, to: Option<Id>) -> Result<Id, node::Error> {
+        self.check_written(now)?;
         self.node.transfer_leadership(now, to)
     }
 
     /// The number of entries that were applied since the latest snapshot.
     pub fn entries_since_snapshot(&self) -> u64 {
-        self.node.applied() - self.node.snapshot_position().index
+        let snapshot = self.node.snapshot_position().index;
+        // A snapshot from the leader is ahead until the batch with it is written.
+        self.node.applied().saturating_sub(snapshot)
     }
 
     /// Stores `data` as the snapshot of the state after all entries that were applied so far. The next
@@ -159,31 +198,113 @@
     /// Processes all inputs since the last call: persists the changes, applies committed entries and returns the
     /// other outputs. Blocks until the disk has synced.
     ///
+    /// If the disk is full, the batch is kept and written by a later call, with a pause of `RETRY_INTERVAL_MS` between
+    /// two attempts; [`Replica::full_since`] then returns a time.
+    ///
     /// # Errors
     ///
     /// A disk error is fatal: no message of this batch may be sent, and the process must exit.
     pub fn flush(&mut self) -> Result<Output, Error> {
         let mut output = Output::default();
-        while let Some(ready) = self.node.ready() {
-            self.disk.write(&ready)?;
-            self.node.persisted();
-            output.messages.extend(ready.messages);
-            if let Some(snapshot) = &ready.restore {
-                let position = snapshot.position;
-                let data = &snapshot.data;
-                (self.apply)(Action::Restore { position, data });
+        while let Some(ready) = self.next_batch() {
+            match self.disk.write(&ready) {
+                Ok(()) => self.finish(ready, &mut output),
+                Err(Error::Full { .. }) => self.refuse(ready, &mut output),
+                Err(error) => return Err(error),
             }
-            for entry in &ready.committed {
-                self.apply(entry);
+            // The next proposal would be refused as well. A deferred snapshot alone does not show that.
+            if self.disk.is_deferring_commit() && self.refused.is_none() {
+                self.resign(None, &mut output);
             }
-            output.reads.extend(ready.reads);
-            output.aborted_reads.extend(ready.aborted_reads);
-            output.status = ready.status.or(output.status);
         }
+        self.write_deferred()?;
+        self.full_since = match self.refused.is_some() || self.disk.is_deferring() {
+            true => self.full_since.or(Some(self.now)),
+            false => None,
+        };
+        if self.refused.is_some() {
+            // Messages are sent only after the state that they report is on the disk.
+            self.node.drop_messages();
+        }
+        let status = self.node.status();
+        output.status = (status != self.reported_status).then_some(status);
+        self.reported_status = status;
         output.applied = self.node.applied();
         Ok(output)
     }
 
+    fn observe_time(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    /// Refuses an input of a caller that could be answered only after the refused batch.
+    fn check_written(&mut self, now: Time) -> Result<(), node::Error> {
+        self.observe_time(now);
+        match self.refused {
+            Some(_) => Err(node::Error::DiskFull),
+            None => Ok(()),
+        }
+    }
+
+    /// The batch to write now: the refused one, if the next attempt is due, or a new one.
+    fn next_batch(&mut self) -> Option<Ready> {
+        if self.refused.is_none() {
+            return self.node.ready();
+        }
+        self.refused.take_if(|_| is_due(self.last_try, self.now))
+    }
+
+    /// Carries out the remaining steps of a batch that has been written.
+    fn finish(&mut self, ready: Ready, output: &mut Output) {
+        self.node.persisted();
+        output.messages.extend(ready.messages);
+        if let Some(snapshot) = &ready.restore {
+            let position = snapshot.position;
+            let data = &snapshot.data;
+            (self.apply)(Action::Restore { position, data });
+        }
+        for entry in &ready.committed {
+            self.apply(entry);
+        }
+        output.reads.extend(ready.reads);
+        output.aborted_reads.extend(ready.aborted_reads);
+    }
+
+    /// Keeps a batch that a full disk has refused. Ends the leadership, because others can write.
+    fn refuse(&mut self, mut ready: Ready, output: &mut Output) {
+        self.last_try = self.now;
+        // The reads must not wait until there is room.
+        output.aborted_reads.append(&mut ready.reads);
+        output.aborted_reads.append(&mut ready.aborted_reads);
+        let unwritten = ready.entries.first().map(|entry| entry.position.index);
+        if self.resign(unwritten, output) {
+            ready.entries.clear();
+        }
+        // They would arrive too late to be of use, and those of a leader may contain dropped entries.
+        ready.messages.clear();
+        self.refused = Some(ready);
+    }
+
+    /// Ends the leadership and drops the entries from `unwritten` on. Returns whether entries were dropped.
+    fn resign(&mut self, unwritten: Option<u64>, output: &mut Output) -> bool {
+        let (dropped, message) = self.node.resign(self.now, unwritten);
+        output.messages.extend(message);
+        output.dropped = dropped.or(output.dropped);
+        dropped.is_some()
+    }
+
+    fn write_deferred(&mut self) -> Result<(), Error> {
+        let is_due = is_due(self.last_try, self.now);
+        if !is_due || self.refused.is_some() || !self.disk.is_deferring() {
+            return Ok(());
+        }
+        self.last_try = self.now;
+        match self.disk.write_deferred() {
+            Err(Error::Full { .. }) => Ok(()),
+            result => result,
+        }
+    }
+
     fn apply(&mut self, entry: &Entry) {
         let position = entry.position;
         if let Payload::Data(data) = &entry.payload {
@@ -191,3 +312,7 @@
         }
     }
 }
+
+fn is_due(last_try: Time, now: Time) -> bool {
+    now.since(last_try) >= RETRY_INTERVAL_MS
+}
--- a/crates/consensus/tests/support/client.rs
+++ b/crates/consensus/tests/support/client.rs
@@ -227,6 +227,12 @@
             let Some(pending) = self.clients[at].pending.take_if(|p| p.host == host) else {
                 continue;
             };
+            // A dropped write must never take effect, so it is not part of the history.
+            if let (Wait::Write(position), Some(dropped)) = (&pending.wait, output.dropped)
+                && position.index >= dropped
+            {
+                continue;
+            }
             let operation = match pending.wait {
                 Wait::Write(position) if output.applied >= position.index => {
                     let committed = oracle.committed[position.index as usize - 1].position;
