fleet: Serve on while the disk of a core host is full

Operators whose change reached a core host with a full disk lost the connection, because the process ended, or were told that the outcome is unknown, as for a change that may still take effect. A process that was started on a full disk ended again until there was room.

A document that a full disk refused is reported as DiskFull: it was dropped before it was written or sent.

If the folder cannot be opened because the disk is full, the thread tries again every 200 ms and answers inputs meanwhile. Until then the replica is not reported as empty, because a fleet must not be formed on a disk whose content is unknown. The same holds for a replica that was removed and starts again as a new one.

The counters disk_full and disk_has_room and one log line each mark the beginning and the end; the latter has the duration.

--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 23] = [
+pub const ALL: [&str; 26] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
@@ -13,7 +13,10 @@
     "directory_fetched",
     "directory_read",
     "directory_read_failed",
+    "disk_full",
+    "disk_has_room",
     "document_conflict",
+    "document_disk_full",
     "document_invalid",
     "document_not_leader",
     "document_stored",
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod peers;
 pub mod replica;
+pub mod storage;
 pub mod store;
 
 pub use directory::Directory;
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -4,17 +4,17 @@
 //! one fsync covers them.
 
 use std::net::Ipv4Addr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self as queue, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-use std::{fs, io, thread};
+use std::time::{Duration, Instant};
+use std::{io, thread};
 
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_consensus::Replica;
-use primrose_consensus::disk::{Disk, Error as DiskError, Options as DiskOptions};
+use primrose_consensus::disk::{Error as DiskError, Options as DiskOptions};
 use primrose_consensus::entry::Position;
 use primrose_consensus::membership::{Id, Member, Membership};
 use primrose_consensus::message::Message;
@@ -26,11 +26,15 @@
 
 use crate::members::View;
 use crate::message::{Acknowledgement, Introduction};
+use crate::storage::Storage;
 use crate::store::{Reply, Store, Stored};
 
 /// The longest interval between two ticks of the replica, which drive heartbeats and elections.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Interval between two attempts to open the data folder on a full disk.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Number of log entries after which a snapshot replaces them. Entries are whole documents: a long log would fit
 /// neither a small disk nor the memory of a small host.
 const SNAPSHOT_ENTRIES: u64 = 16;
@@ -88,6 +92,8 @@
     Applied(Reply),
     /// The document was not appended: this replica does not lead, or could not append it.
     NotLeader,
+    /// The document was not appended and will not be, because the disk of this host is full.
+    DiskFull,
     /// It is not known whether the document has taken or will take effect.
     Unknown,
 }
@@ -112,6 +118,8 @@
     pub term: u64,
     /// The members of the log, voters and learners.
     pub members: Vec<Member>,
+    /// Since when the disk of this host refuses writes because it is full.
+    pub full_since: Option<Time>,
 }
 
 /// Parameters of the replica.
@@ -201,41 +209,60 @@
     host.as_str().parse().ok()
 }
 
-/// Opens the data folder, recovers the state from it and starts the thread.
+/// Opens the data folder, recovers the state from it and starts the thread. If the disk is full, the thread opens the
+/// folder when there is room.
 ///
 /// # Errors
 ///
 /// Returns the error of the disk, for example a damaged file with its name and the position of the damage, or the
 /// error of starting the thread.
 pub fn open(folder: &Path, inputs: Inputs) -> Result<Handle, DiskError> {
+    open_storage(Storage::folder(folder), inputs)
+}
+
+/// Like [`open`], but with the given access to the data folder.
+///
+/// # Errors
+///
+/// As [`open`].
+pub fn open_storage(mut storage: Storage, inputs: Inputs) -> Result<Handle, DiskError> {
     let shared = Shared::default();
-    let replica = open_replica(folder, &inputs.host, &shared)?;
+    let replica = match open_replica(&mut storage, &inputs.host, &shared) {
+        Ok(replica) => Some(replica),
+        Err(DiskError::Full { .. }) => None,
+        Err(error) => return Err(error),
+    };
     let (input_sender, receiver) = queue::channel();
-    let (state_sender, state) = watch::channel(state_of(&replica, &inputs, None, false));
+    let initial = replica.as_ref().map_or_else(
+        || unopened_state(&inputs),
+        |replica| state_of(replica, &inputs, None, false),
+    );
+    let (state_sender, state) = watch::channel(initial);
     let (newest_sender, newest) = watch::channel(None);
-    let worker = Worker {
-        folder: folder.to_owned(),
-        replica,
-        inputs,
-        receiver,
-        shared,
-        state: state_sender,
-        newest: newest_sender,
-        puts: Vec::new(),
-        reads: Vec::new(),
-        next_read: 1 << 32,
-        barrier: None,
-        is_leading: false,
-        newcomers: Vec::new(),
-        senders: Vec::new(),
-        last_members_check: Time::ZERO,
+    let start = move || {
+        let opened = match replica {
+            Some(replica) => Some(replica),
+            None => open_when_possible(&mut storage, &inputs, &shared, &receiver, &state_sender),
+        };
+        if let Some(replica) = opened {
+            Worker::new(
+                storage,
+                replica,
+                inputs,
+                receiver,
+                shared,
+                state_sender,
+                newest_sender,
+            )
+            .run();
+        }
     };
     thread::Builder::new()
         .name("ledger".to_owned())
-        .spawn(move || worker.run())
+        .spawn(start)
         .map_err(|source| DiskError::Operation {
             operation: "starting the thread",
-            file: folder.display().to_string(),
+            file: "ledger".to_owned(),
             source,
         })?;
     Ok(Handle {
@@ -260,13 +287,13 @@
     reply: Reply,
 }
 
-fn open_replica(folder: &Path, host: &Name, shared: &Shared) -> Result<Replica, DiskError> {
+fn open_replica(storage: &mut Storage, host: &Name, shared: &Shared) -> Result<Replica, DiskError> {
     let fleet = Name::new("primrose").unwrap_or_else(|_| host.clone());
     let options = DiskOptions {
         segment_bytes: SEGMENT_BYTES,
         ..DiskOptions::new(fleet, host.clone(), Id(rand::random()))
     };
-    let opened = Disk::open(folder, options)?;
+    let opened = (storage.open)(options)?;
     *lock(&shared.store) = Store::default();
     let shared = shared.clone();
     let apply = move |action: Action<'_>| match action {
@@ -301,6 +328,97 @@
     ))
 }
 
+/// The state before the folder could be opened. The replica is not reported as empty, so that no fleet is formed with it
+/// and no leader adds it.
+fn unopened_state(inputs: &Inputs) -> State {
+    State {
+        introduction: Introduction {
+            host: inputs.host.clone(),
+            domain: Arc::clone(&inputs.domain),
+            replica: Id(0),
+            is_empty: false,
+            is_first_start: inputs.is_first_start,
+        },
+        leader: None,
+        is_leading: false,
+        term: 0,
+        members: Vec::new(),
+        full_since: Some(Time::now()),
+    }
+}
+
+/// Opens the folder when the disk has room, and answers inputs meanwhile. Returns `None` when the process ends.
+fn open_when_possible(
+    storage: &mut Storage,
+    inputs: &Inputs,
+    shared: &Shared,
+    receiver: &Receiver<Input>,
+    state: &watch::Sender<State>,
+) -> Option<Replica> {
+    let since = Time::now();
+    inputs.meter.count("disk_full");
+    warn!(
+        inputs.log,
+        "the disk is full, the replica starts when there is room"
+    );
+    state.send_modify(|state| {
+        state.is_leading = false;
+        state.full_since = Some(since);
+    });
+    let mut last_try = Instant::now();
+    loop {
+        let pause = OPEN_RETRY_INTERVAL.saturating_sub(last_try.elapsed());
+        match receiver.recv_timeout(pause) {
+            Ok(input) => refuse(input, &state.borrow()),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return None,
+        }
+        if last_try.elapsed() < OPEN_RETRY_INTERVAL {
+            continue;
+        }
+        last_try = Instant::now();
+        match open_replica(storage, &inputs.host, shared) {
+            Ok(replica) => {
+                report_room(inputs, since);
+                return Some(replica);
+            }
+            Err(DiskError::Full { .. }) => {}
+            Err(error) => end_process(&inputs.log, "opening the disk", &error),
+        }
+    }
+}
+
+/// Answers an input while there is no replica. The senders of the other inputs send them again.
+fn refuse(input: Input, state: &State) {
+    // The callers may have given up.
+    match input {
+        Input::Put { reply, .. } => drop(reply.send(Outcome::DiskFull)),
+        Input::Read { reply } => drop(reply.send(None)),
+        Input::Introduce { reply, .. } => drop(reply.send(Acknowledgement {
+            introduction: state.introduction.clone(),
+            members: Vec::new(),
+            is_current: false,
+            is_retired: false,
+        })),
+        Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Transfer => {}
+    }
+}
+
+fn report_room(inputs: &Inputs, since: Time) {
+    inputs.meter.count("disk_has_room");
+    info!(inputs.log, "the disk has room again"; "full_ms" => Time::now().since(since));
+}
+
+/// Ends the process, because it is unknown what a failed write has left on the disk.
+fn end_process(log: &Logger, during: &str, error: &dyn std::error::Error) -> ! {
+    let cause = error.source().map(ToString::to_string);
+    error!(log, "the replica failed, ending the process";
+        "during" => during, "error" => %error, "cause" => cause);
+    // Gives the thread that writes the log lines time to finish.
+    thread::sleep(Duration::from_millis(300));
+    std::process::exit(1);
+}
+
 fn state_of(replica: &Replica, inputs: &Inputs, leader: Option<Name>, is_leading: bool) -> State {
     let node = replica.node();
     State {
@@ -315,9 +433,16 @@
         is_leading,
         term: node.term(),
         members: node.membership().members().to_vec(),
+        full_since: replica.full_since(),
     }
 }
 
+/// Why a document was not appended.
+struct Refused {
+    outcome: Outcome,
+    reason: String,
+}
+
 /// A document that was appended and waits until its entry is applied.
 struct Put {
     position: Position,
@@ -340,7 +465,7 @@
 }
 
 struct Worker {
-    folder: PathBuf,
+    storage: Storage,
     replica: Replica,
     inputs: Inputs,
     receiver: Receiver<Input>,
@@ -361,9 +486,40 @@
     /// Sorted by host.
     senders: Vec<Sender>,
     last_members_check: Time,
+    /// Since when the disk is full, as reported in the log.
+    full_since: Option<Time>,
 }
 
 impl Worker {
+    fn new(
+        storage: Storage,
+        replica: Replica,
+        inputs: Inputs,
+        receiver: Receiver<Input>,
+        shared: Shared,
+        state: watch::Sender<State>,
+        newest: watch::Sender<Option<Arc<Stored>>>,
+    ) -> Worker {
+        Worker {
+            storage,
+            replica,
+            inputs,
+            receiver,
+            shared,
+            state,
+            newest,
+            puts: Vec::new(),
+            reads: Vec::new(),
+            next_read: 1 << 32,
+            barrier: None,
+            is_leading: false,
+            newcomers: Vec::new(),
+            senders: Vec::new(),
+            last_members_check: Time::ZERO,
+            full_since: None,
+        }
+    }
+
     fn run(mut self) {
         // The first tick is at once: a voter may stand for election as soon as it has started.
         let mut wait = Duration::ZERO;
@@ -417,23 +573,35 @@
     }
 
     fn put(&mut self, stored: &Stored, reply: oneshot::Sender<Outcome>, now: Time) {
-        let proposed = if self.is_leading {
-            match postcard::to_stdvec(stored) {
-                Ok(data) => self.replica.propose(now, data).map_err(|e| e.to_string()),
-                Err(error) => Err(error.to_string()),
+        let refused = match self.propose(stored, now) {
+            Ok(position) => {
+                self.puts.push(Put { position, reply });
+                return;
             }
-        } else {
-            Err("this replica does not lead".to_owned())
+            Err(refused) => refused,
         };
-        match proposed {
-            Ok(position) => self.puts.push(Put { position, reply }),
-            Err(error) => {
-                info!(self.inputs.log, "document not appended to the log";
-                    "version" => stored.document.version, "reason" => error);
-                // The caller may have given up; it will retry.
-                let _ = reply.send(Outcome::NotLeader);
-            }
+        info!(self.inputs.log, "document not appended to the log";
+            "version" => stored.document.version, "reason" => refused.reason);
+        // The caller may have given up; it will retry.
+        let _ = reply.send(refused.outcome);
+    }
+
+    fn propose(&mut self, stored: &Stored, now: Time) -> Result<Position, Refused> {
+        let not_appended = |reason: String| Refused {
+            outcome: Outcome::NotLeader,
+            reason,
+        };
+        if !self.is_leading {
+            return Err(not_appended("this replica does not lead".to_owned()));
         }
+        let data = postcard::to_stdvec(stored).map_err(|e| not_appended(e.to_string()))?;
+        self.replica.propose(now, data).map_err(|error| Refused {
+            outcome: match error {
+                NodeError::DiskFull => Outcome::DiskFull,
+                _ => Outcome::NotLeader,
+            },
+            reason: error.to_string(),
+        })
     }
 
     fn read(&mut self, reply: oneshot::Sender<Option<Current>>, now: Time) {
@@ -483,14 +651,30 @@
     /// Empties the disk and continues as a new replica, which then asks to be added.
     fn reset(&mut self) {
         let old = self.replica.node().id();
-        if let Err(error) = empty_folder(&self.folder) {
-            self.end_process("emptying the disk of a removed replica", &error);
+        if let Err(error) = (self.storage.empty)() {
+            end_process(
+                &self.inputs.log,
+                "emptying the disk of a removed replica",
+                &error,
+            );
         }
-        match open_replica(&self.folder, &self.inputs.host, &self.shared) {
+        self.is_leading = false;
+        match open_replica(&mut self.storage, &self.inputs.host, &self.shared) {
             Ok(replica) => self.replica = replica,
-            Err(error) => self.end_process("opening the emptied disk", &error),
+            Err(DiskError::Full { .. }) => {
+                let opened = open_when_possible(
+                    &mut self.storage,
+                    &self.inputs,
+                    &self.shared,
+                    &self.receiver,
+                    &self.state,
+                );
+                // Without an opened folder, the process is ending.
+                let Some(replica) = opened else { return };
+                self.replica = replica;
+            }
+            Err(error) => end_process(&self.inputs.log, "opening the emptied disk", &error),
         }
-        self.is_leading = false;
         self.inputs.meter.count("replica_replaced");
         warn!(self.inputs.log, "this replica was removed and starts again as a new one";
             "old" => %old, "new" => %self.replica.node().id());
@@ -519,12 +703,13 @@
     fn flush(&mut self) {
         let output = match self.replica.flush() {
             Ok(output) => output,
-            Err(error) => self.end_process("writing the log", &error),
+            Err(error) => end_process(&self.inputs.log, "writing the log", &error),
         };
         if self.shared.damaged.load(Ordering::Relaxed) {
             let error = io::Error::other("an entry or a snapshot cannot be decoded");
-            self.end_process("applying the log", &error);
+            end_process(&self.inputs.log, "applying the log", &error);
         }
+        self.report_space();
         if let Some(status) = output.status {
             self.handle_status_change(status);
         }
@@ -534,14 +719,21 @@
         self.send(output);
     }
 
-    /// Ends the process, because it is unknown what a failed write has left on the disk.
-    fn end_process(&self, during: &str, error: &dyn std::error::Error) -> ! {
-        let cause = error.source().map(ToString::to_string);
-        error!(self.inputs.log, "the replica failed, ending the process";
-            "during" => during, "error" => %error, "cause" => cause);
-        // Gives the thread that writes the log lines time to finish.
-        thread::sleep(Duration::from_millis(300));
-        std::process::exit(1);
+    /// Reports that the disk has become full, or has room again.
+    fn report_space(&mut self) {
+        let full_since = self.replica.full_since();
+        match (self.full_since, full_since) {
+            (None, Some(_)) => {
+                self.inputs.meter.count("disk_full");
+                warn!(
+                    self.inputs.log,
+                    "the disk is full, the replica goes on when there is room"
+                );
+            }
+            (Some(since), None) => report_room(&self.inputs, since),
+            (None, None) | (Some(_), Some(_)) => {}
+        }
+        self.full_since = full_since;
     }
 
     fn handle_status_change(&mut self, status: Status) {
@@ -590,6 +782,14 @@
     }
 
     fn answer_puts(&mut self, output: &Output) {
+        if let Some(dropped) = output.dropped {
+            let first = self
+                .puts
+                .partition_point(|put| put.position.index < dropped);
+            for put in self.puts.drain(first..) {
+                let _ = put.reply.send(Outcome::DiskFull);
+            }
+        }
         let results = std::mem::take(&mut *lock(&self.shared.applied));
         let done = self
             .puts
@@ -735,14 +935,6 @@
     }
 }
 
-/// Removes all files of a folder and makes the removal durable.
-fn empty_folder(folder: &Path) -> io::Result<()> {
-    for entry in fs::read_dir(folder)? {
-        fs::remove_file(entry?.path())?;
-    }
-    fs::File::open(folder)?.sync_all()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // A panic while the lock is held ends the thread that owns the state, so no partly changed state is read.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -1,93 +1,20 @@
 //! Tests of replicas of the log of documents on real disks. The test itself delivers the messages.
 
+#[path = "support/hosts.rs"]
+mod hosts;
+
 use std::path::Path;
-use std::sync::Arc;
 use std::time::Duration;
 
+use hosts::{TIMEOUT, document, form_fleet, leader};
 use primrose_base::name::Name;
-use primrose_fleet::replica::{self, Handle, Input, Inputs, Outcome};
-use primrose_fleet::store::{Reply, Stored};
-use primrose_observe::Meter;
-use primrose_route::Document;
-use slog::{Discard, Logger, o};
-use tokio::sync::mpsc;
-
-/// The longest wait for an event that includes an election.
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-struct Host {
-    name: Name,
-    handle: Handle,
-}
+use primrose_fleet::replica::{Input, Outcome};
+use primrose_fleet::storage::Storage;
+use primrose_fleet::store::Reply;
 
 /// Opens a replica in each folder and delivers the messages between them.
-fn open(folders: &[&Path]) -> Vec<Host> {
-    let (sender, mut messages) = mpsc::unbounded_channel::<(Name, replica::Outgoing)>();
-    let mut hosts = Vec::new();
-    for (at, folder) in folders.iter().enumerate() {
-        let name = Name::new(&format!("10.0.0.{}", at + 1)).expect("the name is valid");
-        let (outgoing, mut sent) = mpsc::unbounded_channel();
-        let inputs = Inputs {
-            host: name.clone(),
-            domain: "north".into(),
-            is_first_start: true,
-            tolerated_losses: 1,
-            outgoing,
-            meter: Arc::new(Meter::new(&[], &[])),
-            log: Logger::root(Discard, o!()),
-        };
-        let handle = replica::open(folder, inputs).expect("the folder can be opened");
-        let (from, sender) = (name.clone(), sender.clone());
-        tokio::spawn(async move {
-            while let Some(outgoing) = sent.recv().await {
-                let _ = sender.send((from.clone(), outgoing));
-            }
-        });
-        hosts.push(Host { name, handle });
-    }
-    let handles: Vec<(Name, Handle)> = hosts
-        .iter()
-        .map(|host| (host.name.clone(), host.handle.clone()))
-        .collect();
-    tokio::spawn(async move {
-        while let Some((sender, outgoing)) = messages.recv().await {
-            if let Some((_, handle)) = handles.iter().find(|(name, _)| *name == outgoing.host) {
-                let messages = outgoing.messages;
-                let sender = sender.clone();
-                handle.send(Input::Messages { sender, messages });
-            }
-        }
-    });
-    hosts
-}
-
-async fn leader(hosts: &[Host]) -> &Host {
-    let search = async {
-        loop {
-            if let Some(host) = hosts.iter().find(|host| host.handle.state().is_leading) {
-                return host;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::time::timeout(TIMEOUT, search)
-        .await
-        .expect("a leader is elected")
-}
-
-fn form_fleet(hosts: &[Host]) {
-    let introductions = hosts.iter().map(|host| host.handle.state().introduction);
-    hosts[0].handle.send(Input::Form(introductions.collect()));
-}
-
-fn document(version: u64) -> Stored {
-    Stored {
-        document: Arc::new(Document {
-            version,
-            ..Document::default()
-        }),
-        source: version.to_string().as_bytes().into(),
-    }
+fn open(folders: &[&Path]) -> Vec<hosts::Host> {
+    hosts::open(folders.iter().map(|folder| Storage::folder(folder)))
 }
 
 // An acknowledged document must be returned by reads, by the leader only, even after all processes were killed and
--- /dev/null
+++ b/crates/fleet/tests/support/hosts.rs
@@ -0,0 +1,91 @@
+//! Replicas of the log in one process. The messages between them are delivered without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_base::name::Name;
+use primrose_fleet::replica::{self, Handle, Input, Inputs};
+use primrose_fleet::storage::Storage;
+use primrose_fleet::store::Stored;
+use primrose_observe::Meter;
+use primrose_route::Document;
+use slog::{Discard, Logger, o};
+use tokio::sync::mpsc;
+
+/// The longest wait for an event that includes an election.
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
+
+pub(crate) struct Host {
+    pub(crate) name: Name,
+    pub(crate) handle: Handle,
+}
+
+/// Opens a replica on each storage and delivers the messages between them.
+pub(crate) fn open(storages: impl Iterator<Item = Storage>) -> Vec<Host> {
+    let (sender, mut messages) = mpsc::unbounded_channel::<(Name, replica::Outgoing)>();
+    let mut hosts = Vec::new();
+    for (at, storage) in storages.enumerate() {
+        let name = Name::new(&format!("10.0.0.{}", at + 1)).expect("the name is valid");
+        let (outgoing, mut sent) = mpsc::unbounded_channel();
+        let inputs = Inputs {
+            host: name.clone(),
+            domain: "north".into(),
+            is_first_start: true,
+            tolerated_losses: 1,
+            outgoing,
+            meter: Arc::new(Meter::new(&primrose_fleet::counter::ALL, &[])),
+            log: Logger::root(Discard, o!()),
+        };
+        let handle = replica::open_storage(storage, inputs).expect("the folder can be opened");
+        let (from, sender) = (name.clone(), sender.clone());
+        tokio::spawn(async move {
+            while let Some(outgoing) = sent.recv().await {
+                let _ = sender.send((from.clone(), outgoing));
+            }
+        });
+        hosts.push(Host { name, handle });
+    }
+    let handles: Vec<(Name, Handle)> = hosts
+        .iter()
+        .map(|host| (host.name.clone(), host.handle.clone()))
+        .collect();
+    tokio::spawn(async move {
+        while let Some((sender, outgoing)) = messages.recv().await {
+            if let Some((_, handle)) = handles.iter().find(|(name, _)| *name == outgoing.host) {
+                let messages = outgoing.messages;
+                let sender = sender.clone();
+                handle.send(Input::Messages { sender, messages });
+            }
+        }
+    });
+    hosts
+}
+
+pub(crate) async fn leader(hosts: &[Host]) -> &Host {
+    let search = async {
+        loop {
+            if let Some(host) = hosts.iter().find(|host| host.handle.state().is_leading) {
+                return host;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, search)
+        .await
+        .expect("a leader is elected")
+}
+
+pub(crate) fn form_fleet(hosts: &[Host]) {
+    let introductions = hosts.iter().map(|host| host.handle.state().introduction);
+    hosts[0].handle.send(Input::Form(introductions.collect()));
+}
+
+pub(crate) fn document(version: u64) -> Stored {
+    Stored {
+        document: Arc::new(Document {
+            version,
+            ..Document::default()
+        }),
+        source: version.to_string().as_bytes().into(),
+    }
+}
