daemon: Serve on while the disk of a voter is full

The replica of primrosed uses the same log, so a voter whose disk was full ended as well, with all requests that it was passing on. With the consensus crate's treatment of full disks it goes on; this adds what is left to the daemon.

A submission that was dropped because it could not be written is answered with NotLeader, which promises that nothing was appended, instead of being left to the submitter's timeout. A folder that cannot be opened because the disk is full is opened by the thread, which tries every 200 ms, so that the start of the daemon goes on; the replica is not reported as empty meanwhile. The counters disk_full and disk_has_room and one log line each mark the beginning and the end.

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -248,6 +248,9 @@
     last_index: u64,
 }
 
+/// Opens the data folder of a replica, as [`Disk::open`] does.
+pub type Open = Box<dyn FnMut(Options) -> Result<(Disk, Recovered), Error> + Send>;
+
 /// The open data folder of one replica.
 pub struct Disk {
     files: Files,
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -26,6 +26,8 @@
     "claim_expired",
     "claim_granted",
     "claim_unavailable",
+    "disk_full",
+    "disk_has_room",
     "dispatched",
     "draining",
     "duplicate_request",
@@ -73,7 +75,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 60;
+const COUNT: usize = 62;
 
 /// Prefix of the counter names that `cadence` sends.
 const PREFIX: &str = "primrose";
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -10,13 +10,13 @@
 use std::sync::mpsc::{self as queue, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_config::{Configuration, State as Lifecycle};
 use primrose_consensus::Replica;
-use primrose_consensus::disk::{Disk, Error as DiskError, Options as DiskOptions};
+use primrose_consensus::disk::{Disk, Error as DiskError, Open, Options as DiskOptions, Recovered};
 use primrose_consensus::entry::Position;
 use primrose_consensus::membership::{Change, Id, Member, Membership};
 use primrose_consensus::message::Message;
@@ -33,6 +33,9 @@
 /// Longest interval between two calls of [`Replica::tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval between two attempts to open the data folder on a full disk.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between heartbeats, half a leader lease. At 100 ms the heartbeats of an idle leader took 1.2 KB/s.
 const HEARTBEAT_MS: u64 = 200;
 
@@ -159,7 +162,7 @@
     pub outgoing: mpsc::UnboundedSender<Outgoing>,
     /// Receives every new configuration.
     pub configuration: watch::Sender<Option<Arc<Configuration>>>,
-    /// Counts `leader_changed`.
+    /// Counts `leader_changed`, `disk_full` and `disk_has_room`.
     pub counters: Arc<Counters>,
     /// Receives the log lines of the thread.
     pub log: Logger,
@@ -173,18 +176,36 @@
     pub messages: Vec<Message>,
 }
 
-/// Opens the data folder, recovers the state and starts the thread.
+/// Opens the data folder, recovers the state and starts the thread. If the disk is full, the thread opens the folder when
+/// there is room.
 ///
 /// # Errors
 ///
 /// Returns the error of the disk, for example that a file is damaged, with the file and the offset.
 pub fn open(folder: &Path, inputs: Inputs) -> Result<Handle, DiskError> {
+    let folder = folder.to_owned();
+    open_disk(
+        Box::new(move |options| Disk::open(&folder, options)),
+        inputs,
+    )
+}
+
+/// Like [`open`], but `open` opens the data folder.
+///
+/// # Errors
+///
+/// As [`open`].
+pub fn open_disk(mut open: Open, inputs: Inputs) -> Result<Handle, DiskError> {
     let options = DiskOptions::new(
         inputs.fleet.clone(),
         inputs.host.clone(),
         Id(rand::random()),
     );
-    let (disk, recovered) = Disk::open(folder, options)?;
+    let opened = match open(options.clone()) {
+        Ok(opened) => Some(opened),
+        Err(DiskError::Full { .. }) => None,
+        Err(error) => return Err(error),
+    };
     let applied = Arc::new(Mutex::new(Vec::new()));
     let machine = Arc::new(Mutex::new(Machine::default()));
     let restore_failure = Arc::new(Mutex::new(None));
@@ -208,22 +229,13 @@
             },
         }
     };
-    let id = recovered.id;
-    let is_empty = recovered.is_empty();
-    let replica = Replica::new(
-        (disk, recovered),
-        Options {
-            heartbeat_ms: HEARTBEAT_MS,
-            ..Options::default()
-        },
-        Time::now(),
-        rand::random(),
-        apply,
-    );
+    // A replica that could not be opened is not reported as empty, so that no fleet is formed with it.
     let introduction = Introduction {
         host: inputs.host.clone(),
-        replica: id,
-        is_empty,
+        replica: opened.as_ref().map_or(Id(0), |(_, recovered)| recovered.id),
+        is_empty: opened
+            .as_ref()
+            .is_some_and(|(_, recovered)| recovered.is_empty()),
     };
     let (input_sender, input_receiver) = queue::channel();
     let (status_sender, status) = watch::channel(Status {
@@ -237,27 +249,39 @@
         leaderless_since: Some(Time::now()),
         log_syncs: 0,
     });
-    let worker = Worker {
-        replica,
-        inputs,
-        receiver: input_receiver,
-        applied,
-        machine: Arc::clone(&machine),
-        restore_failure,
-        restored_index,
-        status: status_sender,
-        waiting: Vec::new(),
-        clock: None,
-        pending_barrier: None,
-        new_replicas: Vec::new(),
-        senders: Vec::new(),
+    let worker_machine = Arc::clone(&machine);
+    let start = move || {
+        let opened =
+            opened.or_else(|| open_when_possible(&mut open, &options, &inputs, &input_receiver));
+        let Some(opened) = opened else { return };
+        let options = Options {
+            heartbeat_ms: HEARTBEAT_MS,
+            ..Options::default()
+        };
+        let worker = Worker {
+            replica: Replica::new(opened, options, Time::now(), rand::random(), apply),
+            inputs,
+            receiver: input_receiver,
+            applied,
+            machine: worker_machine,
+            restore_failure,
+            restored_index,
+            status: status_sender,
+            waiting: Vec::new(),
+            clock: None,
+            pending_barrier: None,
+            new_replicas: Vec::new(),
+            senders: Vec::new(),
+            full_since: None,
+        };
+        worker.run();
     };
     thread::Builder::new()
         .name("replica".to_owned())
-        .spawn(move || worker.run())
+        .spawn(start)
         .map_err(|source| DiskError::Operation {
             operation: "starting the thread",
-            file: folder.display().to_string(),
+            file: "replica".to_owned(),
             source,
         })?;
     Ok(Handle {
@@ -267,6 +291,60 @@
     })
 }
 
+/// Opens the folder when the disk has room, and refuses submissions meanwhile. Returns `None` when the process ends.
+fn open_when_possible(
+    open: &mut Open,
+    options: &DiskOptions,
+    inputs: &Inputs,
+    receiver: &Receiver<Input>,
+) -> Option<(Disk, Recovered)> {
+    let since = Time::now();
+    inputs.counters.count("disk_full");
+    warn!(
+        inputs.log,
+        "the disk is full, the replica starts when there is room"
+    );
+    let mut last_try = Instant::now();
+    loop {
+        let pause = OPEN_RETRY_INTERVAL.saturating_sub(last_try.elapsed());
+        match receiver.recv_timeout(pause) {
+            Ok(Input::Submit { reply, .. }) => {
+                // The caller may have given up.
+                let _ = reply.send(Submitted::NotLeader { leader: None });
+            }
+            // The senders of other inputs repeat them.
+            Ok(_) | Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return None,
+        }
+        if last_try.elapsed() < OPEN_RETRY_INTERVAL {
+            continue;
+        }
+        last_try = Instant::now();
+        match open(options.clone()) {
+            Ok(opened) => {
+                report_room(inputs, since);
+                return Some(opened);
+            }
+            Err(DiskError::Full { .. }) => {}
+            Err(error) => abort(&inputs.log, &error),
+        }
+    }
+}
+
+fn report_room(inputs: &Inputs, since: Time) {
+    inputs.counters.count("disk_has_room");
+    info!(inputs.log, "the disk has room again"; "full_ms" => Time::now().since(since));
+}
+
+/// Ends the process, because the contents of the disk are unknown after a failed write.
+fn abort(log: &Logger, error: &dyn std::error::Error) -> ! {
+    let cause = error.source().map(ToString::to_string);
+    error!(log, "the replica failed, ending the process"; "error" => %error, "cause" => cause);
+    // Another thread writes the log lines and needs time to do so.
+    thread::sleep(Duration::from_millis(200));
+    std::process::exit(1);
+}
+
 /// Decodes and applies an entry. Every replica skips an entry that cannot be decoded, so their states stay the same.
 fn apply_entry(machine: &Mutex<Machine>, data: &[u8]) -> Option<Reply> {
     let command: Command = postcard::from_bytes(data).ok()?;
@@ -313,6 +391,8 @@
     new_replicas: Vec<Introduction>,
     /// Sorted by id.
     senders: Vec<Sender>,
+    /// Since when the disk is full, as reported in the log.
+    full_since: Option<Time>,
 }
 
 impl Worker {
@@ -395,11 +475,12 @@
     fn flush(&mut self) {
         let output = match self.replica.flush() {
             Ok(output) => output,
-            Err(error) => self.abort(&error),
+            Err(error) => abort(&self.inputs.log, &error),
         };
         if let Some(error) = lock(&self.restore_failure).take() {
-            self.abort(&error);
+            abort(&self.inputs.log, &error);
         }
+        self.report_space();
         if let Some(status) = output.status {
             self.handle_status_change(status);
         }
@@ -408,13 +489,21 @@
         self.send_messages(output);
     }
 
-    /// Ends the process, because the contents of the disk are unknown after a failed write.
-    fn abort(&self, error: &dyn std::error::Error) -> ! {
-        let cause = error.source().map(ToString::to_string);
-        error!(self.inputs.log, "the replica failed, ending the process"; "error" => %error, "cause" => cause);
-        // Another thread writes the log lines and needs time to do so.
-        thread::sleep(Duration::from_millis(200));
-        std::process::exit(1);
+    /// Reports that the disk has become full, or has room again.
+    fn report_space(&mut self) {
+        let full_since = self.replica.full_since();
+        match (self.full_since, full_since) {
+            (None, Some(_)) => {
+                self.inputs.counters.count("disk_full");
+                warn!(
+                    self.inputs.log,
+                    "the disk is full, the replica goes on when there is room"
+                );
+            }
+            (Some(since), None) => report_room(&self.inputs, since),
+            (None, None) | (Some(_), Some(_)) => {}
+        }
+        self.full_since = full_since;
     }
 
     fn handle_status_change(&mut self, status: NodeStatus) {
@@ -448,6 +537,14 @@
 
     /// Answers the submissions whose entries have been applied or lost.
     fn answer_submissions(&mut self, output: &Output) {
+        if let Some(dropped) = output.dropped {
+            let first = self
+                .waiting
+                .partition_point(|waiting| waiting.position.index < dropped);
+            for waiting in self.waiting.drain(first..) {
+                let _ = waiting.reply.send(Submitted::NotLeader { leader: None });
+            }
+        }
         let results = std::mem::take(&mut *lock(&self.applied));
         let done = self
             .waiting
--- a/crates/fleet/src/storage.rs
+++ b/crates/fleet/src/storage.rs
@@ -3,10 +3,8 @@
 use std::path::Path;
 use std::{fs, io};
 
-use primrose_consensus::disk::{Disk, Error, Options, Recovered};
+use primrose_consensus::disk::{Disk, Open};
 
-/// Opens the folder, or creates it.
-pub type Open = Box<dyn FnMut(Options) -> Result<(Disk, Recovered), Error> + Send>;
 /// Removes all files of the folder and makes the removal durable.
 pub type Empty = Box<dyn FnMut() -> io::Result<()> + Send>;
 
