consensus: Tolerate a full disk that also refuses removals

The platform says that a full disk refuses every write. Some file systems then also refuse to shorten, rename or remove a file, and that was still fatal: a file of which the first append was refused had to be removed at once.

Such a file is now removed before it is written again, so a refused removal does no harm meanwhile.

Syncs stay fatal.

The simulated drive has a kind of full disk that refuses these operations too, and all tests of full disks use it.

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -348,12 +348,14 @@
     fn replace_file(&mut self, name: &str, payload: &[u8]) -> Result<(), Error> {
         let temporary = format!("{name}{TEMPORARY_SUFFIX}");
         let bytes = &record::encode(0, payload);
-        if let Err(error) = self.append(&temporary, bytes) {
-            return Err(self.remove_refused(&temporary, error));
-        }
+        self.discard(&temporary)?;
+        let appended = self.append(&temporary, bytes);
+        self.discard_refused(&temporary, appended)?;
         self.sync_file(&temporary)?;
         let (from, to) = (temporary.as_str(), name);
-        (self.files.change)(Operation::Rename { from, to }).map_err(failure("rename", from))?;
+        let renamed =
+            (self.files.change)(Operation::Rename { from, to }).map_err(refusal("rename", from));
+        self.discard_refused(from, renamed)?;
         self.sync_folder()
     }
 
@@ -423,9 +425,13 @@
     /// Removes the oldest segments, as long as all their entries are covered by the snapshot, which must be synced.
     fn remove_segments(&mut self) -> Result<(), Error> {
         while self.segments.len() > 1 && self.segments[0].last_index <= self.snapshot_index {
-            let name = segment_name(self.segments.remove(0).sequence);
-            (self.files.change)(Operation::Remove { name: &name })
-                .map_err(failure("removal", &name))?;
+            let name = segment_name(self.segments[0].sequence);
+            match remove(&mut self.files, &name) {
+                // Tried again after the next snapshot.
+                Err(Error::Full { .. }) => return Ok(()),
+                result => result?,
+            }
+            self.segments.remove(0);
             // Each removal is synced on its own. Otherwise a crash could undo the removal of an older segment but not
             // that of a newer one, which would leave a gap in the sequence.
             self.sync_folder()?;
@@ -493,6 +499,10 @@
     }
 }
 
+fn remove(files: &mut Files, name: &str) -> Result<(), Error> {
+    (files.change)(Operation::Remove { name }).map_err(refusal("removal", name))
+}
+
 fn failure(operation: &'static str, file: &str) -> impl FnOnce(io::Error) -> Error {
     let file = file.to_owned();
     move |source| Error::Operation {
--- a/crates/consensus/src/disk/recover.rs
+++ b/crates/consensus/src/disk/recover.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Batch, Counters, Deferred, Disk, Error, FORMAT, Header, IDENTITY, Identity, Item, Options,
-    Recovered, SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, segment_name,
+    Recovered, SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, refusal, remove,
+    segment_name,
 };
 use crate::entry::{Entry, Hard, Position, Snapshot};
 use crate::files::{Files, Operation};
@@ -191,7 +192,7 @@
             let length = offset as u64;
             let name = name.as_str();
             (self.files.change)(Operation::Truncate { name, length })
-                .map_err(failure("truncation", name))?;
+                .map_err(refusal("truncation", name))?;
         }
         self.segments.push(segment);
         self.length = offset as u64;
@@ -349,10 +350,6 @@
     Ok(sequences)
 }
 
-fn remove(files: &mut Files, name: &str) -> Result<(), Error> {
-    (files.change)(Operation::Remove { name }).map_err(failure("removal", name))
-}
-
 fn missing(file: &str) -> Error {
     let file = file.to_owned();
     Error::Missing { file }
--- a/crates/consensus/src/disk/space.rs
+++ b/crates/consensus/src/disk/space.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Disk, Error, Item, failure, segment_name};
+use super::{Disk, Error, Item, failure, remove, segment_name};
 use crate::entry::Snapshot;
 use crate::files::Operation;
 use crate::node::Ready;
@@ -87,17 +87,18 @@
         result
     }
 
-    /// Starts a segment and appends a record to it. If that is refused, removes the segment, so that the same record
+    /// Starts a segment and appends a record to it. If that is refused, discards the segment, so that the same record
     /// starts it again.
     pub(super) fn write_in_new_segment(&mut self, items: Vec<Item<'_>>) -> Result<(), Error> {
         let (length, synced) = (self.length, self.synced);
+        let next = self.segments.last().map_or(1, |s| s.sequence + 1);
+        self.discard(&segment_name(next))?;
         let result = self.start_segment().and_then(|()| self.write_record(items));
-        let Err(error @ Error::Full { .. }) = result else {
-            return result;
-        };
-        let started = self.segments.pop().map_or(0, |segment| segment.sequence);
-        (self.length, self.synced) = (length, synced);
-        Err(self.remove_refused(&segment_name(started), error))
+        if matches!(result, Err(Error::Full { .. })) {
+            self.segments.pop();
+            (self.length, self.synced) = (length, synced);
+        }
+        self.discard_refused(&segment_name(next), result)
     }
 
     /// Cuts the last segment back to its length before the refused append.
@@ -117,23 +118,29 @@
         }
     }
 
-    /// Removes a file whose first append was refused with `error`, if that has created it. Returns `error`, or the
-    /// error of the removal.
-    pub(super) fn remove_refused(&mut self, name: &str, error: Error) -> Error {
-        if !matches!(error, Error::Full { .. }) {
-            return error;
-        }
-        let names = match (self.files.list)() {
-            Ok(names) => names,
-            Err(source) => return failure("listing", ".")(source),
-        };
-        if !names.iter().any(|other| other == name) {
-            return error;
+    /// Removes a file if it exists.
+    pub(super) fn discard(&mut self, name: &str) -> Result<(), Error> {
+        let names = (self.files.list)().map_err(failure("listing", "."))?;
+        match names.iter().any(|other| other == name) {
+            true => remove(&mut self.files, name),
+            false => Ok(()),
         }
-        match (self.files.change)(Operation::Remove { name }) {
-            Ok(()) => error,
-            Err(source) => failure("removal", name)(source),
+    }
+
+    /// Removes a file that is of no use because `result` is a refusal, to free its space. Returns `result`, or the error
+    /// of the removal. If the removal is refused as well, [`Disk::discard`] removes the file before it is written again.
+    pub(super) fn discard_refused(
+        &mut self,
+        name: &str,
+        result: Result<(), Error>,
+    ) -> Result<(), Error> {
+        if matches!(result, Err(Error::Full { .. })) {
+            match self.discard(name) {
+                Ok(()) | Err(Error::Full { .. }) => {}
+                failed => return failed,
+            }
         }
+        result
     }
 }
 
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -351,6 +351,8 @@
 #[test_case(Full::Name, 3)]
 #[test_case(Full::Part, 1)]
 #[test_case(Full::Part, 3)]
+#[test_case(Full::Everything, 1)]
+#[test_case(Full::Everything, 3)]
 fn goes_on_after_the_disk_was_full_at_each_operation(full: Full, tries: u64) {
     let total = operations_of_workload();
     for start in 0..total {
@@ -408,6 +410,7 @@
 #[test_case(Full::Nothing)]
 #[test_case(Full::Name)]
 #[test_case(Full::Part)]
+#[test_case(Full::Everything)]
 fn opens_after_the_disk_was_full(full: Full) {
     let total = operations_of_workload();
     let mut refused = 0;
--- a/crates/consensus/tests/support/drive.rs
+++ b/crates/consensus/tests/support/drive.rs
@@ -34,9 +34,11 @@
     Name,
     /// It creates a missing file and writes half of the bytes.
     Part,
+    /// It creates a missing file. Truncations, renames and removals are refused as well.
+    Everything,
 }
 
-pub(crate) const FULL: [Full; 3] = [Full::Nothing, Full::Name, Full::Part];
+pub(crate) const FULL: [Full; 4] = [Full::Nothing, Full::Name, Full::Part, Full::Everything];
 
 #[derive(Clone, Default)]
 struct File {
@@ -59,11 +61,11 @@
     /// The number of the operation that fails without effect, counted from 1.
     fail_at: Option<u64>,
     stopped: bool,
-    /// Set while the disk is full. Only appends are refused.
+    /// Set while the disk is full.
     full: Option<Full>,
     /// The number of the operation from which on the disk is full, counted from 1.
     full_at: Option<(u64, Full)>,
-    /// The number of appends that were refused since the disk was filled.
+    /// The number of operations that were refused since the disk was filled.
     refused: u64,
 }
 
@@ -157,7 +159,7 @@
         self.state().full.is_some()
     }
 
-    /// The number of appends that were refused since the disk was filled.
+    /// The number of operations that were refused since the disk was filled.
     pub(crate) fn refused(&self) -> u64 {
         self.state().refused
     }
@@ -220,6 +222,14 @@
             self.full = Some(full);
             self.refused = 0;
         }
+        let is_change = matches!(
+            operation,
+            Operation::Truncate { .. } | Operation::Rename { .. } | Operation::Remove { .. }
+        );
+        if is_change && self.full == Some(Full::Everything) {
+            self.refused += 1;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         if let (Some(full), Operation::Append { name, bytes }) = (self.full, operation) {
             self.refused += 1;
             self.refuse(full, name, bytes);
@@ -238,7 +248,7 @@
     fn refuse(&mut self, full: Full, name: &str, bytes: &[u8]) {
         let written = match full {
             Full::Nothing => return,
-            Full::Name => 0,
+            Full::Name | Full::Everything => 0,
             Full::Part => bytes.len() / 2,
         };
         let at = self.open_or_create(name);
