--- a/crates/consensus/src/disk/recover.rs
+++ b/crates/consensus/src/disk/recover.rs
@@ -5,8 +5,9 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    Batch, Counters, Disk, Error, FORMAT, Header, IDENTITY, Identity, Item, Options, Recovered,
-    SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, segment_name,
+    Batch, Counters, Deferred, Disk, Error, FORMAT, Header, IDENTITY, Identity, Item, Options,
+    Recovered, SEGMENT_PREFIX, SNAPSHOT, Segment, TEMPORARY_SUFFIX, failure, refusal, remove,
+    segment_name,
 };
 use crate::entry::{Entry, Hard, Position, Snapshot};
 use crate::files::{Files, Operation};
@@ -32,6 +33,7 @@
         synced: 0,
         hard: Hard::default(),
         snapshot_index: 0,
+        deferred: Deferred::default(),
         counters: Counters::default(),
         failed: false,
         _lock: None,
@@ -190,7 +192,7 @@
             let length = offset as u64;
             let name = name.as_str();
             (self.files.change)(Operation::Truncate { name, length })
-                .map_err(failure("truncation", name))?;
+                .map_err(refusal("truncation", name))?;
         }
         self.segments.push(segment);
         self.length = offset as u64;
@@ -348,10 +350,6 @@
     Ok(sequences)
 }
 
-fn remove(files: &mut Files, name: &str) -> Result<(), Error> {
-    (files.change)(Operation::Remove { name }).map_err(failure("removal", name))
-}
-
 fn missing(file: &str) -> Error {
     let file = file.to_owned();
     Error::Missing { file }
--- a/crates/consensus/tests/support/client.rs
+++ b/crates/consensus/tests/support/client.rs
@@ -79,6 +79,8 @@
     last_event: usize,
     last_value: u32,
     last_context: u64,
+    /// When a write was last acknowledged.
+    last_write: u64,
     paused: bool,
 }
 
@@ -90,6 +92,7 @@
             last_event: 0,
             last_value: 0,
             last_context: 0,
+            last_write: 0,
             paused: false,
         }
     }
@@ -224,6 +227,12 @@
             let Some(pending) = self.clients[at].pending.take_if(|p| p.host == host) else {
                 continue;
             };
+            // A dropped write must never take effect, so it is not part of the history.
+            if let (Wait::Write(position), Some(dropped)) = (&pending.wait, output.dropped)
+                && position.index >= dropped
+            {
+                continue;
+            }
             let operation = match pending.wait {
                 Wait::Write(position) if output.applied >= position.index => {
                     let committed = oracle.committed[position.index as usize - 1].position;
@@ -239,6 +248,9 @@
                 }
             };
             self.clients[at].next = self.clients[at].next.max(now + 1);
+            if matches!(operation, Some(Operation::Write(_))) {
+                self.last_write = now;
+            }
             let response = Some(self.next_event());
             self.events.extend(operation.map(|operation| Event {
                 key: pending.key,
@@ -249,6 +261,11 @@
         }
     }
 
+    /// When a write was last acknowledged.
+    pub(crate) fn last_write(&self) -> u64 {
+        self.last_write
+    }
+
     /// The number of operations that were answered.
     pub(crate) fn answered(&self) -> usize {
         self.events.iter().filter(|e| e.response.is_some()).count()
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -26,6 +26,8 @@
     "claim_expired",
     "claim_granted",
     "claim_unavailable",
+    "disk_full",
+    "disk_has_room",
     "dispatched",
     "draining",
     "duplicate_request",
@@ -74,7 +76,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 61;
+const COUNT: usize = 63;
 
 /// Prefix of the counter names that `cadence` sends.
 const PREFIX: &str = "primrose";
