--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -2,7 +2,8 @@
 //!
 //! An answer that cannot be resumed on another server needs no task that forwards it. Forwarded directly, an event
 //! costs two wake-ups of a task instead of three, and no channel; on a host with a tenth of a processor this is a
-//! noticeable part of its capacity. The only task of its own wakes at the deadline, if the answer lasts so long.
+//! noticeable part of its capacity. The only task of its own wakes at the limit of the request, if the answer
+//! lasts so long.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,6 +12,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
+use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use tokio::task::AbortHandle;
 
@@ -18,6 +20,7 @@
 use crate::body::Interrupted;
 use crate::form::{Form, Tail};
 use crate::request::{Answered, Job};
+use crate::stop;
 use crate::upstream::Connection;
 
 /// An answer that is being forwarded. Invariant: its end is counted and logged exactly once, even if the caller
@@ -30,7 +33,7 @@
     is_complete: bool,
     /// `Some` if the answer is a stream of events that ends with its connection.
     tail: Option<Tail>,
-    /// Ends the answer at the caller's deadline or the route's timeout. It is a task, because a caller that stops
+    /// Ends the answer at the limit of the request. It is a task, because a caller that stops
     /// reading also stops the polling of this body, and the server must not work for it any longer.
     timer: AbortHandle,
 }
@@ -59,7 +62,7 @@
 
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
-        let deadline = job.deadline;
+        let limit = job.limit.clone();
         let form = Form::of(&answered.head);
         let has_tail = form.is_event_stream() && !form.has_announced_end;
         let open = Arc::new(Mutex::new(Some(Open {
@@ -69,9 +72,10 @@
         })));
         let expiring = Arc::clone(&open);
         let timer = tokio::spawn(async move {
-            tokio::time::sleep_until(deadline).await;
+            limit.passed().await;
             if let Some(open) = lock(&expiring).take() {
-                open.interrupt(Outcome::Cancelled, "timeout");
+                let code = open.job.limit_code();
+                open.interrupt(Outcome::Cancelled, code);
             }
         });
         let mut answer = Answer {
@@ -106,7 +110,13 @@
     fn drop(&mut self) {
         self.timer.abort();
         if let Some(open) = lock(&self.open).take() {
-            open.interrupt(Outcome::Cancelled, "caller_gone");
+            let is_stop = open.job.shared.stop.is_over(Time::now());
+            let code = if is_stop {
+                stop::INTERRUPTED
+            } else {
+                "caller_gone"
+            };
+            open.interrupt(Outcome::Cancelled, code);
         }
     }
 }
