proxy: Discard answers without a request id after answers with ids

A server that repeats the request id in its answers, and writes a copy of an earlier answer without it once the next request is on the connection, made primrosed give the copy to the next caller: an answer, a refusal or the stream of a model.

The cause is that primrosed compared an id only if there was one. A server need not repeat the id, so an answer without one is not wrong by itself; but the client for backend servers does not say which answers came on the same connection.

A connection now has a record of whether an answer on it had the id of its request. The client copies the extra information of a connection into each answer, so the connector adds the record there. An answer without an id on a connection that carried one with an id is that to another request, like one with a wrong id: it is discarded and counted as answer_wrong_request, the request may have run and is sent to another server if it may run twice, and the connection is not used again. The latter is new for wrong ids too, whose connection could return to the pool after a short body.

Whether a connection was used before is not the condition: one whose answer had no id can return to the pool before it is excluded from it, if the body is empty, and the next answer of a server that never sends ids would be discarded. Such servers are served as before (copy_of_an_answer_reaches_no_other_caller, cases 4 to 6). Requests that must not run twice get a connection each and are not affected.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request};
 use primrose_base::clock::Time;
 use primrose_base::verdict::Verdict;
 use primrose_schedule::retry;
@@ -22,7 +22,7 @@
 use crate::meter::{Format, Meter};
 use crate::relay::Relay;
 use crate::settings::Settings;
-use crate::upstream::{self, Upstream};
+use crate::upstream::{self, Reply, Upstream};
 
 /// The header by which an answer is matched with its request.
 pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
@@ -139,8 +139,8 @@
         let sent_at = Time::now();
         let exchange = self.upstream.send(request, job.idempotent);
         let limit = Duration::from_millis(self.settings.answer_timeout_ms);
-        let response = match tokio::time::timeout(limit, exchange).await {
-            Ok(Ok(response)) => response,
+        let reply = match tokio::time::timeout(limit, exchange).await {
+            Ok(Ok(reply)) => reply,
             Ok(Err(error)) => {
                 let verdict = upstream::verdict(&error);
                 if verdict == Verdict::NotRun
@@ -165,26 +165,22 @@
                 ));
             }
         };
-        self.receive(job, response, registration, sent_at).await
+        self.receive(job, reply, registration, sent_at).await
     }
 
     async fn receive(
         &self,
         job: &mut Job,
-        response: Response<Incoming>,
+        reply: Reply,
         registration: Registration,
         sent_at: Time,
     ) -> Result<Answer, Failure> {
-        let (head, mut body) = response.into_parts();
-        if head
-            .headers
-            .get(REQUEST_ID_HEADER)
-            .is_some_and(|id| *id != job.request_id)
-        {
+        if reply.is_foreign {
             (self.count)("answer_wrong_request");
             let message = "the backend server sent the answer to another request";
             return Err(fail_discarded(registration, "wrong_answer", message));
         }
+        let (head, mut body) = reply.response.into_parts();
         let format = format_of(job.plain, &head.headers);
         let has_announced_end = has_announced_end(&head.headers, &body);
         // The last event of a plain service is not known.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 mod claim;
+mod connector;
 pub mod dispatch;
 pub mod failure;
 mod handler;
