proxy: Do not forward the headers that Connection names

primrosed passed Keep-Alive, Proxy-Connection and the headers that a Connection header names on to the next connection, from callers to servers and back. A receiver would take the time limit of another connection for that of its own, or act on a header that its sender meant for the router only (RFC 9110, section 7.6.1).

The cause is a fixed list of names that lacked them. Authorization and Host are not hop-by-hop and stay a list of the proxy. A caller that names a header of the router, such as x-request-id, loses only its own value, because the router's is set after the removal.

headers_of_one_connection_are_not_passed_on failed before: the server got Keep-Alive. Receipt of the scripted servers has the head of the request for it.

--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod copies;
 mod delivery;
+mod forwarding;
 mod harness;
 mod heads;
 mod network;
--- a/crates/daemon/tests/fleet/scripted.rs
+++ b/crates/daemon/tests/fleet/scripted.rs
@@ -18,6 +18,8 @@
 /// A request that a server has received.
 #[derive(Clone)]
 pub(crate) struct Receipt {
+    /// The request line and the headers.
+    pub(crate) head: String,
     pub(crate) text: String,
     pub(crate) request_id: String,
     /// Whether its connection had carried a request before.
@@ -126,6 +128,7 @@
             let earlier = receipts.iter().filter(|receipt| receipt.text == body);
             let receipt = Receipt {
                 count: earlier.count() + 1,
+                head: head.to_owned(),
                 text: body.to_owned(),
                 request_id: header(head, "x-request-id").unwrap_or_default().to_owned(),
                 is_reused,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,7 +12,7 @@
 use primrose_base::clock::Time;
 use primrose_base::verdict::Verdict;
 use primrose_schedule::retry;
-use primrose_wire::coding;
+use primrose_wire::{coding, hop};
 use salvo::http::StatusCode;
 
 use crate::body::Body;
@@ -27,19 +27,8 @@
 /// The header by which an answer is matched with its request.
 pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
-/// Headers that apply to one connection only (RFC 9110, section 7.6.1) or are meant for the router. They are not
-/// forwarded.
-const UNFORWARDED_HEADERS: [HeaderName; 9] = [
-    header::AUTHORIZATION,
-    header::CONNECTION,
-    header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
+/// Headers that are meant for the router. They are not forwarded.
+const ROUTER_HEADERS: [HeaderName; 2] = [header::AUTHORIZATION, header::HOST];
 
 /// Adds one to the counter with the given name.
 pub type Count = Arc<dyn Fn(&'static str) + Send + Sync>;
@@ -286,9 +275,14 @@
     Ok(request)
 }
 
-/// Removes the headers that are not forwarded from those of a request or an answer.
+/// Removes the headers that are not forwarded from those of a request or an answer: those of one connection and
+/// [`ROUTER_HEADERS`].
 pub(crate) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in UNFORWARDED_HEADERS {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let hop_by_hop: Vec<HeaderName> = hop::names(values.map(HeaderValue::as_bytes))
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    for name in hop_by_hop.into_iter().chain(ROUTER_HEADERS) {
         headers.remove(name);
     }
     headers
