--- a/crates/entry/src/hop.rs
+++ b/crates/entry/src/hop.rs
@@ -1,34 +1,15 @@
 //! Hop-by-hop headers, which apply to one connection only.
 
-use hyper::header::{
-    CONNECTION, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use primrose_wire::hop;
 
 /// Removes all hop-by-hop headers, including those that the `Connection` header names.
 pub(crate) fn remove(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
+    let values = headers.get_all(CONNECTION).iter();
+    let names: Vec<HeaderName> = hop::names(values.map(HeaderValue::as_bytes))
+        .filter_map(|name| name.parse().ok())
         .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let fixed = [
-        CONNECTION,
-        TRANSFER_ENCODING,
-        TE,
-        TRAILER,
-        UPGRADE,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in fixed {
+    for name in names {
         headers.remove(name);
     }
 }
