proxy: Count all of a streamed body against max_body_bytes

A request body whose length is not announced could exceed limits.max_body_bytes, and the server got it whole: the limit was applied without the bytes read beyond the first 256 KiB before the rest is streamed, which is what remains of the read that passes 256 KiB.

The cause is that the sum of the streamed part began with the size of the held part only. It now begins with both.

streamed_body_does_not_exceed_the_limit sends a body of exactly 1 MiB, which is served, and one that is a byte longer, in chunks. At least one byte is read beyond the held part, so the sum could not exceed the limit: the longer body got 200 before. It does not reach the server whole now. The code of such a failure remains backend_unreachable, may have run, because the body fails while it is sent to the server; this is not changed here.

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -101,7 +101,7 @@
                 .map_err(|never| match never {})
                 .boxed_unsync();
         };
-        let mut total = self.buffered.len() as u64;
+        let mut total = (self.buffered.len() + rest.excess.len()) as u64;
         let first = [self.buffered.clone(), rest.excess].map(|bytes| Ok(Frame::data(bytes)));
         let limited = rest.body.map(move |frame| {
             let frame = frame.map_err(std::io::Error::other)?;
