proxy: Reproduce a request in part that a stopping daemon drops

A caller of primrosed that has sent a part of a head on a kept connection when the daemon begins to stop gets no answer: the HTTP server closes connections that it takes for idle. On a new connection it is answered. Found by a review of the planned stop; entry hosts answer such requests. Not fixed: the connection belongs to the HTTP library.

--- a/crates/proxy/tests/review.rs
+++ b/crates/proxy/tests/review.rs
@@ -115,3 +115,33 @@
     drop(stream);
     stop.await.expect("the host stops");
 }
+
+// A request of whose head a part has arrived when the host begins to stop must be answered, also on a connection that
+// has carried a request before: closing it would leave its caller without an answer.
+#[test_case(false ; "first request")]
+#[test_case(true ; "further request")]
+#[tokio::test]
+async fn stop_answers_a_request_that_has_arrived_in_part(is_kept: bool) {
+    const REQUEST: &str = "GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n";
+    let handle = refusing().await;
+    let mut stream = TcpStream::connect(handle.address())
+        .await
+        .expect("accepted");
+    let mut bytes = vec![0; 4 << 10];
+    if is_kept {
+        stream.write_all(REQUEST.as_bytes()).await.expect("sent");
+        let count = stream.read(&mut bytes).await.expect("an answer");
+        assert!(bytes[..count].starts_with(b"HTTP/1.1 503"));
+    }
+    let (first, rest) = REQUEST.split_at(20);
+    stream.write_all(first.as_bytes()).await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let stop = tokio::spawn(handle.drain());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // The host may have closed the connection; then the read says so.
+    let _ = stream.write_all(rest.as_bytes()).await;
+    let count = stream.read(&mut bytes).await.unwrap_or(0);
+    assert!(bytes[..count].starts_with(b"HTTP/1.1 503"), "no answer");
+    drop(stream);
+    stop.await.expect("the host stops");
+}
