operator: End a wait for a version at its time limit

The cause is that the time was checked only between status requests, and each asks one daemon after the other. A request is now abandoned when the time has passed, and the pause before the next one ends there too. The result is that of the last request that ended, as before; if none did, it is the new Error::TimedOut. Only reads are abandoned, so nothing is left in an unknown state. A shorter time limit for each request was ruled out: with a longer list of daemons it would still not bound the wait, and an answer may take that long during an election.

silent_daemons_do_not_prolong_a_wait, on simulated time, took 30 s with three such daemons before and fails then; it takes at most 20 s now.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -81,6 +81,9 @@
         /// The error message in the response.
         message: String,
     },
+    /// No daemon had answered when the time limit of a wait had passed.
+    #[error("no daemon answered in time")]
+    TimedOut,
     /// The body of a response with status 200 is not what the client expects.
     #[error("the response of {address} cannot be read: {message}")]
     InvalidResponse {
--- a/crates/operator/src/progress.rs
+++ b/crates/operator/src/progress.rs
@@ -5,6 +5,7 @@
 use primrose_base::name::Name;
 use primrose_state::api::Status;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::client::{Client, Error};
 
@@ -45,27 +46,27 @@
 
 impl Client {
     /// Waits until `version` is in force on every reachable host, or until `timeout` has passed, and returns the last
-    /// progress.
+    /// progress. A status request that is not answered by then is abandoned.
     ///
     /// # Errors
     ///
-    /// Returns the [`Error`] of the last status request if that request fails and `timeout` has passed.
+    /// Returns the [`Error`] of the last status request that ended before `timeout` had passed, if that request failed,
+    /// and [`Error::TimedOut`] if none ended.
     pub async fn wait_for_version(
         &self,
         version: u64,
         timeout: Duration,
     ) -> Result<Progress, Error> {
-        let deadline = tokio::time::Instant::now() + timeout;
-        loop {
-            let progress = self
-                .status()
-                .await
-                .map(|status| Progress::from_status(version, &status));
-            let complete = progress.as_ref().is_ok_and(Progress::is_complete);
-            if complete || tokio::time::Instant::now() >= deadline {
-                return progress;
+        let deadline = Instant::now() + timeout;
+        let mut last = Err(Error::TimedOut);
+        while let Ok(status) = tokio::time::timeout_at(deadline, self.status()).await {
+            last = status.map(|status| Progress::from_status(version, &status));
+            if last.as_ref().is_ok_and(Progress::is_complete) {
+                break;
             }
-            tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+            let next = Instant::now() + Duration::from_millis(POLL_INTERVAL_MS);
+            tokio::time::sleep_until(next.min(deadline)).await;
         }
+        last
     }
 }
--- a/crates/operator/tests/client.rs
+++ b/crates/operator/tests/client.rs
@@ -2,7 +2,9 @@
 
 mod fake;
 
+use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use fake::{FakeDaemon, Request, Response};
 use primrose_base::name::Name;
@@ -11,6 +13,7 @@
 use primrose_state::{Command, Machine, Reply};
 use test_case::test_case;
 use tokio::net::TcpSocket;
+use tokio::time::Instant;
 
 /// The state machine of the log, shared by several fake daemons.
 type SharedMachine = Arc<Mutex<Machine>>;
@@ -245,3 +248,24 @@
     assert_eq!(progress.unreachable, [name("h4")]);
     assert!(!progress.is_complete() && Progress::from_status(0, &status).behind == [name("h3")]);
 }
+
+/// Guards against a wait that goes on while one silent daemon after the other is asked. The time is simulated.
+#[tokio::test(start_paused = true)]
+async fn silent_daemons_do_not_prolong_a_wait() {
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address").to_string());
+    let addresses: Vec<String> = addresses.collect();
+    let addresses: Vec<&str> = addresses.iter().map(String::as_str).collect();
+    // Longer than the time limit of one request, which is 10 s, and shorter than three of them.
+    let limit = Duration::from_secs(20);
+    let start = Instant::now();
+    let progress = client(&addresses).wait_for_version(1, limit).await;
+    assert!(progress.is_err(), "{progress:?}");
+    // Timers are rounded up to a millisecond.
+    let elapsed = start.elapsed();
+    assert!(elapsed <= limit + Duration::from_millis(1), "{elapsed:?}");
+}
