cli: Quote the command that submits a change or an order again

After a lost answer, primrose prints a command that submits the same change or order again. Run in a shell, it submitted something else, or ran something else, if the name of the file or of a model had a space or another special character; an empty argument was lost.

The cause is that the arguments were joined with spaces. They are now quoted for a POSIX shell where they need it; others are printed as before, which the existing tests check. The list of orders prints the same text as before, without quotes.

a_shell_reads_the_resend_command_as_it_was lets sh split the printed command.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -13,6 +13,7 @@
 use crate::failure::{Details, Failure, print_json, print_stderr, print_stdout};
 use crate::flags::{Apply, Check, Diff, Drain, DrainCmd, Order, OrderCmd, Primrose, PrimroseCmd};
 use crate::settings;
+use crate::shell;
 use crate::table::Table;
 
 /// Time limit of `--wait`, in seconds. An accepted change is in force everywhere within 17 s.
@@ -208,7 +209,7 @@
     let file = File::read(&apply.file)?;
     let change = file.change()?;
     check_change(&file, &change, None)?;
-    let resend = format!("primrose apply {}", file.name);
+    let resend = shell::join(&["primrose", "apply", &file.name]);
     submit(client, &change, resend, Some(&file), apply.wait, json).await
 }
 
@@ -371,11 +372,14 @@
         Outcome::Accepted(number) => number,
         Outcome::Refused(refused) => return Err(refused_by_fleet(refused, None)),
         Outcome::Unknown { attempts } => {
-            let arguments = format_work(&request.work).join(&format!(" {} ", request.server));
+            let (command, parameters) = work_arguments(&request.work);
+            let mut arguments = vec!["primrose", "order", "--id", request.id.as_str(), command];
+            arguments.push(request.server.as_str());
+            arguments.extend(parameters);
             return Err(Failure::Unknown {
                 submission: format!("order {}", request.id),
                 attempts,
-                resend: format!("primrose order --id {} {arguments}", request.id),
+                resend: shell::join(&arguments),
             });
         }
     };
@@ -395,14 +399,13 @@
 }
 
 /// The subcommand of `primrose order` for an operation, and its arguments except the server.
-fn format_work(work: &Work) -> [String; 2] {
-    let (command, arguments) = match work {
-        Work::LoadModel { model } => ("load-model", model.clone()),
-        Work::LoadAdapter { model, adapter } => ("load-adapter", format!("{model} {adapter}")),
-        Work::LoadVersion { model, version } => ("load-version", format!("{model} {version}")),
-        Work::ChangeRole { role } => ("change-role", role.clone()),
-    };
-    [command.to_owned(), arguments]
+fn work_arguments(work: &Work) -> (&'static str, Vec<&str>) {
+    match work {
+        Work::LoadModel { model } => ("load-model", vec![model]),
+        Work::LoadAdapter { model, adapter } => ("load-adapter", vec![model, adapter]),
+        Work::LoadVersion { model, version } => ("load-version", vec![model, version]),
+        Work::ChangeRole { role } => ("change-role", vec![role]),
+    }
 }
 
 async fn run_order_list(client: &Client, json: bool) -> Result<(), Failure> {
@@ -414,6 +417,7 @@
     }
     let mut table = Table::new(&["NUMBER", "ID", "SERVER", "WORK", "STATE"]);
     for order in &orders.orders {
+        let (command, parameters) = work_arguments(&order.work);
         let state = match &order.state {
             State::Pending => "pending".to_owned(),
             State::Done => "done".to_owned(),
@@ -424,7 +428,7 @@
             order.number.to_string(),
             order.id.to_string(),
             order.server.as_ref().map_or("-", Name::as_str).to_owned(),
-            format_work(&order.work).join(" "),
+            format!("{command} {}", parameters.join(" ")),
             state,
         ]);
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod failure;
 mod flags;
 mod settings;
+mod shell;
 mod table;
 
 use std::process::ExitCode;
--- a/crates/cli/tests/primrose.rs
+++ b/crates/cli/tests/primrose.rs
@@ -124,6 +124,27 @@
     assert!(printed.contains(shown), "{printed}");
 }
 
+/// Guards against a command for a resend that a shell splits or expands, so that it submits something else.
+#[test_case("change.yaml"; "plain name")]
+#[test_case("a change; echo x.yaml"; "separators")]
+#[test_case("it's $HOME \"`id`\" *.yaml"; "quotes and expansions")]
+fn a_shell_reads_the_resend_command_as_it_was(file: &str) {
+    let folder = folder();
+    std::fs::write(folder.path().join(file), CHANGE).expect("written");
+    let apply = ["apply", file];
+    let order = ["order", "--id", "o1", "load-adapter", "m1", file, ""];
+    for arguments in [&apply[..], &order[..]] {
+        let output = run(folder.path(), &daemon(None), arguments);
+        let printed = text(&output.stderr);
+        let command = printed.lines().last().expect("a command");
+        let script = format!("primrose() {{ printf '<%s>' \"$@\"; }}\n{command}");
+        let shell = Command::new("sh").args(["-c", &script]).output();
+        let seen = text(&shell.expect("a shell").stdout);
+        let expected: String = arguments.iter().map(|word| format!("<{word}>")).collect();
+        assert_eq!(seen, expected, "{printed}");
+    }
+}
+
 /// With `--json`, programs must find each value in a field of its own, without parsing sentences.
 #[test_case(Some((200, ACCEPTED)), &["apply", "change.yaml", "--wait"], "outcome", "accepted"; "accepted")]
 #[test_case(Some((409, REFUSED)), &["apply", "change.yaml"], "line", "7"; "refused")]
