daemon: Reserve the loopback addresses of the tests' fleets

Two checkouts whose fleet tests ran at once could start daemons on the same addresses. The tests then asked the daemons of each other and failed, for instance with `id_reused` or because a daemon could not bind its port.

The cause is that the second byte of the addresses follows from the process id and has 250 values, so process ids that are equal modulo 250 give the same ones, and others do once they have started some fleets. A fleet now holds a listener on port 7200 of 127.NUMBER.0.1, an address that no host has, until its processes have ended, and takes the next number if that address is in use. A larger range of numbers was ruled out: it makes collisions rarer, and nothing would detect one. Ports chosen by the kernel were ruled out for the reason given at the ports. Checkouts without this change reserve nothing, so they can still collide with it.

reserved_numbers_are_not_drawn_again guards against drawing a number that is reserved; it needs Reservation, so it could not run before.

--- a/crates/daemon/tests/fleet/harness.rs
+++ b/crates/daemon/tests/fleet/harness.rs
@@ -1,7 +1,7 @@
 //! Starts daemons as processes, sends signals to them, and calls their interfaces.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -37,6 +37,12 @@
 const OPERATOR_PORT: u16 = 7202;
 const PEER_PORT: u16 = 7203;
 
+/// Port whose listener reserves the addresses of a fleet.
+const RESERVED_PORT: u16 = 7200;
+
+/// Number of values of the second byte of the addresses, which begin with 2: 127.0 and 127.1 are in other use.
+const FLEET_NUMBERS: u32 = 250;
+
 const FLEET_KEY: &str = "a fleet key for tests, 32 bytes or more";
 pub(crate) const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 
@@ -277,12 +283,43 @@
     }
 }
 
-/// Returns the second byte of the loopback addresses of a fleet. It depends on the process id, so that fleets of
-/// different processes rarely use the same addresses.
-fn next_fleet_number() -> u8 {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let next = NEXT.fetch_add(1, Ordering::Relaxed);
-    (2 + (std::process::id().wrapping_mul(7) + next) % 250) as u8
+/// The addresses 127.NUMBER.x.x, which no other test process with this harness uses until the reservation is dropped.
+struct Reservation {
+    number: u8,
+    /// Listens on [`RESERVED_PORT`] of an address that no host has. The kernel closes it also if the process is killed.
+    _lock: TcpListener,
+}
+
+impl Reservation {
+    fn new() -> Reservation {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
+        Reservation::draw(std::process::id().wrapping_mul(7).wrapping_add(next))
+    }
+
+    /// Reserves the first free number, beginning with one that follows from `start`.
+    fn draw(start: u32) -> Reservation {
+        let mut numbers =
+            (0..FLEET_NUMBERS).map(|at| (2 + (start % FLEET_NUMBERS + at) % FLEET_NUMBERS) as u8);
+        let found = numbers.find_map(|number| {
+            let lock = TcpListener::bind((Ipv4Addr::new(127, number, 0, 1), RESERVED_PORT)).ok()?;
+            Some(Reservation {
+                number,
+                _lock: lock,
+            })
+        });
+        found.expect("a free fleet number")
+    }
+}
+
+// Test processes whose ids give the same number must not start daemons on the same addresses: a test would ask the daemons
+// of another one.
+#[test]
+fn reserved_numbers_are_not_drawn_again() {
+    let start = std::process::id();
+    let first = Reservation::draw(start);
+    let second = Reservation::draw(start);
+    assert_ne!(first.number, second.number);
 }
 
 /// Returns the address of the host with index `at`: 127.FLEET.DOMAIN.HOST.
@@ -294,10 +331,11 @@
 /// Daemons that form one fleet. Dropping the fleet kills them.
 pub(crate) struct Fleet {
     pub(crate) hosts: Vec<Host>,
-    fleet_number: u8,
     /// Isolates failure domains; has an effect only if the fleet was started with relays.
     pub(crate) network: Network,
     relays: Vec<JoinSet<()>>,
+    /// Declared after the hosts and the relays, so that it ends after they have.
+    reservation: Reservation,
     /// Declared last, so that it is removed after the processes have ended.
     folder: TempDir,
 }
@@ -331,19 +369,19 @@
 
     fn new(specs: &[HostSpec]) -> Fleet {
         let folder = tempfile::tempdir().expect("a folder");
-        let fleet_number = next_fleet_number();
+        let reservation = Reservation::new();
         let hosts = specs.iter().enumerate().map(|(at, spec)| {
             Host::new(
                 *spec,
-                host_ip(fleet_number, *spec, at),
+                host_ip(reservation.number, *spec, at),
                 folder.path().to_owned(),
             )
         });
         Fleet {
             hosts: hosts.collect(),
-            fleet_number,
             network: Network::default(),
             relays: Vec::new(),
+            reservation,
             folder,
         }
     }
@@ -355,7 +393,7 @@
                 domain: host.spec.domain,
                 process: 0,
             };
-            let ip = host_ip(self.fleet_number, host.spec, at);
+            let ip = host_ip(self.reservation.number, host.spec, at);
             let (advertised, tasks) = network::attach(&self.network, node, ip).await;
             host.advertised = advertised;
             host.network = self.network.clone();
@@ -394,7 +432,7 @@
     /// Adds a host without starting it. The daemons that are running do not have it in their settings.
     pub(crate) fn add(&mut self, spec: HostSpec) -> usize {
         let at = self.hosts.len();
-        let ip = host_ip(self.fleet_number, spec, at);
+        let ip = host_ip(self.reservation.number, spec, at);
         self.hosts
             .push(Host::new(spec, ip, self.folder.path().to_owned()));
         self.write_settings();
