platform: Accept connections of a stopping host as long as callers come

Cause: an entry host stopped listening 2.3 s after SIGTERM, when the platform has noticed that it is not ready. But if most hosts of a failure domain are not ready, the platform sends callers to all of them.

A stopping host now accepts connections until none has arrived for 1 s, at the latest until it must have answered everything. What it does with the requests is decided as before.

Ruled out: that the host is held by this in a fleet that stops few hosts: without callers it closes at 2.3 s as before.

--- a/crates/base/tests/stop.rs
+++ b/crates/base/tests/stop.rs
@@ -67,6 +67,16 @@
     assert_eq!(given_up, after(4_000));
 }
 
+// Guards against callers whose connections are refused although the platform still sends them, and against a host that is
+// held by its grace period although none come.
+#[test_case(0, 2_300 ; "no callers")]
+#[test_case(1_200, 2_300 ; "callers until the platform has noticed")]
+#[test_case(2_200, 3_200 ; "callers come later")]
+#[test_case(7_000, 7_300 ; "callers never stop")]
+fn connections_are_accepted_while_callers_come(last_accepted: u64, expected: u64) {
+    assert_eq!(grace().closing(after(last_accepted)), after(expected));
+}
+
 // Guards against answers that are broken off by the end of the process, which could not be logged.
 #[test]
 fn answers_that_have_begun_are_broken_off_before_the_end() {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -6,7 +6,7 @@
 use std::os::fd::OwnedFd;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -65,6 +65,8 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     connections: Arc<AtomicUsize>,
+    /// In ms, as [`Time`].
+    last_accepted: Arc<AtomicU64>,
     /// The address on which the listener accepts connections.
     pub address: SocketAddr,
 }
@@ -74,6 +76,11 @@
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
     }
+
+    /// When the last connection was accepted; [`Time::ZERO`] before the first one.
+    pub fn last_accepted(&self) -> Time {
+        Time::from_ms(self.last_accepted.load(Ordering::Relaxed))
+    }
 }
 
 /// Limits of the connections of a listener.
@@ -108,8 +115,10 @@
 {
     let listener = TcpListener::bind(address).await?;
     let connections = Arc::new(AtomicUsize::new(0));
+    let last_accepted = Arc::new(AtomicU64::new(Time::ZERO.as_ms()));
     let running = Handle {
         connections: Arc::clone(&connections),
+        last_accepted: Arc::clone(&last_accepted),
         address: listener.local_addr()?,
     };
     let admission = Admission {
@@ -118,6 +127,7 @@
     };
     let (shared_admission, closing) = (admission.clone(), phase.clone());
     let start_serving = move |stream: TcpStream| {
+        last_accepted.store(Time::now().as_ms(), Ordering::Relaxed);
         let open = OpenConnection::new(&shared_admission.connections);
         let served = serve(
             stream,
