--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -16,12 +16,8 @@
 /// Answers that have begun are broken off this long before the host ends, in ms, so that their ends are logged.
 const BREAK_MARGIN_MS: u64 = 100;
 
-/// A stopping host accepts connections for this long at least, in ms. The platform checks readiness once a second, and
-/// after two failed checks it sends no more callers to the host.
-const MIN_ACCEPTING_MS: u64 = 2_300;
-
-/// A stopping host accepts connections until none has arrived for this long, in ms: the platform still sends callers to it
-/// if most hosts of a failure domain stop, and a caller whose connection is refused has no answer.
+/// A stopping host accepts connections until none has arrived for this long, in ms: a load balancer still sends callers to
+/// it if most hosts of a failure domain stop, and a caller whose connection is refused has no answer.
 const QUIET_MS: u64 = 1_000;
 
 /// Number of durations of a route that are kept.
@@ -69,9 +65,10 @@
         Time::from_ms(self.end.as_ms().saturating_sub(ms)).max(self.asked)
     }
 
-    /// When the host stops accepting connections, if no further one arrives after `last_accepted`.
-    pub fn closing(&self, last_accepted: Time) -> Time {
-        let first = self.asked.plus_ms(MIN_ACCEPTING_MS);
+    /// When the host stops accepting connections, if no further one arrives after `last_accepted`. It accepts them for
+    /// `min_ms` at least, but not when it could not answer their requests any more.
+    pub fn closing(&self, last_accepted: Time, min_ms: u64) -> Time {
+        let first = self.asked.plus_ms(min_ms);
         last_accepted
             .plus_ms(QUIET_MS)
             .max(first)
--- a/crates/base/tests/stop.rs
+++ b/crates/base/tests/stop.rs
@@ -74,7 +74,8 @@
 #[test_case(2_200, 3_200 ; "callers come later")]
 #[test_case(7_000, 7_300 ; "callers never stop")]
 fn connections_are_accepted_while_callers_come(last_accepted: u64, expected: u64) {
-    assert_eq!(grace().closing(after(last_accepted)), after(expected));
+    let closing = grace().closing(after(last_accepted), 2_300);
+    assert_eq!(closing, after(expected));
 }
 
 // Guards against answers that are broken off by the end of the process, which could not be logged.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -378,7 +378,8 @@
         next
     }
 
-    /// Passes events on to the caller, and waits for a slow one until the limit of the request. The error is the end of the answer.
+    /// Passes events on to the caller, and waits for a slow one until the limit of the request. The error is the end of
+    /// the answer.
     async fn send(&mut self, bytes: Bytes) -> Result<(), End> {
         self.job.record_forwarded();
         let bytes = match self.sender.try_send(Ok(bytes)) {
