base: Pass late requests of a stop on only if they surely end in time

A caller's stream was broken off 2.1 s after it had begun, because the host that had taken it ended.

Cause: the stream arrived 5.4 s after SIGTERM, 1.9 s before the host had to have answered everything, and was passed on since the latest 64 streams of its route had lasted less. It lasted longer. A host that accepts connections as long as callers come gets such requests more often, but any late request could meet this.

Requests that arrive later than 2.5 s after the stop was asked for are now taken to last up to twice as long as the longest of the latest ones, and a second longer, the time for which a sound server may be silent. The others are refused as not run at once.

Ruled out: another server or a later time of the answer could not have saved the stream; it ran at its only server until the host broke it off.

--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -20,6 +20,14 @@
 /// it if most hosts of a failure domain stop, and a caller whose connection is refused has no answer.
 const QUIET_MS: u64 = 1_000;
 
+/// Up to this time after the stop was asked for, in ms, a load balancer may not have noticed it, so many requests arrive,
+/// and one is taken to last as long as the longest of the latest ones. Later requests are few, and a refusal costs their
+/// callers less than an answer that is broken off, so they are taken to last up to twice as long and [`SILENCE_MS`] longer.
+const EARLY_MS: u64 = 2_500;
+
+/// How long a sound server may be silent, in ms.
+const SILENCE_MS: u64 = 1_000;
+
 /// Number of durations of a route that are kept.
 const KEPT_DURATIONS: usize = 64;
 
@@ -75,10 +83,15 @@
             .min(self.answer_by())
     }
 
-    /// Whether a request is passed on at `now`: only if it ends in time. `longest_ms` is how long such requests last at
-    /// most, or `None` if that is unknown; then it may last until its `deadline`.
+    /// Whether a request is passed on at `now`: only if it ends in time. `longest_ms` is how long the latest such requests
+    /// lasted at most, or `None` if that is unknown; then it may last until its `deadline`.
     pub fn admits(&self, now: Time, deadline: Time, longest_ms: Option<u64>) -> bool {
-        let expected = longest_ms.map_or(deadline, |ms| now.plus_ms(ms).min(deadline));
+        let is_early = now.since(self.asked) <= EARLY_MS;
+        let lasts_ms = longest_ms.map(|ms| match is_early {
+            true => ms,
+            false => ms.saturating_mul(2).saturating_add(SILENCE_MS),
+        });
+        let expected = lasts_ms.map_or(deadline, |ms| now.plus_ms(ms).min(deadline));
         expected <= self.answer_by()
     }
 
