--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -351,7 +351,7 @@
 }
 
 /// Waits until `due`, or for ever if it is `None`.
-pub(crate) async fn sleep_until_some(due: Option<Instant>) {
+async fn sleep_until_some(due: Option<Instant>) {
     match due {
         Some(due) => tokio::time::sleep_until(due).await,
         None => std::future::pending().await,
