--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -650,3 +650,22 @@
         counts.iter().map(|(name, count)| format!("{name}={count}")).collect::<Vec<_>>().join(" ")
     }
 }
+
+impl Fleet {
+    /// The resident memory of a process in KiB, from the `/proc` entry of the process that was started here.
+    pub fn rss_kb(&self, at: usize) -> Option<u64> {
+        self.status_kb(at, "VmRSS:")
+    }
+
+    /// The largest resident memory that the process had, in KiB.
+    pub fn hwm_kb(&self, at: usize) -> Option<u64> {
+        self.status_kb(at, "VmHWM:")
+    }
+
+    fn status_kb(&self, at: usize, name: &str) -> Option<u64> {
+        let pid = self.machines[at].child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+}
