--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -190,27 +190,45 @@
     pub state: &'static str,
 }
 
+/// Called when the platform has received a call for its list, before the answer is sent.
+pub type OnCall = Box<dyn FnOnce() + Send>;
+
 /// The platform's list. It changes at once; a case waits for the lag of the list itself.
 #[derive(Clone, Default)]
-pub struct List(Arc<Mutex<Vec<Listed>>>);
+pub struct List {
+    servers: Arc<Mutex<Vec<Listed>>>,
+    on_call: Arc<Mutex<Option<OnCall>>>,
+    last_call: Arc<Mutex<Option<Instant>>>,
+}
 
 impl List {
     pub fn add(&self, server: Listed) {
-        self.0.lock().unwrap().push(server);
+        self.servers.lock().unwrap().push(server);
     }
 
     pub fn set_state(&self, id: &str, state: &'static str) {
-        for server in self.0.lock().unwrap().iter_mut().filter(|server| server.id == id) {
+        for server in self.servers.lock().unwrap().iter_mut().filter(|server| server.id == id) {
             server.state = state;
         }
     }
 
     pub fn remove(&self, id: &str) {
-        self.0.lock().unwrap().retain(|server| server.id != id);
+        self.servers.lock().unwrap().retain(|server| server.id != id);
+    }
+
+    /// Calls `on_call` at the next call for the list, after the answer to it has been made.
+    pub fn at_next_call(&self, on_call: OnCall) {
+        *self.on_call.lock().unwrap() = Some(on_call);
+    }
+
+    /// The time since the list was called for.
+    pub fn since_last_call(&self) -> Duration {
+        self.last_call.lock().unwrap().map_or(Duration::MAX, |call| call.elapsed())
     }
 
     fn page(&self) -> String {
-        let servers = self.0.lock().unwrap();
+        *self.last_call.lock().unwrap() = Some(Instant::now());
+        let servers = self.servers.lock().unwrap();
         let entries: Vec<String> = servers
             .iter()
             .map(|server| {
@@ -233,6 +251,9 @@
             let mut stream = stream;
             while let Ok(Some(_)) = read_head(&mut reader) {
                 let page = list.page();
+                if let Some(on_call) = list.on_call.lock().unwrap().take() {
+                    on_call();
+                }
                 thread::sleep(delay);
                 let answer = format!(
                     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{page}",
@@ -372,11 +393,22 @@
     }
 
     pub fn signal(&self, at: usize, signal: i32, name: &str) {
+        if let Some(send) = self.signaller(at, signal, name) {
+            send();
+        }
+    }
+
+    /// A function that sends a signal to the process of a machine. To be called while the process has not been waited
+    /// for.
+    pub fn signaller(&self, at: usize, signal: i32, name: &str) -> Option<OnCall> {
         let machine = &self.machines[at];
-        let Some(child) = &machine.child else { return };
-        self.record.line(&format!("platform: {name} to {}", machine.name));
-        // SAFETY: the call has no memory effects, and the child was started here and has not been waited for.
-        unsafe { kill(child.id() as i32, signal) };
+        let pid = machine.child.as_ref()?.id() as i32;
+        let (record, line) = (self.record.clone(), format!("platform: {name} to {}", machine.name));
+        Some(Box::new(move || {
+            record.line(&line);
+            // SAFETY: the call has no memory effects, and the process was started here.
+            unsafe { kill(pid, signal) };
+        }))
     }
 
     /// Whether the process has ended, and how.
