--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -345,7 +345,7 @@
         self.cloud = list.serve(self.ip(200), delay);
     }
 
-    /// Adds a machine; it is started by [`Fleet::start`].
+    /// Adds a machine; it is started by [`Fleet::start`]. The seeds of all machines are the first three core machines.
     pub fn add(&mut self, role: Role, zone: &str) -> usize {
         let at = self.machines.len();
         let ip = self.ip(10 + at as u8);
@@ -417,27 +417,65 @@
         child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
+    /// Kills a process and waits for its end.
+    pub fn kill(&mut self, at: usize, reason: &str) {
+        self.signal(at, SIGKILL, &format!("SIGKILL, {reason},"));
+        while self.machines[at].child.is_some() && self.ended(at).is_none() {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Empties the disk of a machine whose process has ended.
+    pub fn wipe(&self, at: usize) {
+        let data = self.folder.join(format!("{}.data", self.machines[at].name));
+        self.record.line(&format!("platform: the disk of {} is lost", self.machines[at].name));
+        let _ = fs::remove_dir_all(data);
+    }
+
+    /// Reads the configuration back from one core machine, following redirects. `None` unless the answer is 200.
+    pub fn read(&self, at: usize) -> Option<String> {
+        let mut address = self.control(at);
+        for _ in 0..3 {
+            let (head, body) = call(address, "GET", "/-/config", "", Duration::from_secs(1))?;
+            if head.status() == 200 {
+                return Some(String::from_utf8_lossy(&body).into_owned());
+            }
+            let location = head.get("location").and_then(|location| location.strip_prefix("http://"));
+            address = location.and_then(|location| location.split('/').next()?.parse().ok())?;
+        }
+        None
+    }
+
     /// Sends a configuration until it is acknowledged, as an operator does.
     pub fn put(&self, config: &str) {
-        let deadline = Instant::now() + Duration::from_secs(25);
         let cores = self.cores();
+        if !self.try_put(config, &cores, Duration::from_secs(25)) {
+            fail("no configuration was acknowledged");
+        }
+    }
+
+    /// Sends a configuration to these core machines in turn until it is acknowledged, for at most `limit`. Returns
+    /// whether it was.
+    pub fn try_put(&self, config: &str, cores: &[usize], limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
         for at in cores.iter().cycle() {
             let mut address = self.control(*at);
             for _ in 0..3 {
                 let Some((head, _)) = call(address, "PUT", "/-/config", config, Duration::from_secs(3)) else { break };
                 if head.status() == 200 {
                     self.record.line("operator: the configuration is acknowledged");
-                    return;
+                    return true;
                 }
                 let location = head.get("location").and_then(|location| location.strip_prefix("http://"));
                 let Some(next) = location.and_then(|location| location.split('/').next()?.parse().ok()) else { break };
                 address = next;
             }
             if Instant::now() > deadline {
-                fail("no configuration was acknowledged");
+                return false;
             }
             thread::sleep(Duration::from_millis(100));
         }
+        false
     }
 
     /// The address of the core machine that leads the log, by asking the operator's API: all others redirect to it.
