base: Pass late requests of a stop on only if their deadlines end in time

Callers saw streams cut in the middle by stopping entry hosts, 7.5 s after SIGTERM, with 4 s of their deadlines left.

Cause: Grace::admits took a late request to last at most twice as long as the longest of the latest 64 requests of its route and 1 s longer. Earlier requests do not bound the length of a later one.

Ruled out: an end by the server, a deadline or a timeout; none had been reached.

Fix: from 2.5 s after SIGTERM on, a request is passed on only if its own deadline ends before the host does. This bound holds whatever the server and the other requests do. Other requests are refused as not run.

Another case of the latter, "late and short enough for twice its time and a silence", required the estimate; it now requires the refusal.

--- a/crates/base/src/stop.rs
+++ b/crates/base/src/stop.rs
@@ -22,12 +22,9 @@
 
 /// Up to this time after the stop was asked for, in ms, a load balancer may not have noticed it, so many requests arrive,
 /// and one is taken to last as long as the longest of the latest ones. Later requests are few, and a refusal costs their
-/// callers less than an answer that is broken off, so they are taken to last up to twice as long and [`SILENCE_MS`] longer.
+/// callers less than an answer that is broken off, so they are taken to last until their deadlines.
 const EARLY_MS: u64 = 2_500;
 
-/// How long a sound server may be silent, in ms.
-const SILENCE_MS: u64 = 1_000;
-
 /// Number of durations of a route that are kept.
 const KEPT_DURATIONS: usize = 64;
 
@@ -84,13 +81,11 @@
     }
 
     /// Whether a request is passed on at `now`: only if it ends in time. `longest_ms` is how long the latest such requests
-    /// lasted at most, or `None` if that is unknown; then it may last until its `deadline`.
+    /// lasted at most, or `None` if that is unknown. A request may last until its `deadline` if that is unknown or the
+    /// stop was asked for more than [`EARLY_MS`] ago: earlier requests do not bound the length of this one.
     pub fn admits(&self, now: Time, deadline: Time, longest_ms: Option<u64>) -> bool {
         let is_early = now.since(self.asked) <= EARLY_MS;
-        let lasts_ms = longest_ms.map(|ms| match is_early {
-            true => ms,
-            false => ms.saturating_mul(2).saturating_add(SILENCE_MS),
-        });
+        let lasts_ms = longest_ms.filter(|_| is_early);
         let expected = lasts_ms.map_or(deadline, |ms| now.plus_ms(ms).min(deadline));
         expected <= self.answer_by()
     }
--- a/crates/base/tests/stop.rs
+++ b/crates/base/tests/stop.rs
@@ -23,10 +23,11 @@
 #[test_case(200, 5_000, None, true ; "deadline is in time")]
 #[test_case(200, 5_000, Some(60_000), true ; "deadline limits the duration")]
 #[test_case(2_500, 16_500, Some(4_800), true ; "last moment at which callers do not know of the stop")]
-#[test_case(2_501, 16_500, Some(1_800), true ; "late and short enough for twice its time and a silence")]
+#[test_case(2_501, 16_500, Some(1_800), false ; "late, and twice the latest duration would end in time")]
 #[test_case(2_501, 16_500, Some(2_000), false ; "late and longer")]
+#[test_case(3_200, 11_200, Some(400), false ; "late, and only this request is long")]
 #[test_case(5_369, 13_000, Some(1_900), false ; "late, and the latest ones would just have ended")]
-#[test_case(7_000, 16_500, Some(250), false ; "short but too late for a silence")]
+#[test_case(7_000, 16_500, Some(250), false ; "late, and the latest ones were short")]
 #[test_case(7_000, 7_250, Some(250), true ; "late and the deadline is in time")]
 #[test_case(7_400, 16_500, Some(0), false ; "nothing is answered any more")]
 fn request_is_passed_on_if_it_ends_in_time(
