fleet: Replace a voter whose host shuts down before it ends

Cause: a successor stayed a learner until a voter had been silent for 3 s. A planned stop transferred the leadership only, so that the old host counted as a voter after its end. With one more disk lost, one of three voters was left.

Ruled out: a loss of the version itself, which a voter and the successor had.

Fix: a core host that gets SIGTERM tells the leader that it leaves. The leader promotes a learner and then removes the leaving voter, and the host ends once it is told so, within its grace period. The successor votes before the old voter stops to, so that at each moment one disk may be lost.

Decisions are tested by voter_that_shuts_down_is_replaced_before_it_ends and two more. Existing tests showed each change of the members by itself; no test stopped a core host that has a successor.

--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -42,7 +42,7 @@
 /// Silence after which a core host is removed, in ms, unless it is a member of the log or a seed.
 const CORE_HOST_EXPIRY_MS: u64 = 15_000;
 
-/// Interval at which this host asks to become a member of the log, in ms.
+/// Interval at which this host asks to become a member of the log or to be replaced as one, in ms.
 const INTRODUCE_INTERVAL_MS: u64 = 250;
 
 /// Interval at which a member asks whether it was removed, in ms. It may have been removed while it was unreachable.
@@ -136,7 +136,7 @@
         core_hosts: Vec::new(),
         is_updating_directory: false,
         is_introducing: false,
-        last_introduction: Time::ZERO,
+        last_introduction: None,
         must_read_caches: inputs.is_restarted,
         inputs,
     };
@@ -194,7 +194,8 @@
     core_hosts: Vec<CoreHost>,
     is_updating_directory: bool,
     is_introducing: bool,
-    last_introduction: Time,
+    /// `None` before the first one, which is made at once: the leader may still take this host for leaving.
+    last_introduction: Option<Time>,
     /// Whether the caches of engines are still to be read.
     must_read_caches: bool,
 }
@@ -560,16 +561,17 @@
         let state = self.state.borrow().clone();
         let own = state.introduction.replica;
         let is_member = state.members.iter().any(|member| member.id == own);
-        let interval = if is_member {
+        let interval = if is_member && !state.introduction.is_leaving {
             MEMBER_CHECK_INTERVAL_MS
         } else {
             INTRODUCE_INTERVAL_MS
         };
-        if self.is_introducing || now.since(self.last_introduction) < interval {
+        let is_due = |last: Time| now.since(last) >= interval;
+        if self.is_introducing || !self.last_introduction.is_none_or(is_due) {
             return;
         }
         self.is_introducing = true;
-        self.last_introduction = now;
+        self.last_introduction = Some(now);
         let hosts = self.core_hosts.iter().map(|peer| peer.address).collect();
         let may_form_fleet = self.inputs.may_form_fleet;
         let seeds = self.inputs.seeds.borrow().clone();
@@ -625,7 +627,7 @@
 
 /// Introduces this host's replica to all core hosts at once and returns the introductions of the replicas that
 /// answered. If an answer says that this host's replica was permanently removed, the replica is
-/// reset and starts again as a new one.
+/// reset and starts again as a new one, unless the host shuts down.
 async fn introduce(
     links: &Links,
     hosts: Vec<SocketAddrV4>,
@@ -642,7 +644,10 @@
     let mut others = Vec::new();
     for answer in answers.into_iter().flatten() {
         if answer.is_current && answer.is_retired && !own.is_empty {
-            replica.send(Input::Reset);
+            replica.send(match own.is_leaving {
+                true => Input::Removed,
+                false => Input::Reset,
+            });
         }
         others.push(answer.introduction);
     }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,8 +1,8 @@
 //! Decides which replicas are members of the log.
 //!
 //! The number of core hosts is not configured: hosts are replaced by others with other addresses, come back with
-//! empty disks, or never return. The leader decides by what it observes. A new replica becomes a learner, replaces a
-//! voter that is lost and then becomes a voter itself.
+//! empty disks, or never return. The leader decides by what it observes. A new replica becomes a learner and takes the
+//! place of a voter that is lost or whose host shuts down.
 
 use std::sync::Arc;
 
@@ -26,6 +26,8 @@
     pub own: Id,
     /// Replicas with empty disks that asked to be added, one per host.
     pub newcomers: &'a [Introduction],
+    /// Replicas whose hosts shut down, sorted.
+    pub leaving: &'a [Id],
     /// Returns the time since the last message from a host, in ms.
     pub silence_ms: &'a dyn Fn(&Name) -> u64,
     /// Returns the failure domain of a host, if known.
@@ -46,8 +48,17 @@
     }
 
     fn replacement(&self) -> Option<Change> {
-        let present = self.learners().filter(|learner| !self.is_lost(learner));
-        let mut present: Vec<&Member> = present.collect();
+        let is_present = |member: &&Member| !self.is_lost(member) && !self.is_leaving(member);
+        let mut present: Vec<&Member> = self.learners().filter(is_present).collect();
+        // A voter that shuts down still votes, so its successor is added first: with one voter less, the loss of
+        // another disk could end the majority.
+        if self.voters().count() > self.wanted_voters() {
+            let lost = self.voters().find(|voter| self.is_lost(voter));
+            let gone = lost.or_else(|| self.voters().find(|voter| self.is_leaving(voter)));
+            if let Some(gone) = gone {
+                return Some(Change::Remove { id: gone.id });
+            }
+        }
         // The learner in the failure domain with the fewest voters comes first, so that the loss of one domain costs
         // few voters.
         present.sort_by_key(|learner| (self.present_voters_in_domain(learner), learner.id));
@@ -70,6 +81,9 @@
             if let Some(lost) = self.voters().find(|voter| self.is_lost(voter)) {
                 return Some(Change::Remove { id: lost.id });
             }
+            if self.voters().any(|voter| self.is_leaving(voter)) {
+                return Some(Change::Promote { id: learner.id });
+            }
         }
         None
     }
@@ -97,9 +111,8 @@
         Some(Change::Remove { id: lost.id })
     }
 
-    /// Number of voters with which a majority remains after the tolerated losses.
     fn wanted_voters(&self) -> usize {
-        2 * self.tolerated_losses.max(1) as usize + 1
+        wanted_voters(self.tolerated_losses)
     }
 
     fn voters(&self) -> impl Iterator<Item = &Member> {
@@ -114,11 +127,22 @@
         let domain = (self.domain)(&learner.host);
         let voters = self
             .voters()
-            .filter(|voter| !self.is_lost(voter) && (self.domain)(&voter.host) == domain);
+            .filter(|voter| !self.is_lost(voter) && !self.is_leaving(voter))
+            .filter(|voter| (self.domain)(&voter.host) == domain);
         voters.count()
     }
 
     fn is_lost(&self, member: &Member) -> bool {
         member.id != self.own && (self.silence_ms)(&member.host) >= VOTER_LOST_MS
     }
+
+    fn is_leaving(&self, member: &Member) -> bool {
+        self.leaving.binary_search(&member.id).is_ok()
+    }
+}
+
+/// Number of voters with which a majority remains after `tolerated_losses` disks were lost. At least one loss is
+/// tolerated.
+pub fn wanted_voters(tolerated_losses: u32) -> usize {
+    2 * tolerated_losses.max(1) as usize + 1
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -112,6 +112,8 @@
     pub is_empty: bool,
     /// Whether the whole system starts for the first time, so that a fleet may be formed.
     pub is_first_start: bool,
+    /// Whether the host shuts down, so that another one is to take its place as a voter.
+    pub is_leaving: bool,
 }
 
 /// The answer of a replica to an [`Introduction`].
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -24,7 +24,7 @@
 use slog::{Logger, error, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::members::View;
+use crate::members::{View, wanted_voters};
 use crate::message::{Acknowledgement, Introduction};
 use crate::storage::Storage;
 use crate::store::{Reply, Store, Stored};
@@ -81,8 +81,10 @@
     Form(Vec<Introduction>),
     /// Empties the disk and starts again as a new replica, because this one was permanently removed from the log.
     Reset,
-    /// Transfers the leadership to another replica, because this host shuts down.
-    Transfer,
+    /// Transfers the leadership to another replica and asks to be replaced as a voter, because this host shuts down.
+    Leave,
+    /// Records that this replica was permanently removed from the log while its host shuts down.
+    Removed,
 }
 
 /// What became of a document that was to be appended to the log.
@@ -120,6 +122,8 @@
     pub members: Vec<Member>,
     /// Since when the disk of this host refuses writes because it is full.
     pub full_since: Option<Time>,
+    /// Whether this host shuts down and is still a voter whose place another replica can take.
+    pub awaits_replacement: bool,
 }
 
 /// Parameters of the replica.
@@ -198,6 +202,14 @@
         self.state.clone()
     }
 
+    /// Waits until this replica, whose host shuts down, has been replaced as a voter or no other replica can take its
+    /// place.
+    pub async fn replaced(&self) {
+        // The thread that publishes the state ends only with the process.
+        let mut state = self.state.clone();
+        let _ = state.wait_for(|state| !state.awaits_replacement).await;
+    }
+
     /// Follows the newest document that this host may distribute.
     pub fn follow_newest(&self) -> watch::Receiver<Option<Arc<Stored>>> {
         self.newest.clone()
@@ -338,12 +350,14 @@
             replica: Id(0),
             is_empty: false,
             is_first_start: inputs.is_first_start,
+            is_leaving: false,
         },
         leader: None,
         is_leading: false,
         term: 0,
         members: Vec::new(),
         full_since: Some(Time::now()),
+        awaits_replacement: false,
     }
 }
 
@@ -400,7 +414,7 @@
             is_current: false,
             is_retired: false,
         })),
-        Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Transfer => {}
+        Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Leave | Input::Removed => {}
     }
 }
 
@@ -428,12 +442,14 @@
             replica: node.id(),
             is_empty: node.last_position() == Position::default() && node.term() == 0,
             is_first_start: inputs.is_first_start,
+            is_leaving: false,
         },
         leader,
         is_leading,
         term: node.term(),
         members: node.membership().members().to_vec(),
         full_since: replica.full_since(),
+        awaits_replacement: false,
     }
 }
 
@@ -483,6 +499,12 @@
     is_leading: bool,
     /// Empty replicas that asked to be added, one per host.
     newcomers: Vec<Introduction>,
+    /// Replicas whose hosts shut down, sorted.
+    leaving: Vec<Id>,
+    /// Whether this host shuts down.
+    is_leaving: bool,
+    /// Whether this replica was removed from the log while its host shut down.
+    is_removed: bool,
     /// Sorted by host.
     senders: Vec<Sender>,
     last_members_check: Time,
@@ -514,6 +536,9 @@
             barrier: None,
             is_leading: false,
             newcomers: Vec::new(),
+            leaving: Vec::new(),
+            is_leaving: false,
+            is_removed: false,
             senders: Vec::new(),
             last_members_check: Time::ZERO,
             full_since: None,
@@ -562,13 +587,28 @@
             } => self.introduce(introduction, reply),
             Input::Form(introductions) => self.form_fleet(introductions, now),
             Input::Reset => self.reset(),
-            Input::Transfer => match self.replica.transfer_leadership(now, None) {
-                Ok(to) => info!(self.inputs.log, "started a leadership transfer"; "to" => %to),
-                Err(NodeError::NotLeader { .. }) => {}
-                Err(error) => {
-                    warn!(self.inputs.log, "cannot transfer the leadership"; "error" => %error);
-                }
-            },
+            Input::Leave => self.leave(now),
+            Input::Removed => self.is_removed = true,
+        }
+    }
+
+    fn leave(&mut self, now: Time) {
+        self.is_leaving = true;
+        self.record_leaving(self.replica.node().id(), true);
+        match self.replica.transfer_leadership(now, None) {
+            Ok(to) => info!(self.inputs.log, "started a leadership transfer"; "to" => %to),
+            Err(NodeError::NotLeader { .. }) => {}
+            Err(error) => {
+                warn!(self.inputs.log, "cannot transfer the leadership"; "error" => %error);
+            }
+        }
+    }
+
+    fn record_leaving(&mut self, id: Id, is_leaving: bool) {
+        match (self.leaving.binary_search(&id), is_leaving) {
+            (Err(at), true) => self.leaving.insert(at, id),
+            (Ok(at), false) => drop(self.leaving.remove(at)),
+            (Ok(_), true) | (Err(_), false) => {}
         }
     }
 
@@ -627,7 +667,8 @@
         };
         // The caller may have given up; it will retry.
         let _ = reply.send(answer);
-        if caller.is_empty {
+        self.record_leaving(caller.replica, caller.is_leaving);
+        if caller.is_empty && !caller.is_leaving {
             self.newcomers.retain(|other| other.host != caller.host);
             self.newcomers.push(caller);
         }
@@ -742,6 +783,8 @@
             "leader" => self.leader().map(|name| name.to_string()));
         self.is_leading = false;
         self.newcomers.clear();
+        let own = self.replica.node().id();
+        self.leaving.retain(|id| *id == own);
         self.barrier = (status.role == Role::Leader).then_some(status.term);
     }
 
@@ -862,6 +905,7 @@
             members: node.membership().members(),
             own: node.id(),
             newcomers: &self.newcomers,
+            leaving: &self.leaving,
             silence_ms: &|host| {
                 let heard = find(host).map_or(since, |sender| sender.last_heard.max(since));
                 now.since(heard)
@@ -876,8 +920,8 @@
             Ok(_) => info!(self.inputs.log, "changing the members of the log"; "change" => ?change),
             Err(NodeError::Pending | NodeError::Behind { .. } | NodeError::Quorum { .. }) => {}
             Err(NodeError::RemovesLeader(_)) => {
-                // The leader is to be replaced by a learner on its own host. A replica with an empty disk cannot
-                // lead, so the leader is the former replica of this host.
+                // The leader shuts down, or is to be replaced by a learner on its own host. A replica with an empty
+                // disk cannot lead, so in that case the leader is the former replica of this host.
                 if let Err(error) = self.replica.transfer_leadership(now, None) {
                     warn!(self.inputs.log, "cannot transfer the leadership"; "error" => %error);
                 }
@@ -907,8 +951,20 @@
         }
     }
 
+    fn awaits_replacement(&self) -> bool {
+        let node = self.replica.node();
+        let members = node.membership().members();
+        let voters = members.iter().filter(|member| member.voter).count();
+        let wanted = wanted_voters(self.inputs.tolerated_losses);
+        let has_successor = voters < members.len() || voters > wanted;
+        let is_voter = node.membership().is_voter(node.id());
+        self.is_leaving && !self.is_removed && is_voter && has_successor
+    }
+
     fn publish(&mut self) {
-        let state = state_of(&self.replica, &self.inputs, self.leader(), self.is_leading);
+        let mut state = state_of(&self.replica, &self.inputs, self.leader(), self.is_leading);
+        state.introduction.is_leaving = self.is_leaving;
+        state.awaits_replacement = self.awaits_replacement();
         self.state.send_if_modified(|current| {
             let is_changed = *current != state;
             if is_changed {
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -108,10 +108,20 @@
         replica: Id(id),
         is_empty: true,
         is_first_start: false,
+        is_leaving: false,
     }
 }
 
 fn next_change(members: &[Member], newcomers: &[Introduction], lost: &[u64]) -> Option<Change> {
+    next_change_with_leaving(members, newcomers, lost, &[])
+}
+
+fn next_change_with_leaving(
+    members: &[Member],
+    newcomers: &[Introduction],
+    lost: &[u64],
+    leaving: &[Id],
+) -> Option<Change> {
     let is_lost = |host: &Name| {
         lost.iter()
             .any(|id| host.as_str() == format!("10.0.0.{id}"))
@@ -120,6 +130,7 @@
         members,
         own: Id(1),
         newcomers,
+        leaving,
         silence_ms: &|host| if is_lost(host) { 60_000 } else { 0 },
         domain: &|_| None,
         tolerated_losses: 1,
@@ -161,6 +172,59 @@
     assert_eq!(next_change(&voters, &[], &[3]), None);
 }
 
+// A voter whose host shuts down must be replaced before it ends, and must count until its successor votes: with one
+// voter less, the loss of another disk ends the majority for good.
+#[test]
+fn voter_that_shuts_down_is_replaced_before_it_ends() {
+    let mut members = vec![
+        member(1, true),
+        member(2, true),
+        member(3, true),
+        member(4, false),
+    ];
+    let next =
+        |members: &[Member], leaving: &[Id]| next_change_with_leaving(members, &[], &[], leaving);
+    let leaving = [Id(3)];
+    assert_eq!(next(&members, &[]), None);
+    assert_eq!(
+        next(&members, &leaving),
+        Some(Change::Promote { id: Id(4) })
+    );
+    members[3].voter = true;
+    assert_eq!(next(&members, &leaving), Some(Change::Remove { id: Id(3) }));
+    members.remove(2);
+    assert_eq!(next(&members, &leaving), None);
+}
+
+// A host that shuts down must not replace another one, and one that nothing can replace must stay a voter until it ends.
+#[test]
+fn host_that_shuts_down_replaces_none() {
+    let members = [
+        member(1, true),
+        member(2, true),
+        member(3, true),
+        member(4, false),
+    ];
+    let leaving = [Id(3), Id(4)];
+    assert_eq!(next_change_with_leaving(&members, &[], &[], &leaving), None);
+    assert_eq!(
+        next_change_with_leaving(&members[..3], &[], &[], &leaving),
+        None
+    );
+}
+
+// A voter that was restarted before it could be removed must not be removed while it is present, nor keep a lost voter in
+// the log.
+#[test]
+fn surplus_voter_is_removed_once_it_is_lost() {
+    let voters = [1, 2, 3, 4].map(|id| member(id, true));
+    assert_eq!(next_change(&voters, &[], &[]), None);
+    assert_eq!(
+        next_change(&voters, &[], &[3]),
+        Some(Change::Remove { id: Id(3) })
+    );
+}
+
 // A host that returns with an empty disk must not count twice, and its former replica must not count again.
 #[test]
 fn replica_with_an_emptied_disk_replaces_the_former_one() {
