fleet: Count the age of a list of servers from the time it was asked for

Cause: a list counted as read when its answer was handled, and ages in messages counted from their receipt. After a freeze both are too late by its length, so that the old list seemed to be the newest and replaced the newer one in the whole fleet.

Ruled out: the platform listing the server as ready again, and the register of notices, which follows its rule for lists in order.

Fix: ages count from a moment that is earlier than their statement: the call for the list or for a copy, or the sending of the message that a heartbeat or a status answers. A list may seem older than it is, but never newer.

The existing tests passed in ages as if messages took no time, and no stand-in held the answer with the list back.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -11,7 +11,7 @@
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_fleet::directory::{self, Action, Directory, Freshness};
-use primrose_fleet::message::{Packet, Status, Update};
+use primrose_fleet::message::{Packet, Stamp, Status, Update};
 use primrose_fleet::peers::{self, Links};
 use primrose_fleet::replica::address_of;
 use primrose_observe::Meter;
@@ -197,6 +197,7 @@
     let schedule = hello::Schedule::new(Time::now());
     let notices = Arc::default();
     let link = Link {
+        incarnation,
         schedule,
         links: peers::links(inputs.key.clone()),
         placer: Placer::new(inputs.placer_settings.clone()),
@@ -229,7 +230,8 @@
 /// The result of a fetch from a core host; `None` if the fetch failed or the core host had nothing to return.
 enum Event {
     Document(Option<Arc<Document>>),
-    Directory(Option<(Arc<Directory>, Freshness)>),
+    /// A directory, with the time at which it was asked for.
+    Directory(Option<(Arc<Directory>, Freshness)>, Time),
 }
 
 /// A core host and what this host knows about it.
@@ -264,6 +266,7 @@
 
 struct Link {
     inputs: Inputs,
+    incarnation: u64,
     schedule: hello::Schedule,
     socket: Arc<UdpSocket>,
     links: Links,
@@ -551,7 +554,8 @@
             self.fetch_document(address, own_version);
         }
         if let Some(freshness) = status.directory {
-            match directory::compare(now, self.directory, freshness) {
+            let asked = status.answers.sent_by(self.incarnation);
+            match directory::compare(asked, self.directory, freshness) {
                 Action::Keep => {}
                 Action::Renew(read) => self.directory = Some((freshness.fingerprint, read)),
                 Action::Fetch => self.fetch_directory(address),
@@ -620,13 +624,16 @@
             return;
         }
         let (links, events) = (self.links.clone(), self.events.clone());
+        let asked = Time::now();
         tokio::spawn(async move {
             let directory = peers::call(&links, address, |client| async move {
                 client.directory(context::current()).await
             })
             .await;
             // The task ends only with the process.
-            let _ = events.send(Event::Directory(directory.flatten())).await;
+            let _ = events
+                .send(Event::Directory(directory.flatten(), asked))
+                .await;
         });
     }
 
@@ -645,10 +652,10 @@
                         .send_replace(Some(Arc::new(Table::new(document))));
                 }
             }
-            Event::Directory(None) => self.is_fetching_directory = false,
-            Event::Directory(Some((directory, freshness))) => {
+            Event::Directory(None, _) => self.is_fetching_directory = false,
+            Event::Directory(Some((directory, freshness)), asked) => {
                 self.is_fetching_directory = false;
-                let read = freshness.read(Time::now());
+                let read = freshness.read(asked);
                 if self.directory.is_none_or(|(_, own)| read > own) {
                     self.inputs.meter.count("directory_fetched");
                     info!(self.inputs.log, "backend servers changed";
@@ -673,7 +680,7 @@
         // The receiver of a reply is dropped when the request ends.
         self.pending.retain(|pending| !pending.reply.is_closed());
         for core in &self.core_hosts {
-            self.send(core.address, &Packet::Hello);
+            self.send(core.address, &Packet::Hello(Stamp::now(self.incarnation)));
         }
     }
 
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -20,7 +20,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::directory::{self, Action, Directory, Freshness};
-use crate::message::{Heartbeat, Introduction, Packet, Status, Update};
+use crate::message::{Heartbeat, Introduction, Packet, Stamp, Status, Update};
 use crate::peers::{self, Links, Published};
 use crate::replica::{self, Input, Outgoing, State};
 use crate::store::Stored;
@@ -146,10 +146,14 @@
 
 /// The result of work that another task did for this one.
 enum Event {
-    /// The list of servers has been read, or could not be read.
-    ServersRead(Result<Vec<Server>, ReadError>),
-    /// The directory of another core host has arrived.
+    /// The list of servers, which was asked for at this time, has been read or could not be read.
+    ServersRead {
+        asked: Time,
+        result: Result<Vec<Server>, ReadError>,
+    },
+    /// The directory of another core host, which was asked for at this time, has arrived.
     DirectoryFetched {
+        asked: Time,
         directory: Arc<Directory>,
         freshness: Freshness,
     },
@@ -168,6 +172,7 @@
 struct EntryHost {
     address: SocketAddr,
     last_heard: Time,
+    last_hello: Stamp,
 }
 
 /// Another core host that this host knows.
@@ -175,6 +180,7 @@
     host: Name,
     address: SocketAddrV4,
     last_heard: Time,
+    last_heartbeat: Option<Stamp>,
 }
 
 struct Task {
@@ -229,7 +235,7 @@
             return;
         };
         match packet {
-            Packet::Hello => self.handle_hello(source),
+            Packet::Hello(stamp) => self.handle_hello(source, stamp),
             Packet::Place(demand) => self.place(source, &demand),
             Packet::Updates(updates) => self.record_updates(updates),
             Packet::Heartbeat(heartbeat) => self.handle_heartbeat(&heartbeat),
@@ -242,13 +248,16 @@
         }
     }
 
-    fn handle_hello(&mut self, source: SocketAddr) {
+    fn handle_hello(&mut self, source: SocketAddr, stamp: Stamp) {
         let now = Time::now();
         match self
             .entry_hosts
             .binary_search_by_key(&source, |e| e.address)
         {
-            Ok(at) => self.entry_hosts[at].last_heard = now,
+            Ok(at) => {
+                self.entry_hosts[at].last_heard = now;
+                self.entry_hosts[at].last_hello = stamp;
+            }
             Err(at) => {
                 info!(self.inputs.log, "entry host found"; "address" => %source);
                 self.entry_hosts.insert(
@@ -256,11 +265,12 @@
                     EntryHost {
                         address: source,
                         last_heard: now,
+                        last_hello: stamp,
                     },
                 );
             }
         }
-        self.send(source, &Packet::Status(self.status()));
+        self.send(source, &Packet::Status(self.status(stamp)));
     }
 
     fn place(&mut self, source: SocketAddr, demand: &Demand) {
@@ -292,18 +302,20 @@
     }
 
     fn handle_heartbeat(&mut self, heartbeat: &Heartbeat) {
-        self.record_core_host(&heartbeat.host, true);
+        self.record_core_host(&heartbeat.host, Some(heartbeat.stamp));
         for host in &heartbeat.core_hosts {
-            self.record_core_host(host, false);
+            self.record_core_host(host, None);
         }
         if let Some(freshness) = heartbeat.directory {
-            self.compare_directory(&heartbeat.host, freshness);
+            let answers = heartbeat.answers;
+            let asked = answers.and_then(|stamp| stamp.sent_by(self.incarnation));
+            self.compare_directory(&heartbeat.host, asked, freshness);
         }
     }
 
-    /// Adds a core host to the known ones. `is_sender` tells whether the core host itself has sent a message, which
-    /// shows that it is up.
-    fn record_core_host(&mut self, host: &Name, is_sender: bool) {
+    /// Adds a core host to the known ones. `heartbeat` is the stamp of its heartbeat if it has sent one, which shows that
+    /// it is up.
+    fn record_core_host(&mut self, host: &Name, heartbeat: Option<Stamp>) {
         if *host == self.inputs.host {
             return;
         }
@@ -312,8 +324,12 @@
         };
         let now = Time::now();
         match self.core_hosts.binary_search_by(|peer| peer.host.cmp(host)) {
-            Ok(at) if is_sender => self.core_hosts[at].last_heard = now,
-            Ok(_) => {}
+            Ok(at) => {
+                if heartbeat.is_some() {
+                    self.core_hosts[at].last_heard = now;
+                    self.core_hosts[at].last_heartbeat = heartbeat;
+                }
+            }
             Err(at) => {
                 info!(self.inputs.log, "core host found"; "core" => %host);
                 self.core_hosts.insert(
@@ -322,15 +338,15 @@
                         host: host.clone(),
                         address: SocketAddrV4::new(address, self.inputs.port),
                         last_heard: now,
+                        last_heartbeat: heartbeat,
                     },
                 );
             }
         }
     }
 
-    fn compare_directory(&mut self, host: &Name, freshness: Freshness) {
-        let own = self.own_directory();
-        match directory::compare(Time::now(), own, freshness) {
+    fn compare_directory(&mut self, host: &Name, asked: Option<Time>, freshness: Freshness) {
+        match directory::compare(asked, self.own_directory(), freshness) {
             Action::Keep => {}
             Action::Renew(read) => self.published.send_modify(|published| {
                 if let Some((_, own_read)) = published {
@@ -357,6 +373,7 @@
         }
         let address = SocketAddrV4::new(address, self.inputs.port);
         let (links, events) = (self.links.clone(), self.events.clone());
+        let asked = Time::now();
         tokio::spawn(async move {
             let fetched = peers::call(&links, address, |client| async move {
                 client.directory(context::current()).await
@@ -364,6 +381,7 @@
             .await;
             let event = match fetched.flatten() {
                 Some((directory, freshness)) => Event::DirectoryFetched {
+                    asked,
                     directory,
                     freshness,
                 },
@@ -375,14 +393,13 @@
     }
 
     fn handle_event(&mut self, event: Event) {
-        let now = Time::now();
         match event {
-            Event::ServersRead(result) => {
+            Event::ServersRead { asked, result } => {
                 self.is_updating_directory = false;
                 match result {
                     Ok(servers) => {
                         self.inputs.meter.count("directory_read");
-                        self.publish(Arc::new(Directory::new(servers)), now);
+                        self.publish_if_newer(Arc::new(Directory::new(servers)), asked);
                     }
                     Err(error) => {
                         self.inputs.meter.count("directory_read_failed");
@@ -391,14 +408,13 @@
                 }
             }
             Event::DirectoryFetched {
+                asked,
                 directory,
                 freshness,
             } => {
                 self.is_updating_directory = false;
-                let read = freshness.read(now);
-                if self.own_directory().is_none_or(|(_, own)| read > own) {
+                if self.publish_if_newer(directory, freshness.read(asked)) {
                     self.inputs.meter.count("directory_fetched");
-                    self.publish(directory, read);
                 }
             }
             Event::DirectoryNotFetched => self.is_updating_directory = false,
@@ -419,6 +435,15 @@
         }
     }
 
+    /// Publishes a directory if its list was read later than that of the published one. Returns whether it was.
+    fn publish_if_newer(&mut self, directory: Arc<Directory>, read: Time) -> bool {
+        let is_newer = self.own_directory().is_none_or(|(_, own)| read > own);
+        if is_newer {
+            self.publish(directory, read);
+        }
+        is_newer
+    }
+
     fn publish(&mut self, directory: Arc<Directory>, read: Time) {
         let is_same = self
             .own_directory()
@@ -469,13 +494,16 @@
     }
 
     fn send_status_to_all(&mut self) {
-        let packet = Packet::Status(self.status());
         for entry in &self.entry_hosts {
-            self.send(entry.address, &packet);
+            self.send(
+                entry.address,
+                &Packet::Status(self.status(entry.last_hello)),
+            );
         }
     }
 
-    fn status(&self) -> Status {
+    /// The status for an entry host whose latest `Hello` has the stamp `answers`.
+    fn status(&self, answers: Stamp) -> Status {
         let state = self.state.borrow();
         let version = self
             .newest
@@ -491,6 +519,7 @@
             term: state.term,
             version,
             directory: self.freshness(),
+            answers,
             entry_hosts: self.entry_hosts.len() as u32,
         }
     }
@@ -512,11 +541,11 @@
         let now = Time::now();
         let seeds = self.inputs.seeds.borrow().clone();
         for host in &seeds {
-            self.record_core_host(host, false);
+            self.record_core_host(host, None);
         }
         let members = self.state.borrow().members.clone();
         for member in &members {
-            self.record_core_host(&member.host, false);
+            self.record_core_host(&member.host, None);
         }
         let is_needed =
             |host: &Name| seeds.contains(host) || members.iter().any(|member| member.host == *host);
@@ -525,12 +554,14 @@
         });
         self.entry_hosts
             .retain(|entry| now.since(entry.last_heard) < ENTRY_HOST_EXPIRY_MS);
-        let heartbeat = Packet::Heartbeat(Heartbeat {
-            host: self.inputs.host.clone(),
-            core_hosts: self.known_core_hosts(),
-            directory: self.freshness(),
-        });
         for peer in &self.core_hosts {
+            let heartbeat = Packet::Heartbeat(Heartbeat {
+                host: self.inputs.host.clone(),
+                core_hosts: self.known_core_hosts(),
+                directory: self.freshness(),
+                stamp: Stamp::now(self.incarnation),
+                answers: peer.last_heartbeat,
+            });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
         self.read_servers_if_due(now);
@@ -550,10 +581,11 @@
             return;
         }
         let (read_servers, events) = (Arc::clone(&self.inputs.read_servers), self.events.clone());
+        let asked = Time::now();
         tokio::spawn(async move {
             let result = read_servers().await;
             // The receiving task ends only with the process.
-            let _ = events.send(Event::ServersRead(result)).await;
+            let _ = events.send(Event::ServersRead { asked, result }).await;
         });
     }
 
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -35,9 +35,11 @@
         }
     }
 
-    /// The time when the list was read, on the clock of this host.
-    pub fn read(self, now: Time) -> Time {
-        Time::from_ms(now.as_ms().saturating_sub(self.age_ms))
+    /// The time when the list was read at the earliest, on the clock of this host. The age must have been stated later
+    /// than `asked`. Messages may be delayed, and either host may be frozen at any moment, so the time at which the age
+    /// is received does not tell when it was stated.
+    pub fn read(self, asked: Time) -> Time {
+        Time::from_ms(asked.as_ms().saturating_sub(self.age_ms))
     }
 }
 
@@ -87,20 +89,24 @@
 }
 
 /// Compares this host's directory, given by its fingerprint and the time when its list was read, with that of another
-/// host.
-pub fn compare(now: Time, own: Option<(u64, Time)>, other: Freshness) -> Action {
-    let other_read = other.read(now);
-    match own {
-        None => Action::Fetch,
-        Some((fingerprint, read)) if fingerprint == other.fingerprint && other_read > read => {
-            Action::Renew(other_read)
+/// host. `asked` is a time on this host's clock that is earlier than the statement of the other one; without it, nothing
+/// shows that the other directory is newer.
+pub fn compare(asked: Option<Time>, own: Option<(u64, Time)>, other: Freshness) -> Action {
+    let (Some((fingerprint, read)), Some(asked)) = (own, asked) else {
+        return match own {
+            None => Action::Fetch,
+            Some(_) => Action::Keep,
+        };
+    };
+    let other_read = other.read(asked);
+    if fingerprint == other.fingerprint {
+        match other_read > read {
+            true => Action::Renew(other_read),
+            false => Action::Keep,
         }
-        Some((fingerprint, read))
-            if fingerprint != other.fingerprint
-                && other_read > read.plus_ms(MIN_AGE_DIFFERENCE_MS) =>
-        {
-            Action::Fetch
-        }
-        Some(_) => Action::Keep,
+    } else if other_read > read.plus_ms(MIN_AGE_DIFFERENCE_MS) {
+        Action::Fetch
+    } else {
+        Action::Keep
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_consensus::membership::{Id, Member};
 use primrose_consensus::message::Message;
@@ -19,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Packet {
     /// An entry host announces itself to a core host, which answers with a [`Status`].
-    Hello,
+    Hello(Stamp),
     /// The answer of a core host to `Hello`, also sent when the directory or the document changes.
     Status(Status),
     /// An entry host asks to which server a request is to be sent.
@@ -44,6 +45,30 @@
     },
 }
 
+/// Marks a message, so that the receiver can say which message of the sender it received last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Identifies the incarnation of the sender's process, whose clock `sent` is a time of.
+    pub incarnation: u64,
+    /// When the message was sent, on the sender's clock.
+    pub sent: Time,
+}
+
+impl Stamp {
+    /// The stamp of a message that is sent now by the given incarnation of this process.
+    pub fn now(incarnation: u64) -> Stamp {
+        Stamp {
+            incarnation,
+            sent: Time::now(),
+        }
+    }
+
+    /// When the message was sent, if it is one of the given incarnation of this process.
+    pub fn sent_by(self, incarnation: u64) -> Option<Time> {
+        (self.incarnation == incarnation).then_some(self.sent)
+    }
+}
+
 /// The state of a core host as sent to entry hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -63,6 +88,8 @@
     pub version: u64,
     /// Which directory the sender has, or `None` before the first one.
     pub directory: Option<Freshness>,
+    /// The latest `Hello` from the receiver. `directory` was stated later.
+    pub answers: Stamp,
     /// Number of entry hosts that the sender has heard from recently. They share the retry budget.
     pub entry_hosts: u32,
 }
@@ -97,6 +124,10 @@
     pub core_hosts: Vec<Name>,
     /// Which directory the sender has, or `None` before the first one.
     pub directory: Option<Freshness>,
+    /// Marks this heartbeat.
+    pub stamp: Stamp,
+    /// The latest heartbeat from the receiver, or `None` before the first one. `directory` was stated later.
+    pub answers: Option<Stamp>,
 }
 
 /// Describes a replica of the log.
--- a/crates/fleet/tests/damaged.rs
+++ b/crates/fleet/tests/damaged.rs
@@ -102,7 +102,7 @@
                 }
             },
             Ok(Packet::Heartbeat(heartbeat)) => if let Some(freshness) = heartbeat.directory {
-                directory::compare(now, Some((Directory::default().fingerprint(), now)), freshness);
+                directory::compare(Some(now), Some((Directory::default().fingerprint(), now)), freshness);
             },
             Ok(_) | Err(datagram::Error::Encoding) => {}
             Err(error) => prop_assert!(false, "{error}"),
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -55,11 +55,11 @@
 // A host must fetch a newer list, but neither one with the same content nor an older one.
 #[test]
 fn directories_are_compared_by_age() {
-    let now = Time::from_ms(10_000);
+    let asked = Time::from_ms(10_000);
     let read = Time::from_ms(9_000);
     let other = |fingerprint, age_ms| {
         compare(
-            now,
+            Some(asked),
             Some((1, read)),
             Freshness {
                 fingerprint,
@@ -75,7 +75,24 @@
         fingerprint: 1,
         age_ms: 0,
     };
-    assert_eq!(compare(now, None, fresh), Action::Fetch);
+    assert_eq!(compare(Some(asked), None, fresh), Action::Fetch);
+}
+
+// A message may have waited while this host or its sender was frozen. Its age counts from the message that it answers, or an
+// old list would seem to be new; without such a message it is not believed.
+#[test]
+fn age_in_a_delayed_message_makes_no_list_newer() {
+    let own = Some((1, Time::from_ms(9_000)));
+    let other = |fingerprint| Freshness {
+        fingerprint,
+        age_ms: 300,
+    };
+    let asked = Some(Time::from_ms(5_000));
+    assert_eq!(compare(asked, own, other(1)), Action::Keep);
+    assert_eq!(compare(asked, own, other(2)), Action::Keep);
+    assert_eq!(compare(None, own, other(1)), Action::Keep);
+    assert_eq!(compare(None, own, other(2)), Action::Keep);
+    assert_eq!(compare(None, None, other(2)), Action::Fetch);
 }
 
 // The pages of a list arrive in any order, which must not change the fingerprint; a server that starts draining must
