entry: Bound the memory of answers from servers that send without end

Operators of similar systems lost the requests of all callers of a host when a faulty server sent bytes without end and the host ran out of memory.

Cause: each answer was bounded by itself, but not their sum. hyper reads 400 KiB ahead on each connection to a server, a resumable stream kept 16 such chunks for a caller that does not read, and each answer without a length was buffered up to 512 KiB.

Evidence: with 300 requests under way, an entry host used 425 MiB (events of a resumable stream), 166 MiB (events of a stream) and 119 MiB (body without a length) of its 160 MiB. Ruled out: single answers, which the tests of path.rs bound, and heads, which hyper ends at 400 KiB.

Fix: a connection reads at most 32 KiB ahead; of the chunks that wait for a caller one may be large; buffered answers and partial events share a quarter of memory_mb, and an answer for which too little is left is forwarded as it arrives.

--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -1,8 +1,8 @@
 //! Answers that are buffered until they are complete, and what happens to one that outgrows the buffer.
 //!
 //! A complete answer in the buffer can still be replaced by that of another server if its connection breaks. A server
-//! in trouble may send bytes without end, so the buffer is bounded: a larger answer is forwarded as it arrives, no
-//! faster than the caller reads, until the limit of the request.
+//! in trouble may send bytes without end, so the buffer is bounded, as is the memory of all buffers together: a larger answer
+//! is forwarded as it arrives, no faster than the caller reads, until the limit of the request.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::body::Interrupted;
+use crate::memory::Reservation;
 use crate::request::{Answered, Job};
 use crate::stop;
 
@@ -29,24 +30,27 @@
 pub(crate) enum Buffered {
     /// The whole answer.
     Whole(Bytes),
-    /// The start of an answer that is longer than [`MAX_BYTES`].
+    /// The start of an answer that is longer than [`MAX_BYTES`], or for which too little memory is left.
     Start(Bytes),
 }
 
-/// Reads an answer until it is complete or exceeds [`MAX_BYTES`].
+/// Reads an answer until it is complete, exceeds [`MAX_BYTES`] or cannot be reserved.
 ///
 /// # Errors
 ///
 /// Returns the error of the connection to the server.
-pub(crate) async fn read(body: &mut Incoming) -> Result<Buffered, hyper::Error> {
+pub(crate) async fn read(
+    body: &mut Incoming,
+    mut reservation: Reservation,
+) -> Result<Buffered, hyper::Error> {
     let mut bytes = BytesMut::new();
     while let Some(data) = next_chunk(body).await? {
         bytes.put(data);
-        if bytes.len() > MAX_BYTES {
-            return Ok(Buffered::Start(bytes.freeze()));
+        if !reservation.resize(bytes.len()) || bytes.len() > MAX_BYTES {
+            return Ok(Buffered::Start(reservation.hold(bytes.freeze())));
         }
     }
-    Ok(Buffered::Whole(bytes.freeze()))
+    Ok(Buffered::Whole(reservation.hold(bytes.freeze())))
 }
 
 /// Forwards `start` and the rest of an answer that outgrew the buffer. Holds one chunk at a time.
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -122,6 +122,11 @@
         !self.position.has_unnamed
     }
 
+    /// Length of the start of an event that is buffered, in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the start of an event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod idle;
 pub mod link;
 pub mod listener;
+pub mod memory;
 pub mod notice;
 pub mod overload;
 pub mod protocol;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -39,6 +39,7 @@
 use crate::hop;
 use crate::link;
 use crate::listener;
+use crate::memory::Memory;
 use crate::notice::{Availability, Notice};
 use crate::overload::Detector;
 use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
@@ -71,6 +72,26 @@
 /// of a datagram; servers beyond that are excluded once they are assigned.
 const MAX_EXCLUDED: usize = 16;
 
+/// Parameters of [`Shared`].
+pub struct Inputs {
+    /// The connection to the core hosts, which assign requests to servers.
+    pub link: link::Handle,
+    /// Reads and writes the platform's headers.
+    pub protocol: Protocol,
+    /// Name of the failure domain of this host.
+    pub domain: Arc<str>,
+    /// The part of the fleet's retry budget that this host may use.
+    pub budget: Budget,
+    /// Detects whether this host is overloaded.
+    pub overload: Detector,
+    /// The memory for buffered messages.
+    pub memory: Memory,
+    /// Counters and latency histograms; the names are in [`crate::counter`].
+    pub meter: Arc<Meter>,
+    /// The log of the process.
+    pub log: Logger,
+}
+
 /// State that all requests of an entry host share.
 pub struct Shared {
     /// The connection to the core hosts, which assign requests to servers.
@@ -83,6 +104,8 @@
     pub budget: Mutex<Budget>,
     /// Detects whether this host is overloaded.
     pub overload: Detector,
+    /// The memory for buffered messages.
+    pub memory: Memory,
     /// Counters and latency histograms; the names are in [`crate::counter`].
     pub meter: Arc<Meter>,
     /// The log of the process.
@@ -96,23 +119,16 @@
 
 impl Shared {
     /// Creates the state with no connections and no deadlines seen.
-    pub fn new(
-        link: link::Handle,
-        protocol: Protocol,
-        domain: Arc<str>,
-        budget: Budget,
-        overload: Detector,
-        meter: Arc<Meter>,
-        log: Logger,
-    ) -> Shared {
+    pub fn new(inputs: Inputs) -> Shared {
         Shared {
-            link,
-            protocol,
-            domain,
-            budget: Mutex::new(budget),
-            overload,
-            meter,
-            log,
+            link: inputs.link,
+            protocol: inputs.protocol,
+            domain: inputs.domain,
+            budget: Mutex::new(inputs.budget),
+            overload: inputs.overload,
+            memory: inputs.memory,
+            meter: inputs.meter,
+            log: inputs.log,
             stop: Plan::new(),
             pool: Pool::default(),
             sequence: AtomicU64::new(0),
@@ -772,7 +788,7 @@
         let failed = answered.failed;
         let read = tokio::select! {
             biased;
-            read = buffer::read(&mut answered.body) => Some(read),
+            read = buffer::read(&mut answered.body, self.shared.memory.reservation()) => Some(read),
             () = self.limit.passed() => None,
         };
         let failure = match read {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -4,6 +4,7 @@
 //! on with it. The silent server keeps the request until then.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use slog::info;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::Instant;
@@ -22,6 +24,7 @@
 use crate::event::Splitter;
 use crate::failure::Failure;
 use crate::form::Form;
+use crate::memory::{self, Memory, Reservation};
 use crate::request::{Answered, Job};
 use crate::silence::Watch;
 use crate::upstream::Connection;
@@ -29,6 +32,9 @@
 /// The most chunks that wait for a slow caller; reading from the server then pauses.
 pub(crate) const MAX_WAITING_CHUNKS: usize = 16;
 
+/// Chunks longer than this, in bytes, wait one after the other.
+const MAX_SMALL_CHUNK_BYTES: usize = 4 << 10;
+
 /// How the part of a stream that one server sends ends.
 enum End {
     Complete,
@@ -44,11 +50,14 @@
     assignment: Assignment,
     /// Whether the answer announces its end. Otherwise its connection may close in the middle of an event.
     has_announced_end: bool,
+    /// The memory of the event that has arrived in part.
+    reservation: Reservation,
 }
 
-impl From<Answered> for Part {
-    fn from(answered: Answered) -> Part {
+impl Part {
+    fn new(answered: Answered, memory: &Memory) -> Part {
         Part {
+            reservation: memory.reservation(),
             // An answer to HEAD has no body, whatever its head says.
             has_announced_end: Form::of(&answered.head).has_announced_end
                 || answered.body.is_end_stream(),
@@ -57,9 +66,7 @@
             assignment: answered.assignment,
         }
     }
-}
 
-impl Part {
     /// Closes the connection to the server, which cancels the request, and reports the outcome.
     fn end(self, outcome: Outcome) {
         drop(self.connection);
@@ -94,6 +101,10 @@
             if let Some(fault) = splitter.fault() {
                 return Err(End::Broken(fault.to_owned()));
             }
+            if !self.reservation.resize(splitter.partial_bytes()) {
+                let reason = "too little memory is left for the start of an event";
+                return Err(End::Broken(reason.to_owned()));
+            }
             return Ok(events);
         }
     }
@@ -135,8 +146,9 @@
         sender: &sender,
         splitter: Splitter::default(),
         watch,
+        large_chunk: Arc::new(Semaphore::new(1)),
     };
-    let mut part = Part::from(answered);
+    let mut part = Part::new(answered, &forwarder.job.shared.memory);
     loop {
         let end = match forwarder.forward(&mut part).await {
             Some(end) => end,
@@ -190,6 +202,7 @@
             sender: &sender,
             splitter: forwarder.splitter.resumed(),
             watch,
+            large_chunk: forwarder.large_chunk,
         };
     }
 }
@@ -238,7 +251,7 @@
     async fn resume(&mut self, splitter: &Splitter, form: &Form) -> Result<Part, &'static str> {
         match self.send_until_answered(splitter.last_id()).await {
             Ok(answered) if form.can_be_continued_by(&Form::of(&answered.head)) => {
-                Ok(Part::from(answered))
+                Ok(Part::new(answered, &self.shared.memory))
             }
             Ok(answered) => {
                 answered.end_failed();
@@ -266,6 +279,8 @@
     sender: &'a mpsc::Sender<Result<Bytes, Interrupted>>,
     splitter: Splitter,
     watch: Watch,
+    /// Taken by the large chunk that waits for the caller.
+    large_chunk: Arc<Semaphore>,
 }
 
 impl Forwarder<'_> {
@@ -342,6 +357,7 @@
             sender,
             splitter,
             watch,
+            large_chunk: _,
         } = self;
         let limit = job.limit.clone();
         let mut passed = pin!(limit.passed());
@@ -382,6 +398,10 @@
     /// the answer.
     async fn send(&mut self, bytes: Bytes) -> Result<(), End> {
         self.job.record_forwarded();
+        let bytes = match bytes.len() > MAX_SMALL_CHUNK_BYTES {
+            true => self.wait_for_large_chunk(bytes).await?,
+            false => bytes,
+        };
         let bytes = match self.sender.try_send(Ok(bytes)) {
             Ok(()) => return Ok(()),
             Err(TrySendError::Full(bytes)) => bytes,
@@ -394,6 +414,19 @@
         }
     }
 
+    /// Waits until no other large chunk waits for the caller. The next one then waits until `bytes` have been written.
+    async fn wait_for_large_chunk(&self, bytes: Bytes) -> Result<Bytes, End> {
+        let permit = tokio::select! {
+            biased;
+            permit = Arc::clone(&self.large_chunk).acquire_owned() => permit,
+            () = self.sender.closed() => return Err(End::CallerGone),
+            () = self.job.limit.passed() => return Err(End::TimedOut),
+        };
+        // The semaphore is never closed.
+        let permit = permit.map_err(|_| End::CallerGone)?;
+        Ok(memory::hold(bytes, permit))
+    }
+
     /// Handles the end of the server's answer.
     async fn finish(&mut self, has_announced_end: bool) -> End {
         match rest(
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -43,6 +43,10 @@
 /// connection while a request is on its way, the request may or may not have run.
 const IDLE_MARGIN_MS: u64 = 800;
 
+/// The most bytes of an answer that are read ahead of their use, and the largest head of an answer. hyper's default would
+/// hold 400 KiB on each connection to a server that sends a head without an end.
+const MAX_READ_BYTES: usize = 32 << 10;
+
 /// An open connection to a backend server.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -143,7 +147,9 @@
             .with_interval(PROBE_INTERVAL)
             .with_retries(PROBES);
         socket.set_tcp_keepalive(&probes)?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             // The request that uses the connection gets its error; for an idle connection it does not matter.
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -17,11 +17,12 @@
 use primrose_entry::idle::Timeouts;
 use primrose_entry::link;
 use primrose_entry::listener::{self, Limits, Phase};
+use primrose_entry::memory::Memory;
 use primrose_entry::notice::Notice;
 use primrose_entry::overload::Detector;
 use primrose_entry::protocol::{Classification, Malformed, Protocol};
 use primrose_entry::refusal::Refusal;
-use primrose_entry::request::{self, Shared};
+use primrose_entry::request::{self, Inputs, Shared};
 use primrose_observe::Meter;
 use primrose_wire::key::Key;
 use slog::Logger;
@@ -273,15 +274,16 @@
         slack: 10.0,
         window_ms: 10_000,
     });
-    Arc::new(Shared::new(
-        link.await.expect("the address can be bound"),
+    Arc::new(Shared::new(Inputs {
+        link: link.await.expect("the address can be bound"),
         protocol,
-        "north".into(),
+        domain: "north".into(),
         budget,
         overload,
-        Arc::clone(meter),
+        memory: Memory::new(0),
+        meter: Arc::clone(meter),
         log,
-    ))
+    }))
 }
 
 // Only the first request of a connection is exempt from load shedding.
