fleet: Tell a replica of its removal only once that is committed

Cause: a replica was told that it was removed as soon as the removal was in the log of the leader, which may have lost its majority.

Ruled out: the consensus, which never committed the removal.

Fix: the answer follows from the latest membership that is known to be committed, which is final whoever tells of it. A host that shuts down waits for the same, so that it cannot end before its successor counts.

The tests of replicas delivered all messages, so that each change of the members was committed at once.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -372,6 +372,12 @@
         &self.memberships[self.memberships.len() - 1].membership
     }
 
+    /// The latest membership that is known to be committed. Unlike [`Node::membership`], it never turns out not to be in
+    /// force.
+    pub fn committed_membership(&self) -> &Membership {
+        self.membership_at(self.hard.commit)
+    }
+
     /// The position of the last entry in the log, or of the snapshot if no entry follows it.
     pub fn last_position(&self) -> Position {
         self.log.last()
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -675,7 +675,7 @@
     let answers = futures::future::join_all(calls).await;
     let mut others = Vec::new();
     for answer in answers.into_iter().flatten() {
-        if answer.is_current && answer.is_retired && !own.is_empty {
+        if answer.is_retired && !own.is_empty {
             replica.send(match own.is_leaving {
                 true => Input::Removed,
                 false => Input::Reset,
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -154,9 +154,7 @@
     pub introduction: Introduction,
     /// The members of the log that the answering replica knows.
     pub members: Vec<Member>,
-    /// Whether `members` is up to date because the answering replica leads, as a majority has confirmed in this term.
-    pub is_current: bool,
-    /// Whether the introduced replica was permanently removed from the log.
+    /// Whether the introduced replica was permanently removed from the log. The removal is committed.
     pub is_retired: bool,
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -137,7 +137,6 @@
         answer.unwrap_or(Acknowledgement {
             introduction: state.introduction,
             members: state.members,
-            is_current: false,
             is_retired: false,
         })
     }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -411,7 +411,6 @@
         Input::Introduce { reply, .. } => drop(reply.send(Acknowledgement {
             introduction: state.introduction.clone(),
             members: Vec::new(),
-            is_current: false,
             is_retired: false,
         })),
         Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Leave | Input::Removed => {}
@@ -657,12 +656,12 @@
 
     fn introduce(&mut self, caller: Introduction, reply: oneshot::Sender<Acknowledgement>) {
         self.record_sender(&caller.host, None, Some(Arc::clone(&caller.domain)));
-        let membership = self.replica.node().membership();
-        let is_retired = membership.retired().binary_search(&caller.replica).is_ok();
+        let node = self.replica.node();
+        let retired = node.committed_membership().retired();
+        let is_retired = retired.binary_search(&caller.replica).is_ok();
         let answer = Acknowledgement {
             introduction: self.state.borrow().introduction.clone(),
-            members: membership.members().to_vec(),
-            is_current: self.is_leading,
+            members: node.membership().members().to_vec(),
             is_retired,
         };
         // The caller may have given up; it will retry.
@@ -957,7 +956,7 @@
         let voters = members.iter().filter(|member| member.voter).count();
         let wanted = wanted_voters(self.inputs.tolerated_losses);
         let has_successor = voters < members.len() || voters > wanted;
-        let is_voter = node.membership().is_voter(node.id());
+        let is_voter = node.committed_membership().is_voter(node.id());
         self.is_leaving && !self.is_removed && is_voter && has_successor
     }
 
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -113,3 +113,54 @@
         "the reset replica still has entries or a term"
     );
 }
+
+// A voter that was frozen asks whether it is still a member, and empties its disk if it was removed. It must not be told so
+// as long as the removal is not committed: with one of the other disks lost, the log would have no majority.
+#[tokio::test]
+async fn voter_is_not_told_of_a_removal_that_is_not_committed() {
+    let folders = [(); 4].map(|()| tempfile::tempdir().expect("a folder can be created"));
+    let paths: Vec<&Path> = folders.iter().map(|folder| folder.path()).collect();
+    let hosts = open(&paths);
+    form_fleet(&hosts[..3]);
+    let leader = leader(&hosts[..3]).await;
+    let newcomer = hosts[3].handle.state().introduction;
+    let has_learner = async {
+        while leader.handle.state().members.len() < 4 {
+            leader.handle.introduce(newcomer.clone()).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, has_learner)
+        .await
+        .expect("the newcomer becomes a learner");
+    let mut others = hosts[..3].iter().filter(|host| host.name != leader.name);
+    let (frozen, down) = (
+        others.next().expect("a voter"),
+        others.next().expect("a voter"),
+    );
+    let introduction = frozen.handle.state().introduction;
+    let cut_off = |host: &hosts::Host| {
+        let mut cut_off = host.cut_off.lock().expect("not poisoned");
+        cut_off.push(host.name.clone());
+    };
+    cut_off(frozen);
+    // The leader removes a voter after 3 s of silence. It notices later that the other one does not answer either.
+    tokio::time::sleep(Duration::from_millis(2_850)).await;
+    cut_off(down);
+    let end = tokio::time::Instant::now() + Duration::from_secs(1);
+    while tokio::time::Instant::now() < end {
+        // The introduction counts as a sign of life, so the log must not need it while the removal is awaited.
+        if leader
+            .handle
+            .state()
+            .members
+            .iter()
+            .all(|member| member.host != frozen.name)
+        {
+            let answer = leader.handle.introduce(introduction.clone()).await;
+            let is_retired = answer.expect("the thread answers").is_retired;
+            assert!(!is_retired, "the removal is not committed");
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/fleet/tests/stale_list.rs
+++ b/crates/fleet/tests/stale_list.rs
@@ -102,7 +102,7 @@
 #[tokio::test]
 async fn list_that_was_called_for_earlier_replaces_no_newer_one() {
     let [low, high] = (std::process::id() as u16).to_le_bytes();
-    let host = |at: u8| Ipv4Addr::new(127, 81, low, (high & 0x3f) * 4 + at);
+    let host = |at: u8| Ipv4Addr::new(127, 83, low, (high & 0x3f) * 4 + at);
     let folders = [(); 2].map(|()| tempfile::tempdir().expect("a folder can be created"));
     let calls = AtomicUsize::new(0);
     let slow: ReadServers = Arc::new(move || {
--- a/crates/fleet/tests/support/hosts.rs
+++ b/crates/fleet/tests/support/hosts.rs
@@ -1,6 +1,6 @@
 //! Replicas of the log in one process. The messages between them are delivered without a network.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use primrose_base::name::Name;
@@ -18,12 +18,16 @@
 pub(crate) struct Host {
     pub(crate) name: Name,
     pub(crate) handle: Handle,
+    /// The hosts to and from which no messages are delivered. All hosts share the list.
+    #[allow(dead_code, reason = "not all test files cut hosts off")]
+    pub(crate) cut_off: Arc<Mutex<Vec<Name>>>,
 }
 
 /// Opens a replica on each storage and delivers the messages between them.
 pub(crate) fn open(storages: impl Iterator<Item = Storage>) -> Vec<Host> {
     let (sender, mut messages) = mpsc::unbounded_channel::<(Name, replica::Outgoing)>();
     let mut hosts = Vec::new();
+    let cut_off = Arc::<Mutex<Vec<Name>>>::default();
     for (at, storage) in storages.enumerate() {
         let name = Name::new(&format!("10.0.0.{}", at + 1)).expect("the name is valid");
         let (outgoing, mut sent) = mpsc::unbounded_channel();
@@ -43,7 +47,11 @@
                 let _ = sender.send((from.clone(), outgoing));
             }
         });
-        hosts.push(Host { name, handle });
+        hosts.push(Host {
+            name,
+            handle,
+            cut_off: Arc::clone(&cut_off),
+        });
     }
     let handles: Vec<(Name, Handle)> = hosts
         .iter()
@@ -51,6 +59,10 @@
         .collect();
     tokio::spawn(async move {
         while let Some((sender, outgoing)) = messages.recv().await {
+            let is_cut_off = |host: &Name| cut_off.lock().expect("not poisoned").contains(host);
+            if is_cut_off(&sender) || is_cut_off(&outgoing.host) {
+                continue;
+            }
             if let Some((_, handle)) = handles.iter().find(|(name, _)| *name == outgoing.host) {
                 let messages = outgoing.messages;
                 let sender = sender.clone();
