entry: Bound the memory of the bodies of all requests

Cause: a body was bounded by itself, but not the sum of all bodies, which are kept until their answers end.

Evidence: with 60 bodies of 4 MiB under way, an entry host used 469 MiB of its 160 MiB. Ruled out: the overload detector, which measures delay.

The announced length is reserved before the first byte is read, and a request that does not fit is refused at once as not run (no_memory). A body is collected without a second copy.

The tests sent bodies of 17 KiB at most.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 79] = [
+pub const ALL: [&str; 80] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -45,6 +45,7 @@
     "listener_closed",
     "listener_not_opened",
     "malformed_request",
+    "no_memory",
     "no_retry_attempts",
     "no_retry_budget",
     "no_retry_non_idempotent",
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,9 +6,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 use foldhash::quality::FixedState;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body::Body as _;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::ext::on_informational;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
@@ -39,7 +40,7 @@
 use crate::hop;
 use crate::link;
 use crate::listener;
-use crate::memory::Memory;
+use crate::memory::{Memory, Reservation};
 use crate::notice::{Availability, Notice};
 use crate::overload::Detector;
 use crate::protocol::{Malformed, Metadata, Outgoing, Protocol};
@@ -84,8 +85,10 @@
     pub budget: Budget,
     /// Detects whether this host is overloaded.
     pub overload: Detector,
-    /// The memory for buffered messages.
-    pub memory: Memory,
+    /// The memory for the bodies of requests.
+    pub request_memory: Memory,
+    /// The memory for buffered answers.
+    pub answer_memory: Memory,
     /// Counters and latency histograms; the names are in [`crate::counter`].
     pub meter: Arc<Meter>,
     /// The log of the process.
@@ -104,8 +107,10 @@
     pub budget: Mutex<Budget>,
     /// Detects whether this host is overloaded.
     pub overload: Detector,
-    /// The memory for buffered messages.
-    pub memory: Memory,
+    /// The memory for the bodies of requests.
+    pub request_memory: Memory,
+    /// The memory for buffered answers.
+    pub answer_memory: Memory,
     /// Counters and latency histograms; the names are in [`crate::counter`].
     pub meter: Arc<Meter>,
     /// The log of the process.
@@ -126,7 +131,8 @@
             domain: inputs.domain,
             budget: Mutex::new(inputs.budget),
             overload: inputs.overload,
-            memory: inputs.memory,
+            request_memory: inputs.request_memory,
+            answer_memory: inputs.answer_memory,
             meter: inputs.meter,
             log: inputs.log,
             stop: Plan::new(),
@@ -323,7 +329,8 @@
         return Err(refuse_for_stop());
     }
     let limits = &table.document().limits;
-    let body = read_body(body, limits.max_body_bytes, &limit).await?;
+    let reservation = shared.request_memory.reservation();
+    let body = read_body(body, limits.max_body_bytes, reservation, &limit).await?;
     if let Some(exchange) = head.extensions.get::<Exchange>() {
         exchange.set_body_read();
     }
@@ -385,22 +392,39 @@
     )
 }
 
-/// Reads a request body of at most `max_bytes`, until the limit of the request has passed.
-async fn read_body(body: &mut Incoming, max_bytes: u64, limit: &Limit) -> Result<Bytes, Refusal> {
+/// Why the body of a request could not be read.
+enum Unread {
+    TooLarge,
+    NoMemory,
+    Broken(hyper::Error),
+}
+
+/// Reads a request body of at most `max_bytes` that fits into the memory, until the limit of the request has passed.
+async fn read_body(
+    body: &mut Incoming,
+    max_bytes: u64,
+    reservation: Reservation,
+    limit: &Limit,
+) -> Result<Bytes, Refusal> {
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
     let read = tokio::select! {
         biased;
-        read = Limited::new(body, max_bytes).collect() => Some(read),
+        read = collect(body, max_bytes, reservation) => Some(read),
         () = limit.passed() => None,
     };
     match read {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(Unread::TooLarge)) => {
             let message = format!("the request body is larger than {max_bytes} bytes");
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(Refusal::invalid_request("body_too_large", status, message))
         }
-        Some(Err(error)) => {
+        Some(Err(Unread::NoMemory)) => {
+            let message = "this host has too little memory left for the request body";
+            let retry_after_ms = OVERLOADED_RETRY_AFTER_MS;
+            Err(Refusal::not_run("no_memory", retry_after_ms, message))
+        }
+        Some(Err(Unread::Broken(error))) => {
             let message = format!("reading the request body failed: {error}");
             let status = StatusCode::BAD_REQUEST;
             Err(Refusal::invalid_request("body_unreadable", status, message))
@@ -414,6 +438,51 @@
     }
 }
 
+/// Collects a body. If its length is announced, all of its memory is reserved before the first byte is read.
+async fn collect(
+    body: &mut Incoming,
+    max_bytes: usize,
+    mut reservation: Reservation,
+) -> Result<Bytes, Unread> {
+    let announced = body.size_hint().exact();
+    let announced = usize::try_from(announced.unwrap_or(0)).unwrap_or(usize::MAX);
+    if announced > max_bytes {
+        return Err(Unread::TooLarge);
+    }
+    if !reservation.resize(announced) {
+        return Err(Unread::NoMemory);
+    }
+    let mut first = Bytes::new();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        let Ok(data) = frame.map_err(Unread::Broken)?.into_data() else {
+            continue;
+        };
+        let length = first.len() + bytes.len() + data.len();
+        if length > max_bytes {
+            return Err(Unread::TooLarge);
+        }
+        if !reservation.resize(length.max(announced)) {
+            return Err(Unread::NoMemory);
+        }
+        // Most bodies arrive as one frame, which is not copied.
+        if length == data.len() {
+            first = data;
+            continue;
+        }
+        bytes.reserve(announced.max(length).saturating_sub(bytes.len()));
+        bytes.put(std::mem::take(&mut first));
+        bytes.put(data);
+    }
+    let whole = if bytes.is_empty() {
+        first
+    } else {
+        bytes.freeze()
+    };
+    Ok(reservation.hold(whole))
+}
+
 /// A request that is being processed.
 pub(crate) struct Job {
     pub(crate) shared: Arc<Shared>,
@@ -788,7 +857,7 @@
         let failed = answered.failed;
         let read = tokio::select! {
             biased;
-            read = buffer::read(&mut answered.body, self.shared.memory.reservation()) => Some(read),
+            read = buffer::read(&mut answered.body, self.shared.answer_memory.reservation()) => Some(read),
             () = self.limit.passed() => None,
         };
         let failure = match read {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -148,7 +148,7 @@
         watch,
         large_chunk: Arc::new(Semaphore::new(1)),
     };
-    let mut part = Part::new(answered, &forwarder.job.shared.memory);
+    let mut part = Part::new(answered, &forwarder.job.shared.answer_memory);
     loop {
         let end = match forwarder.forward(&mut part).await {
             Some(end) => end,
@@ -251,7 +251,7 @@
     async fn resume(&mut self, splitter: &Splitter, form: &Form) -> Result<Part, &'static str> {
         match self.send_until_answered(splitter.last_id()).await {
             Ok(answered) if form.can_be_continued_by(&Form::of(&answered.head)) => {
-                Ok(Part::new(answered, &self.shared.memory))
+                Ok(Part::new(answered, &self.shared.answer_memory))
             }
             Ok(answered) => {
                 answered.end_failed();
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -280,7 +280,8 @@
         domain: "north".into(),
         budget,
         overload,
-        memory: Memory::new(0),
+        request_memory: Memory::new(0),
+        answer_memory: Memory::new(0),
         meter: Arc::clone(meter),
         log,
     }))
