base: Count the time for which the machine was suspended

Cause: Time was read from CLOCK_MONOTONIC, which stops while a machine is suspended. The ages that hosts exchange, the silence of other hosts and the deadlines of requests then seem shorter than they are.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -1,11 +1,12 @@
-//! Monotonic time in milliseconds.
+//! Monotonic time in milliseconds, which also passes while the machine is suspended.
 //!
 //! The crates with the decision logic never read a clock: the caller passes in a [`Time`], so that tests and
 //! experiments control it.
 
 use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in monotonic time, in milliseconds since an origin that differs between processes.
@@ -21,12 +22,14 @@
     /// The origin. [`Time::now`] never returns it, so it can stand for "never".
     pub const ZERO: Time = Time(0);
 
-    /// Reads the monotonic clock of this process.
+    /// Reads the monotonic clock of this process. It counts the time for which the machine was suspended: ages and the
+    /// silence of other hosts must not seem shorter than they are.
     pub fn now() -> Time {
-        static ORIGIN: OnceLock<Instant> = OnceLock::new();
-        let elapsed = ORIGIN.get_or_init(Instant::now).elapsed();
+        static ORIGIN: OnceLock<u64> = OnceLock::new();
+        let now = since_boot_ms();
+        let origin = *ORIGIN.get_or_init(|| now);
         // Adding one ensures that no reading equals `ZERO`, which callers use for "never".
-        Time(elapsed.as_millis() as u64 + 1)
+        Time(now.saturating_sub(origin) + 1)
     }
 
     /// The time `ms` milliseconds after the origin.
@@ -54,3 +57,9 @@
         Duration::from_millis(self.0.saturating_sub(now.0))
     }
 }
+
+/// Time since the machine was started, in ms.
+fn since_boot_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
