proxy: Answer heads that have arrived in part when a host stops

A caller of primrosed whose request had arrived in part on a kept connection got neither an answer nor a refusal when the host began to stop.

Cause: the graceful stop of the HTTP server closes each kept connection on which no request is being handled, whether or not a part of a head has arrived on it.

Ruled out: the acceptor, which closes no connection by itself.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 /// The most connections that are closed with [`linger::discard`] at the same time. Each holds a socket and a buffer of
 /// a few KiB; one beyond them is closed at once.
@@ -57,16 +57,58 @@
     }
 }
 
+/// The connections from which bytes have arrived that were not answered yet. salvo closes a kept connection at a graceful
+/// stop although a part of a head has arrived on it, so the stop waits until there is none.
+#[derive(Clone, Debug)]
+pub(crate) struct Unanswered {
+    /// Number of these connections.
+    connections: watch::Sender<usize>,
+    /// Whether no further connections are accepted.
+    is_closing: watch::Sender<bool>,
+}
+
+impl Default for Unanswered {
+    fn default() -> Unanswered {
+        Unanswered {
+            connections: watch::Sender::new(0),
+            is_closing: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Unanswered {
+    /// Accepts no further connections, and waits until all that has arrived on the others has been answered at least in
+    /// part.
+    pub(crate) async fn close_and_wait(&self) {
+        self.is_closing.send_replace(true);
+        // The sender is not dropped meanwhile.
+        let _ = self
+            .connections
+            .subscribe()
+            .wait_for(|count| *count == 0)
+            .await;
+    }
+}
+
 /// Accepts TCP connections as [`Stream`]s.
 pub(crate) struct Acceptor {
     inner: TcpAcceptor,
     lingering: Lingering,
+    unanswered: Unanswered,
 }
 
 impl Acceptor {
-    pub(crate) fn new(listener: TcpListener, lingering: Lingering) -> io::Result<Acceptor> {
+    pub(crate) fn new(
+        listener: TcpListener,
+        lingering: Lingering,
+        unanswered: Unanswered,
+    ) -> io::Result<Acceptor> {
         let inner = TcpAcceptor::try_from(listener)?;
-        Ok(Acceptor { inner, lingering })
+        Ok(Acceptor {
+            inner,
+            lingering,
+            unanswered,
+        })
     }
 }
 
@@ -82,14 +124,27 @@
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<TcpCoupler<Stream>, Stream>> {
-        let accepted = self.inner.accept(fuse_policy).await?;
-        let lingering = self.lingering.clone();
+        let mut is_closing = self.unanswered.is_closing.subscribe();
+        let closing = async {
+            // The sender is not dropped meanwhile.
+            let _ = is_closing.wait_for(|is_closing| *is_closing).await;
+        };
+        let accepted = tokio::select! {
+            accepted = self.inner.accept(fuse_policy) => Some(accepted?),
+            () = closing => None,
+        };
+        let Some(accepted) = accepted else {
+            return std::future::pending().await;
+        };
+        let (lingering, unanswered) = (self.lingering.clone(), self.unanswered.clone());
         Ok(accepted.map_into(
             |_| TcpCoupler::new(),
             |socket| Stream {
                 socket: Some(socket),
                 is_shut_down: false,
                 lingering,
+                is_unanswered: false,
+                unanswered,
             },
         ))
     }
@@ -103,9 +158,23 @@
     /// Whether the server has ended its direction, which it does after its last answer.
     is_shut_down: bool,
     lingering: Lingering,
+    /// Whether bytes have arrived since the server wrote last. Invariant: the connection is counted in `unanswered` if so.
+    is_unanswered: bool,
+    unanswered: Unanswered,
 }
 
 impl Stream {
+    fn set_unanswered(&mut self, is_unanswered: bool) {
+        if std::mem::replace(&mut self.is_unanswered, is_unanswered) != is_unanswered {
+            self.unanswered
+                .connections
+                .send_modify(|count| match is_unanswered {
+                    true => *count += 1,
+                    false => *count -= 1,
+                });
+        }
+    }
+
     fn socket(self: Pin<&mut Self>) -> io::Result<Pin<&mut StraightStream<TcpStream>>> {
         let socket = self.get_mut().socket.as_mut();
         socket
@@ -116,6 +185,7 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        self.set_unanswered(false);
         if let (true, Some(socket)) = (self.is_shut_down, self.socket.take()) {
             self.lingering.linger(socket);
         }
@@ -124,28 +194,35 @@
 
 impl AsyncRead for Stream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.socket()?.poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = self.as_mut().socket()?.poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.set_unanswered(true);
+        }
+        read
     }
 }
 
 impl AsyncWrite for Stream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.set_unanswered(false);
         self.socket()?.poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.set_unanswered(false);
         self.socket()?.poll_write_vectored(context, slices)
     }
 
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use primrose_config::Configuration;
 use salvo::http::StatusCode;
@@ -12,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::acceptor::{Acceptor, Lingering};
+use crate::acceptor::{Acceptor, Lingering, Unanswered};
 pub use crate::attempt::Count;
 use crate::attempt::{Forwarder, REQUEST_ID_HEADER};
 use crate::dispatch;
@@ -21,6 +22,9 @@
 pub use crate::settings::Settings;
 use crate::upstream::Upstream;
 
+/// How long a stop waits for the rest of a head of which a part has arrived.
+const MAX_HEAD_WAIT: Duration = Duration::from_secs(1);
+
 /// What the listener gets from the rest of the daemon.
 pub struct Inputs {
     /// Used to ask for slots and claims.
@@ -39,6 +43,7 @@
     server: ServerHandle,
     task: JoinHandle<()>,
     lingering: Lingering,
+    unanswered: Unanswered,
 }
 
 impl Handle {
@@ -50,6 +55,8 @@
     /// Accepts no new connections and returns when all requests in flight have finished, and callers have had the time
     /// to read their refusals. There is no time limit for the requests.
     pub async fn drain(self) {
+        // Afterwards the server waits for the requests itself, but not for heads that have arrived in part.
+        let _ = tokio::time::timeout(MAX_HEAD_WAIT, self.unanswered.close_and_wait()).await;
         self.server.stop_graceful(None);
         // The task ends only by the graceful stop; a panic in it has been reported by the runtime.
         let _ = self.task.await;
@@ -66,7 +73,8 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let lingering = Lingering::default();
-    let acceptor = Acceptor::new(listener, lingering.clone())?;
+    let unanswered = Unanswered::default();
+    let acceptor = Acceptor::new(listener, lingering.clone(), unanswered.clone())?;
     let state = State {
         forwarder: Forwarder {
             dispatch: inputs.dispatch,
@@ -85,6 +93,7 @@
         server: handle,
         task,
         lingering,
+        unanswered,
     })
 }
 
