fleet: Let a host that starts introduce itself as late as before

Cause: since a voter whose host shuts down is replaced, a starting core host introduced itself at once. Hosts that start with it do not answer yet, and a call that hangs holds up the fetch of documents and lists from the same host.

Fix: the first introduction waits for its interval again. A leader may take a restarted voter for one that leaves until then, for up to 2 s; if a learner is there, it replaces the voter, which is safe.

--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -136,7 +136,7 @@
         core_hosts: Vec::new(),
         is_updating_directory: false,
         is_introducing: false,
-        last_introduction: None,
+        last_introduction: Time::ZERO,
         must_read_caches: inputs.is_restarted,
         inputs,
     };
@@ -200,8 +200,9 @@
     core_hosts: Vec<CoreHost>,
     is_updating_directory: bool,
     is_introducing: bool,
-    /// `None` before the first one, which is made at once: the leader may still take this host for leaving.
-    last_introduction: Option<Time>,
+    /// [`Time::ZERO`] before the first one, which waits for its interval too: a call to a host that starts at the same time
+    /// and does not listen yet holds up later calls to it.
+    last_introduction: Time,
     /// Whether the caches of engines are still to be read.
     must_read_caches: bool,
 }
@@ -598,12 +599,11 @@
         } else {
             INTRODUCE_INTERVAL_MS
         };
-        let is_due = |last: Time| now.since(last) >= interval;
-        if self.is_introducing || !self.last_introduction.is_none_or(is_due) {
+        if self.is_introducing || now.since(self.last_introduction) < interval {
             return;
         }
         self.is_introducing = true;
-        self.last_introduction = Some(now);
+        self.last_introduction = now;
         let hosts = self.core_hosts.iter().map(|peer| peer.address).collect();
         let may_form_fleet = self.inputs.may_form_fleet;
         let seeds = self.inputs.seeds.borrow().clone();
