Use one piece of code for what two hosts and two readers do alike

No behaviour changes but for two details named below.

- Entry and core hosts fetched a directory with two copies of the same call, and each had to apply the rule that an age counts from the time of the request. peers::directory does both, so the rule stands in one place.
The age_ms in the line of an entry host now counts from the request, as the age that the host uses does.
- A host that shuts down was told of its removal by an input of its own, and the caller chose between that and a reset.
The replica chooses now.
An introduction that was under way when the host began to shut down can no longer empty its disk.
- The body of a request is read with buffer::next_chunk, which skips trailers.
- directory::compare returns early in place of a nested match, and Unanswered derives its default.

--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -113,7 +113,7 @@
 }
 
 /// The next data of a body, or `None` at its end. Trailers are not forwarded.
-async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+pub(crate) async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             return Ok(Some(data));
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -10,7 +10,7 @@
 
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
-use primrose_fleet::directory::{self, Action, Directory, Freshness};
+use primrose_fleet::directory::{self, Action, Directory};
 use primrose_fleet::message::{Packet, Stamp, Status, Update};
 use primrose_fleet::peers::{self, Links};
 use primrose_fleet::replica::address_of;
@@ -230,8 +230,8 @@
 /// The result of a fetch from a core host; `None` if the fetch failed or the core host had nothing to return.
 enum Event {
     Document(Option<Arc<Document>>),
-    /// A directory, with the time at which it was asked for.
-    Directory(Option<(Arc<Directory>, Freshness)>, Time),
+    /// A directory, with the time when its list was read.
+    Directory(Option<(Arc<Directory>, Time)>),
 }
 
 /// A core host and what this host knows about it.
@@ -624,16 +624,10 @@
             return;
         }
         let (links, events) = (self.links.clone(), self.events.clone());
-        let asked = Time::now();
         tokio::spawn(async move {
-            let directory = peers::call(&links, address, |client| async move {
-                client.directory(context::current()).await
-            })
-            .await;
+            let directory = peers::directory(&links, address).await;
             // The task ends only with the process.
-            let _ = events
-                .send(Event::Directory(directory.flatten(), asked))
-                .await;
+            let _ = events.send(Event::Directory(directory)).await;
         });
     }
 
@@ -652,15 +646,14 @@
                         .send_replace(Some(Arc::new(Table::new(document))));
                 }
             }
-            Event::Directory(None, _) => self.is_fetching_directory = false,
-            Event::Directory(Some((directory, freshness)), asked) => {
+            Event::Directory(None) => self.is_fetching_directory = false,
+            Event::Directory(Some((directory, read))) => {
                 self.is_fetching_directory = false;
-                let read = freshness.read(asked);
                 if self.directory.is_none_or(|(_, own)| read > own) {
                     self.inputs.meter.count("directory_fetched");
                     info!(self.inputs.log, "backend servers changed";
-                        "servers" => directory.servers().len(), "age_ms" => freshness.age_ms);
-                    self.directory = Some((freshness.fingerprint, read));
+                        "servers" => directory.servers().len(), "age_ms" => Time::now().since(read));
+                    self.directory = Some((directory.fingerprint(), read));
                     self.placer.set_servers(directory.servers());
                     lock(&self.notices).set_servers(Time::now(), directory.servers());
                     self.state.send_modify(|state| state.has_directory = true);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -454,11 +454,7 @@
     }
     let mut first = Bytes::new();
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        // Trailers are not forwarded.
-        let Ok(data) = frame.map_err(Unread::Broken)?.into_data() else {
-            continue;
-        };
+    while let Some(data) = buffer::next_chunk(body).await.map_err(Unread::Broken)? {
         let length = first.len() + bytes.len() + data.len();
         if length > max_bytes {
             return Err(Unread::TooLarge);
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -151,14 +151,9 @@
         asked: Time,
         result: Result<Vec<Server>, ReadError>,
     },
-    /// The directory of another core host, which was asked for at this time, has arrived.
-    DirectoryFetched {
-        asked: Time,
-        directory: Arc<Directory>,
-        freshness: Freshness,
-    },
-    /// The other core host did not answer, or has no directory.
-    DirectoryNotFetched,
+    /// The directory of another core host has arrived, whose list was read at this time. `None` if the core host did not
+    /// answer, or has no directory.
+    DirectoryFetched(Option<(Arc<Directory>, Time)>),
     /// The introductions to the other core hosts have been answered or have timed out.
     Introduced,
     /// An engine has reported which prompt parts it has cached, or did not answer.
@@ -374,22 +369,10 @@
         }
         let address = SocketAddrV4::new(address, self.inputs.port);
         let (links, events) = (self.links.clone(), self.events.clone());
-        let asked = Time::now();
         tokio::spawn(async move {
-            let fetched = peers::call(&links, address, |client| async move {
-                client.directory(context::current()).await
-            })
-            .await;
-            let event = match fetched.flatten() {
-                Some((directory, freshness)) => Event::DirectoryFetched {
-                    asked,
-                    directory,
-                    freshness,
-                },
-                None => Event::DirectoryNotFetched,
-            };
+            let fetched = peers::directory(&links, address).await;
             // The receiving task ends only with the process.
-            let _ = events.send(event).await;
+            let _ = events.send(Event::DirectoryFetched(fetched)).await;
         });
     }
 
@@ -408,17 +391,14 @@
                     }
                 }
             }
-            Event::DirectoryFetched {
-                asked,
-                directory,
-                freshness,
-            } => {
+            Event::DirectoryFetched(fetched) => {
                 self.is_updating_directory = false;
-                if self.publish_if_newer(directory, freshness.read(asked)) {
+                if let Some((directory, read)) = fetched
+                    && self.publish_if_newer(directory, read)
+                {
                     self.inputs.meter.count("directory_fetched");
                 }
             }
-            Event::DirectoryNotFetched => self.is_updating_directory = false,
             Event::Introduced => self.is_introducing = false,
             Event::CachedParts { server, parts } => match parts {
                 Ok(parts) => {
@@ -659,7 +639,7 @@
 
 /// Introduces this host's replica to all core hosts at once and returns the introductions of the replicas that
 /// answered. If an answer says that this host's replica was permanently removed, the replica is
-/// reset and starts again as a new one, unless the host shuts down.
+/// reset and starts again as a new one.
 async fn introduce(
     links: &Links,
     hosts: Vec<SocketAddrV4>,
@@ -676,10 +656,7 @@
     let mut others = Vec::new();
     for answer in answers.into_iter().flatten() {
         if answer.is_retired && !own.is_empty {
-            replica.send(match own.is_leaving {
-                true => Input::Removed,
-                false => Input::Reset,
-            });
+            replica.send(Input::Reset);
         }
         others.push(answer.introduction);
     }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -92,11 +92,11 @@
 /// host. `asked` is a time on this host's clock that is earlier than the statement of the other one; without it, nothing
 /// shows that the other directory is newer.
 pub fn compare(asked: Option<Time>, own: Option<(u64, Time)>, other: Freshness) -> Action {
-    let (Some((fingerprint, read)), Some(asked)) = (own, asked) else {
-        return match own {
-            None => Action::Fetch,
-            Some(_) => Action::Keep,
-        };
+    let Some((fingerprint, read)) = own else {
+        return Action::Fetch;
+    };
+    let Some(asked) = asked else {
+        return Action::Keep;
     };
     let other_read = other.read(asked);
     if fingerprint == other.fingerprint {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,7 +15,7 @@
 use primrose_wire::key::Key;
 use primrose_wire::{handshake, link};
 use tarpc::client::Config;
-use tarpc::context::Context;
+use tarpc::context::{self, Context};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -69,6 +69,17 @@
     answer
 }
 
+/// Fetches the directory of the core host at `address`, with the time when its list was read at the earliest, on the
+/// clock of this host. Returns `None` if the core host cannot be reached, does not answer in time, or has no directory.
+pub async fn directory(links: &Links, address: SocketAddrV4) -> Option<(Arc<Directory>, Time)> {
+    let asked = Time::now();
+    let answer = call(links, address, |client| async move {
+        client.directory(context::current()).await
+    });
+    let (directory, freshness) = answer.await??;
+    Some((directory, freshness.read(asked)))
+}
+
 /// Follows the directory that a core host gives to others, with the time when its list was read.
 pub type Published = watch::Receiver<Option<(Arc<Directory>, Time)>>;
 
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -79,12 +79,11 @@
     },
     /// Forms the fleet with these replicas as voters, if this replica is empty.
     Form(Vec<Introduction>),
-    /// Empties the disk and starts again as a new replica, because this one was permanently removed from the log.
+    /// Empties the disk and starts again as a new replica, because this one was permanently removed from the log. If this
+    /// host shuts down, its replica only learns that it has been replaced.
     Reset,
     /// Transfers the leadership to another replica and asks to be replaced as a voter, because this host shuts down.
     Leave,
-    /// Records that this replica was permanently removed from the log while its host shuts down.
-    Removed,
 }
 
 /// What became of a document that was to be appended to the log.
@@ -413,7 +412,7 @@
             members: Vec::new(),
             is_retired: false,
         })),
-        Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Leave | Input::Removed => {}
+        Input::Messages { .. } | Input::Form(_) | Input::Reset | Input::Leave => {}
     }
 }
 
@@ -585,9 +584,9 @@
                 reply,
             } => self.introduce(introduction, reply),
             Input::Form(introductions) => self.form_fleet(introductions, now),
+            Input::Reset if self.is_leaving => self.is_removed = true,
             Input::Reset => self.reset(),
             Input::Leave => self.leave(now),
-            Input::Removed => self.is_removed = true,
         }
     }
 
--- a/crates/fleet/tests/stale_list.rs
+++ b/crates/fleet/tests/stale_list.rs
@@ -14,7 +14,6 @@
 use primrose_place::{Server, Settings};
 use primrose_wire::key::Key;
 use slog::{Discard, Logger, o};
-use tarpc::context;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
@@ -89,11 +88,7 @@
 
 /// Whether the list that a host gives out shows the server as draining; `None` if it has no list.
 async fn shows_draining(links: &Links, host: Ipv4Addr) -> Option<bool> {
-    let address = SocketAddrV4::new(host, PORT);
-    let call = peers::call(links, address, |client| async move {
-        client.directory(context::current()).await
-    });
-    let (directory, _) = call.await??;
+    let (directory, _) = peers::directory(links, SocketAddrV4::new(host, PORT)).await?;
     Some(directory.servers()[0].draining)
 }
 
--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -59,7 +59,7 @@
 
 /// The connections from which bytes have arrived that were not answered yet. salvo closes a kept connection at a graceful
 /// stop although a part of a head has arrived on it, so the stop waits until there is none.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Unanswered {
     /// Number of these connections.
     connections: watch::Sender<usize>,
@@ -67,15 +67,6 @@
     is_closing: watch::Sender<bool>,
 }
 
-impl Default for Unanswered {
-    fn default() -> Unanswered {
-        Unanswered {
-            connections: watch::Sender::new(0),
-            is_closing: watch::Sender::new(false),
-        }
-    }
-}
-
 impl Unanswered {
     /// Accepts no further connections, and waits until all that has arrived on the others has been answered at least in
     /// part.
