entry: Log the shared parts of prompts whose requests were not served

Cause: when engines end one after the other, the log shows which requests broke off with each and how long their shared parts were, but not which parts these were. Requests of different accounts that share a part could not be told from others.

The line 'request ended' now has the ids of the shared parts, if the request was not served. Some lines are missing, since the log is bounded.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -956,6 +956,14 @@
             "resumed" => self.resumed, "sent" => self.sent);
     }
 
+    /// The ids of the shared parts of the prompt in hexadecimal, as callers write them.
+    fn shared_parts(&self) -> String {
+        let prompt = self.metadata.prompt.iter();
+        let parts = prompt.flat_map(Prompt::shared_parts);
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Whether a part of the body of the answer was forwarded.
     pub(crate) const fn has_forwarded(&self) -> bool {
         self.forwarded > 0
@@ -1026,6 +1034,7 @@
             "returning" => self.returning, "deadline_ms" => self.metadata.deadline_ms,
             "input" => self.metadata.prompt.as_ref().map(|prompt| prompt.input_tokens),
             "shared" => self.metadata.prompt.as_ref().map(Prompt::shared_tokens), "kept" => self.cached_tokens,
+            "parts" => (outcome != "served").then(|| self.shared_parts()),
             "fetch_from" => self.fetch_from.map(|address| address.to_string()),
             "predicted_ms" => self.predicted_ms, "ahead_ms" => self.wait_ms,
             "first_ms" => self.first_ms, "ms" => duration_ms, "outcome" => outcome,
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -36,13 +36,16 @@
 }
 
 impl Prompt {
+    /// The parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared)
+    }
+
     /// Length of the parts that other requests may share, in tokens; saturates at the greatest value.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        total_tokens(shared.iter().map(|part| part.tokens))
+        total_tokens(self.shared_parts().iter().map(|part| part.tokens))
     }
 
     /// The capacity that the request uses, in weighted tokens: an input token counts once, an
