place, fleet, entry: Quarantine prompt parts that crash servers

Cause: nothing connected one crash with the next. A request that broke off was counted against its server, which was down anyway, and the placer sent the next request with the part to the next engine. It is a query of death: the fault is in the request, and the fleet knew only faults of servers.

Evidence: with the ids of the parts in the log, one part was in all requests whose answer broke off between its head and its first event, beside parts that sound requests share. Ruled out: repeats by hosts (each was sent once), and memory of engines (most had one long prompt under way).

Why the fix works: a crashing part ends every server that begins an answer to it, and a sound one does not. The core host that places requests knows which of them were beginning on a server that crashed, whichever entry host sent them. A part that was in three such crashes on three servers, one after the other, and in no answer that went on, is refused from then on. Crashes at the same time, servers that drain, connections that break alone, and parts that were only near a crashing one condemn nothing. Statuses, hellos and heartbeats carry what is quarantined, so it outlives the host that found it; it ends after ten minutes, and all lists are bounded. A request is sent again only once the core hosts know of the crash.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -196,6 +196,9 @@
 
     /// Requests a server and begins to send the request to it.
     async fn send(&mut self, resume_after: Option<&str>) -> Step {
+        if let Some(resend_at) = self.resend_at {
+            tokio::time::sleep_until(resend_at).await;
+        }
         let (server, demand) = match self.place().await {
             Ok(placed) => placed,
             Err(refusal) => return Step::Refused(refusal),
@@ -203,7 +206,7 @@
         if let Err(failure) = self.check_server(&server) {
             return Step::NotSent(failure);
         }
-        let assignment = Assignment::open(&self.shared.link, &demand, &server.id);
+        let assignment = Assignment::open(&self.shared.link, &demand, &server);
         let connection = match self.shared.take_idle(&server) {
             Some(connection) => connection,
             None => match self.shared.connect(&server).await {
@@ -268,7 +271,7 @@
                 return Err(Failure::blocked(&server.id, block));
             }
             Err(Unanswered::Broken(error)) => {
-                assignment.end(Outcome::Answered { failed: true });
+                assignment.end_broken();
                 let message = format!(
                     "the connection to server {} broke before the answer: {error}",
                     server.id
@@ -286,6 +289,9 @@
         let classify = self.shared.protocol.classify;
         match classify(&head, &self.metadata.attempt, connection.is_reused) {
             Classification::Answer { failed } => {
+                if !head.status.is_success() {
+                    assignment.record_refusal();
+                }
                 if !self.route.kind.is_stream() {
                     assignment.record_first_event();
                 }
--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -101,7 +101,10 @@
             }
             Some(Err(error)) => {
                 job.log_interruption(&error.to_string(), false);
-                break (Outcome::Answered { failed: true }, "answer_broken");
+                drop(connection);
+                assignment.end_broken();
+                job.interrupt(&sender, "answer_broken").await;
+                return;
             }
             None if limit.is_stop() => break (Outcome::Cancelled, stop::INTERRUPTED),
             None => break (Outcome::Answered { failed: true }, "answer_endless"),
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 80] = [
+pub const ALL: [&str; 82] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -54,6 +54,7 @@
     "over_share",
     "overload",
     "pool_paused",
+    "quarantined",
     "resume_refused",
     "retry_answer_broken",
     "retry_not_sent",
@@ -65,6 +66,7 @@
     "retry_silent",
     "retry_unreachable",
     "served",
+    "server_crashed",
     "server_failed",
     "server_full",
     "server_gone",
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -176,7 +176,9 @@
 /// Ends an answer that its server broke off.
 fn interrupt_broken(mut open: MutexGuard<'_, Option<Open>>) -> Interrupted {
     if let Some(open) = open.take() {
-        open.interrupt(Outcome::Answered { failed: true }, "stream_broken");
+        drop(open.connection);
+        open.assignment.end_broken();
+        open.job.record_end("stream_broken", None);
     }
     Interrupted
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -17,6 +17,7 @@
 use primrose_observe::Meter;
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::Decision;
+use primrose_place::quarantine::Notice;
 use primrose_place::{Placer, Settings, placer};
 use primrose_route::{Document, Table};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
@@ -27,6 +28,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
+use crate::crash;
 use crate::hello;
 use crate::notice::Register;
 
@@ -95,6 +97,8 @@
     state: watch::Receiver<State>,
     schedule: hello::Schedule,
     notices: Arc<Mutex<Register>>,
+    /// Finds out whether a server has ended when a connection to it breaks.
+    pub(crate) crashes: crash::Detector,
     /// Random number that identifies this incarnation of the process.
     pub incarnation: u64,
 }
@@ -223,6 +227,7 @@
         state,
         schedule,
         notices,
+        crashes: crash::Detector::default(),
         incarnation,
     })
 }
@@ -340,6 +345,11 @@
         reply: oneshot::Sender<Decision>,
     ) {
         let now = Time::now();
+        if let Some(refusal) = self.placer.quarantined(now, &demand) {
+            // The request may have ended in the meantime.
+            let _ = reply.send(refusal);
+            return;
+        }
         let candidates = self.candidates(now);
         // A host that has just been suspected is no longer a candidate, so the first candidate may differ from that
         // of the previous attempt.
@@ -457,9 +467,15 @@
                     self.active.remove(at);
                 }
             }
+            // This host knows only its own requests, so it does not decide which of them was the reason.
+            Update::Crashed(server) => {
+                self.inputs.meter.count("server_crashed");
+                info!(self.inputs.log, "backend server has crashed"; "server" => &**server);
+            }
         }
+        let is_urgent = matches!(update, Update::Crashed(_));
         self.updates.push(update);
-        if self.updates.len() >= MAX_UPDATES {
+        if is_urgent || self.updates.len() >= MAX_UPDATES {
             self.flush_updates();
         } else if self.flush_at.is_none() {
             self.flush_at = Some(Instant::now() + UPDATE_DELAY);
@@ -537,6 +553,10 @@
     fn handle_status(&mut self, status: Status) {
         let now = Time::now();
         let host = status.host.clone();
+        for notice in self.placer.merge_quarantine(now, &status.quarantine) {
+            warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
+                "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
+        }
         for other in &status.core_hosts {
             self.record_core_host(now, other);
         }
@@ -672,8 +692,13 @@
             .retain(|core| now.since(core.last_heard.max(core.last_named)) < CORE_HOST_EXPIRY_MS);
         // The receiver of a reply is dropped when the request ends.
         self.pending.retain(|pending| !pending.reply.is_closed());
+        let quarantine = self.placer.quarantine_notices(now);
         for core in &self.core_hosts {
-            self.send(core.address, &Packet::Hello(Stamp::now(self.incarnation)));
+            let hello = Packet::Hello {
+                stamp: Stamp::now(self.incarnation),
+                quarantine: unknown_to(core, &quarantine),
+            };
+            self.send(core.address, &hello);
         }
     }
 
@@ -717,6 +742,15 @@
     }
 }
 
+/// The notices that the latest status of a core host did not name: it has been restarted, or cut off from the host that
+/// found the part.
+fn unknown_to(core: &CoreHost, notices: &[Notice]) -> Vec<Notice> {
+    let known = core.status.as_ref();
+    let known = known.map_or(&[][..], |status| &status.quarantine);
+    let is_unknown = |notice: &&Notice| !known.iter().any(|known| known.keys == notice.keys);
+    notices.iter().filter(is_unknown).cloned().collect()
+}
+
 fn lock(notices: &Mutex<Register>) -> MutexGuard<'_, Register> {
     // A panic cannot leave the register between two states that depend on each other.
     notices.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -21,18 +21,20 @@
 use primrose_observe::Meter;
 use primrose_place::Server;
 use primrose_place::demand::{Demand, Key, Prompt};
-use primrose_place::placer::{Decision, Outcome};
+use primrose_place::placer::{Decision, Outcome, Reason};
 use primrose_route::document::Route;
 use primrose_route::table::{Caller, choose_pool};
 use slog::{Logger, info};
 use std::hash::BuildHasher;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::assignment::Assignment;
 use crate::body::{Body, Interrupted};
 use crate::budget::Budget;
 use crate::buffer::{self, Buffered};
 use crate::closing::Exchange;
+use crate::crash;
 use crate::deadline;
 use crate::direct;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
@@ -364,6 +366,7 @@
         forwarded: 0,
         last_forwarded: None,
         resumed: 0,
+        resend_at: None,
         failure: None,
         gave_up: None,
     })
@@ -525,6 +528,8 @@
     last_forwarded: Option<Time>,
     /// Number of times that another server was to resume the stream.
     resumed: u32,
+    /// Before this time the request is not sent to another server.
+    pub(crate) resend_at: Option<Instant>,
     /// The last failure of a server: the counter that would count the request if it were sent again.
     failure: Option<&'static str>,
     /// Why the request was not sent again after that failure: a name of a counter.
@@ -554,7 +559,7 @@
     /// The caller gets this answer.
     Complete(Response<Body>),
     /// The answer is larger than the buffer, which holds its start.
-    Outgrown(Answered, Bytes),
+    Outgrown(Box<Answered>, Bytes),
     /// The request is sent to another server.
     SendAgain,
 }
@@ -575,7 +580,7 @@
             match self.buffer(answered).await {
                 Ok(Next::Complete(response)) => return response,
                 Ok(Next::Outgrown(answered, start)) => {
-                    return self.forward_outgrown(answered, start);
+                    return self.forward_outgrown(*answered, start);
                 }
                 Ok(Next::SendAgain) => {}
                 Err(refusal) => return self.refuse(&refusal),
@@ -649,7 +654,12 @@
                 if self.sent > 0 {
                     self.gave_up = Some("gave_up_not_placed");
                 }
-                let message = "no backend server is expected to answer before the deadline";
+                let message = match reason {
+                    Reason::Quarantined => {
+                        "a shared part of the prompt has crashed backend servers"
+                    }
+                    _ => "no backend server is expected to answer before the deadline",
+                };
                 Err(self.correct_verdict(Refusal::not_run(reason.code(), retry_after_ms, message)))
             }
         }
@@ -806,6 +816,13 @@
             self.gave_up = Some("gave_up_budget");
             return Err(refusal);
         }
+        let has_broken = matches!(
+            failure.retry_counter,
+            "retry_answer_broken" | "stream_resumed"
+        );
+        if has_broken && self.has_shared_parts() {
+            self.resend_at = Some(Instant::now() + crash::RESEND_DELAY);
+        }
         Ok(())
     }
 
@@ -868,10 +885,11 @@
                 let response = self.complete(answered.head, bytes, failed);
                 return Ok(Next::Complete(response));
             }
-            Some(Ok(Buffered::Start(start))) => return Ok(Next::Outgrown(answered, start)),
+            Some(Ok(Buffered::Start(start))) => {
+                return Ok(Next::Outgrown(Box::new(answered), start));
+            }
             Some(Err(error)) => {
-                let outcome = Outcome::Answered { failed: true };
-                answered.assignment.end(outcome);
+                answered.assignment.end_broken();
                 let message =
                     format!("the connection to the server broke during the answer: {error}");
                 Failure::may_have_run("retry_answer_broken", "answer_broken", &message)
@@ -956,6 +974,12 @@
             "resumed" => self.resumed, "sent" => self.sent);
     }
 
+    /// Whether the prompt has parts that other requests may share.
+    fn has_shared_parts(&self) -> bool {
+        let prompt = self.metadata.prompt.as_ref();
+        prompt.is_some_and(|prompt| !prompt.shared_parts().is_empty())
+    }
+
     /// The ids of the shared parts of the prompt in hexadecimal, as callers write them.
     fn shared_parts(&self) -> String {
         let prompt = self.metadata.prompt.iter();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -73,6 +73,12 @@
         self.assignment.end(outcome);
     }
 
+    /// Closes the broken connection to the server and reports it.
+    fn end_broken(self) {
+        drop(self.connection);
+        self.assignment.end_broken();
+    }
+
     /// Waits until the server has completed an event, and returns all that it has completed.
     async fn next_events(&mut self, splitter: &mut Splitter) -> Result<Bytes, End> {
         loop {
@@ -178,7 +184,7 @@
             }
             End::Broken(reason) => reason,
         };
-        part.end(Outcome::Answered { failed: true });
+        part.end_broken();
         if !forwarder.splitter.is_resumable() || !job.may_resume(&reason) {
             job.interrupt(&sender, "stream_broken").await;
             return;
@@ -234,6 +240,10 @@
             Ok(events) => events,
             // Nothing was left to send. The end of the part is read again with the rest.
             Err(End::Complete) => Bytes::new(),
+            Err(End::Broken(_)) => {
+                part.end_broken();
+                return None;
+            }
             Err(_) => {
                 part.end(Outcome::Answered { failed: true });
                 return None;
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -10,6 +10,7 @@
 use primrose_base::name::Name;
 use primrose_observe::Meter;
 use primrose_place::placer::{Decision, Reason};
+use primrose_place::quarantine::Notice;
 use primrose_place::{Demand, Placer, Server, Settings};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key;
@@ -231,7 +232,10 @@
             return;
         };
         match packet {
-            Packet::Hello(stamp) => self.handle_hello(source, stamp),
+            Packet::Hello { stamp, quarantine } => {
+                self.merge_quarantine(&quarantine);
+                self.handle_hello(source, stamp);
+            }
             Packet::Place(demand) => self.place(source, &demand),
             Packet::Updates(updates) => self.record_updates(updates),
             Packet::Heartbeat(heartbeat) => self.handle_heartbeat(&heartbeat),
@@ -278,6 +282,7 @@
                 Reason::Overload => "ask_refused_overload",
                 Reason::OverShare => "ask_refused_over_share",
                 Reason::Deadline => "ask_refused_hopeless_deadline",
+                Reason::Quarantined => "ask_refused_quarantined",
             },
         });
         let key = demand.key;
@@ -293,11 +298,29 @@
                 }
                 Update::FirstEvent(key) => self.placer.record_first_event(now, key),
                 Update::End { key, outcome } => self.placer.record_end(now, key, outcome),
+                Update::Crashed(server) => self.record_crash(now, &server),
             }
         }
     }
 
+    fn record_crash(&mut self, now: Time, server: &str) {
+        if let Some(notice) = self.placer.record_crash(now, server) {
+            self.inputs.meter.count("part_quarantined");
+            warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
+                "parts" => notice.parts(), "server" => server, "remaining_ms" => notice.remaining_ms);
+            self.send_status_to_all();
+        }
+    }
+
+    fn merge_quarantine(&mut self, notices: &[Notice]) {
+        for notice in self.placer.merge_quarantine(Time::now(), notices) {
+            warn!(self.inputs.log, "another host refuses requests with these prompt parts";
+                "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
+        }
+    }
+
     fn handle_heartbeat(&mut self, heartbeat: &Heartbeat) {
+        self.merge_quarantine(&heartbeat.quarantine);
         self.record_core_host(&heartbeat.host, Some(heartbeat.stamp));
         for host in &heartbeat.core_hosts {
             self.record_core_host(host, None);
@@ -502,6 +525,7 @@
             directory: self.freshness(),
             answers,
             entry_hosts: self.entry_hosts.len() as u32,
+            quarantine: self.placer.quarantine_notices(Time::now()),
         }
     }
 
@@ -542,6 +566,7 @@
                 directory: self.freshness(),
                 stamp: Stamp::now(self.incarnation),
                 answers: peer.last_heartbeat,
+                quarantine: self.placer.quarantine_notices(now),
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,12 +1,13 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 26] = [
+pub const ALL: [&str; 28] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
     "ask_refused_overload",
+    "ask_refused_quarantined",
     "datagram_refused",
     "directory_changed",
     "directory_entry_skipped",
@@ -24,6 +25,7 @@
     "kept_read",
     "kept_read_failed",
     "leader_changed",
+    "part_quarantined",
     "peer_refused",
     "read_answered",
     "read_unavailable",
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -11,6 +11,7 @@
 use primrose_consensus::message::Message;
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::{Decision, Outcome};
+use primrose_place::quarantine::Notice;
 use primrose_route::Document;
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +21,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Packet {
     /// An entry host announces itself to a core host, which answers with a [`Status`].
-    Hello(Stamp),
+    Hello {
+        /// Marks this message.
+        stamp: Stamp,
+        /// The prompt parts that the entry host knows to be quarantined and that the latest status of the core host did
+        /// not name.
+        quarantine: Vec<Notice>,
+    },
     /// The answer of a core host to `Hello`, also sent when the directory or the document changes.
     Status(Status),
     /// An entry host asks to which server a request is to be sent.
@@ -92,6 +99,8 @@
     pub answers: Stamp,
     /// Number of entry hosts that the sender has heard from recently. They share the retry budget.
     pub entry_hosts: u32,
+    /// The prompt parts that are quarantined.
+    pub quarantine: Vec<Notice>,
 }
 
 /// An update on a request that was assigned to a server.
@@ -113,6 +122,8 @@
         /// How the request ended.
         outcome: Outcome,
     },
+    /// The server with this id has ended: a connection to it broke, and it no longer listens.
+    Crashed(Arc<str>),
 }
 
 /// The state of a core host as sent to the other core hosts.
@@ -128,6 +139,8 @@
     pub stamp: Stamp,
     /// The latest heartbeat from the receiver, or `None` before the first one. `directory` was stated later.
     pub answers: Option<Stamp>,
+    /// The prompt parts that are quarantined.
+    pub quarantine: Vec<Notice>,
 }
 
 /// Describes a replica of the log.
--- a/crates/fleet/tests/damaged.rs
+++ b/crates/fleet/tests/damaged.rs
@@ -99,11 +99,20 @@
                     Update::Assigned { demand, server } => placer.record_assignment(now, &demand, &server),
                     Update::FirstEvent(key) => placer.record_first_event(now, key),
                     Update::End { key, outcome } => placer.record_end(now, key, outcome),
+                    Update::Crashed(server) => {
+                        placer.record_crash(now, &server);
+                    }
                 }
             },
-            Ok(Packet::Heartbeat(heartbeat)) => if let Some(freshness) = heartbeat.directory {
-                directory::compare(Some(now), Some((Directory::default().fingerprint(), now)), freshness);
-            },
+            Ok(Packet::Heartbeat(heartbeat)) => {
+                placer.merge_quarantine(now, &heartbeat.quarantine);
+                if let Some(freshness) = heartbeat.directory {
+                    directory::compare(Some(now), Some((Directory::default().fingerprint(), now)), freshness);
+                }
+            }
+            Ok(Packet::Hello { quarantine, .. }) => {
+                placer.merge_quarantine(now, &quarantine);
+            }
             Ok(_) | Err(datagram::Error::Encoding) => {}
             Err(error) => prop_assert!(false, "{error}"),
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,13 +12,15 @@
 //!   floods by single accounts;
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
-//! - [`health`] keeps requests away from servers that fail, even if their health checks pass.
+//! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
+//! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
 
 pub mod cache;
 pub mod demand;
 pub mod engine;
 pub mod health;
 pub mod placer;
+pub mod quarantine;
 pub mod refusals;
 pub mod server;
 pub mod settings;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,6 +14,7 @@
 use crate::demand::{Demand, Key, Prompt};
 use crate::engine::Load;
 use crate::health::Health;
+use crate::quarantine::{self, BEGINNING_MS, Crash, Notice, Suspect};
 use crate::refusals::Refusals;
 use crate::server::Server;
 use crate::settings::Settings;
@@ -58,6 +59,17 @@
 /// Interval at which expired assignments are removed, in ms.
 const EXPIRY_INTERVAL_MS: u64 = 500;
 
+/// How long a request is remembered that ended because the connection to its server broke, in ms: until all hosts
+/// have reported whether the server has ended.
+const BROKEN_MEMORY_MS: u64 = 1_000;
+
+/// The most such requests that are remembered.
+const MAX_BROKEN: usize = 1_024;
+
+/// A placer that was asked for a server within this time knows all requests, in ms. Another one may have missed
+/// reports, and does not decide which part has crashed a server.
+const IN_CHARGE_MS: u64 = 1_000;
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Reason {
@@ -69,6 +81,8 @@
     OverShare,
     /// The answer or its first event is expected after the caller's deadline.
     Deadline,
+    /// A part of the prompt crashes servers.
+    Quarantined,
 }
 
 impl Reason {
@@ -79,6 +93,7 @@
             Reason::Overload => "overload",
             Reason::OverShare => "over_share",
             Reason::Deadline => "hopeless_deadline",
+            Reason::Quarantined => "quarantined",
         }
     }
 }
@@ -138,11 +153,35 @@
     domain: Arc<str>,
     /// Cache keys and lengths of the parts of the prompt.
     parts: Vec<(u64, u32)>,
-    has_first_event: bool,
+    /// The shared parts of the prompt, sorted.
+    shared: Vec<quarantine::Key>,
+    /// When the first event arrived.
+    first_event: Option<Time>,
     assigned: Time,
     expires: Time,
 }
 
+impl Assignment {
+    /// The request as a suspect if its server has crashed, unless its answer had gone on for a while.
+    fn suspect(&self, now: Time) -> Option<Suspect> {
+        let has_gone_on = self
+            .first_event
+            .is_some_and(|first_event| now.since(first_event) >= BEGINNING_MS);
+        (!has_gone_on && !self.shared.is_empty()).then(|| Suspect {
+            keys: self.shared.clone(),
+            assigned: self.assigned,
+        })
+    }
+}
+
+/// A request that ended because the connection to its server broke.
+#[derive(Clone, Debug)]
+struct Broken {
+    at: Time,
+    server: Arc<str>,
+    suspect: Suspect,
+}
+
 /// A server and what the placer knows about it.
 #[derive(Clone, Debug)]
 struct State {
@@ -183,6 +222,11 @@
     /// When expired assignments were last removed.
     last_expiry: Time,
     refusals: Refusals,
+    quarantine: quarantine::Register,
+    /// In the order of their ends; at most [`MAX_BROKEN`].
+    broken: Vec<Broken>,
+    /// When this placer was last asked for a server.
+    last_asked: Time,
 }
 
 /// A server that could take a request, with the predicted times of the request on it.
@@ -240,6 +284,9 @@
             document: Arc::default(),
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
+            quarantine: quarantine::Register::default(),
+            broken: Vec::new(),
+            last_asked: Time::ZERO,
         }
     }
 
@@ -307,6 +354,10 @@
     /// Chooses a server and assigns the request to it, or refuses the request.
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
         self.expire(now);
+        self.last_asked = now;
+        if let Some(refusal) = self.quarantined(now, demand) {
+            return refusal;
+        }
         let cost = demand.prompt.as_ref().map(Prompt::weighted_tokens);
         if let (Some(account), Some(cost)) = (&demand.account, cost)
             && demand.tried.is_empty()
@@ -349,6 +400,58 @@
         }
     }
 
+    /// The refusal of a request with a part that crashes servers, or `None` if it has no such part.
+    pub fn quarantined(&self, now: Time, demand: &Demand) -> Option<Decision> {
+        let remaining_ms = self
+            .quarantine
+            .remaining_ms(now, &quarantine::Key::of(demand))?;
+        Some(Decision::Refuse {
+            reason: Reason::Quarantined,
+            retry_after_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
+            wait_ms: 0,
+        })
+    }
+
+    /// The prompt parts that are quarantined, to be told to other hosts.
+    pub fn quarantine_notices(&self, now: Time) -> Vec<Notice> {
+        self.quarantine.notices(now)
+    }
+
+    /// Takes over which prompt parts another host has quarantined. Returns the notices that were not known.
+    pub fn merge_quarantine(&mut self, now: Time, notices: &[Notice]) -> Vec<Notice> {
+        self.quarantine.merge(now, notices)
+    }
+
+    /// Records that the server with the id `server` has ended without notice. Returns the notice of a prompt part that is
+    /// quarantined because of it.
+    pub fn record_crash(&mut self, now: Time, server: &str) -> Option<Notice> {
+        let at = self.server_index(server).ok()?;
+        let crashed = &self.servers[at].server;
+        // A server that drains ends as planned, whatever it is doing.
+        if crashed.draining {
+            return None;
+        }
+        self.broken
+            .retain(|broken| now.since(broken.at) < BROKEN_MEMORY_MS);
+        let open = self.assignments.iter();
+        let open = open.filter(|assignment| *assignment.server == *server);
+        let open = open.filter_map(|assignment| assignment.suspect(now));
+        let broken = self.broken.iter();
+        let broken = broken.filter(|broken| *broken.server == *server);
+        let broken = broken.map(|broken| broken.suspect.clone());
+        let pool = &crashed.pool;
+        let in_pool = |state: &&State| state.server.pool == *pool;
+        let crash = Crash {
+            server: Arc::clone(&crashed.id),
+            pool: Arc::clone(pool),
+            address: crashed.address,
+            servers: self.servers.iter().filter(in_pool).count(),
+            suspects: open.chain(broken).collect(),
+        };
+        let is_in_charge = now.since(self.last_asked) < IN_CHARGE_MS;
+        self.quarantine.record_crash(now, &crash, is_in_charge)
+    }
+
     /// Records that another placer has assigned a request to the server with the id `server`. Does
     /// nothing if the assignment is known already.
     pub fn record_assignment(&mut self, now: Time, demand: &Demand, server: &str) {
@@ -379,7 +482,9 @@
         };
         let capacity = self.cache_tokens(&self.servers[server].server.pool);
         let assignment = &mut self.assignments[at];
-        assignment.has_first_event = true;
+        assignment.first_event = Some(now);
+        self.quarantine
+            .record_begun(now, &assignment.server, &assignment.shared);
         let state = &mut self.servers[server];
         state.cache.record_ready(&assignment.parts, capacity);
         state
@@ -393,12 +498,13 @@
             return;
         };
         let assignment = self.assignments.remove(at);
+        self.record_end_in_quarantine(now, &assignment, outcome);
         let Ok(server) = self.server_index(&assignment.server) else {
             return;
         };
         let state = &mut self.servers[server];
         state.load.remove(key);
-        if !assignment.has_first_event {
+        if assignment.first_event.is_none() {
             state.cache.remove_unread(&assignment.parts);
         }
         match outcome {
@@ -426,6 +532,30 @@
         }
     }
 
+    /// Records what the end of a request says about the parts of its prompt.
+    fn record_end_in_quarantine(&mut self, now: Time, assignment: &Assignment, outcome: Outcome) {
+        match outcome {
+            // A server may refuse a request without beginning to write its answer.
+            Outcome::Answered { failed: false } if assignment.first_event.is_some() => {
+                self.quarantine.record_served(now, &assignment.shared);
+            }
+            Outcome::Answered { failed: true } => {
+                let Some(suspect) = assignment.suspect(now) else {
+                    return;
+                };
+                if self.broken.len() >= MAX_BROKEN {
+                    self.broken.remove(0);
+                }
+                self.broken.push(Broken {
+                    at: now,
+                    server: Arc::clone(&assignment.server),
+                    suspect,
+                });
+            }
+            _ => {}
+        }
+    }
+
     /// Assigns a request to the server with the index `at`.
     fn assign(
         &mut self,
@@ -449,7 +579,8 @@
             server: Arc::clone(&state.server.id),
             domain: Arc::clone(&demand.domain),
             parts: parts.to_vec(),
-            has_first_event: false,
+            shared: quarantine::Key::of(demand),
+            first_event: None,
             assigned: now,
             expires: now.plus_ms(u64::from(demand.remaining_ms) + EXPIRY_MS),
         };
--- /dev/null
+++ b/crates/place/src/quarantine.rs
@@ -0,0 +1,544 @@
+//! Prompt parts that crash the servers that begin to write an answer to them.
+//!
+//! A request with such a part ends its server and all requests on it. The placer would send the next one, which other
+//! callers send through other hosts, to the next server. [`Register`] finds the part that such requests have in common.
+//! Requests with that part are then refused until the quarantine ends.
+//!
+//! A server may end for any cause, and requests with sound parts are on it then, too. What tells the parts apart is that
+//! a crashing part ends every server that begins an answer to it:
+//!
+//! - A part is cleared as soon as an answer to a request with it goes on for a while or is complete.
+//! - Several servers that end at the same time count once for a part: the later request must have been assigned after
+//!   the earlier crash was known.
+//! - The crashes must be on several servers, and a noticeable share of all crashes of the pool.
+//! - A part is not quarantined while another one would explain the same crashes and more. Once a part is quarantined, the
+//!   crashes that it explains no longer count against other parts.
+//! - Parts that were in exactly the same crashes cannot be told apart. Then only requests that have all of them are
+//!   refused, and one with some of them decides.
+//!
+//! The register is a state machine without input or output. Hosts tell each other of quarantined parts with
+//! [`Notice`]s, so that these outlive the host that found them.
+
+use std::hash::BuildHasher;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use foldhash::quality::FixedState;
+use primrose_base::clock::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::demand::Demand;
+
+/// How long a part is quarantined, in ms. After that, one more crash quarantines it again at once.
+pub const QUARANTINE_MS: u64 = 10 * 60 * 1_000;
+
+/// How long a crash is remembered that no quarantined part explains, in ms.
+const MEMORY_MS: u64 = 10 * 60 * 1_000;
+
+/// How long after its first event an answer counts as just begun, in ms. If its server is still up then, the request has
+/// not crashed it.
+pub const BEGINNING_MS: u64 = 300;
+
+/// Crashes that quarantine a part, if they were on enough different servers.
+const CRASHES: usize = 3;
+
+/// Crashes that quarantine a part whatever servers they were on. A server that ends again and again for a reason of its
+/// own would have to meet the same part each time.
+const CRASHES_OF_ANY_SERVER: usize = 5;
+
+/// Different servers on which these crashes must be, if the pool has so many.
+const MIN_SERVERS: usize = 3;
+
+/// A part must be in one of so many crashes of its pool. Otherwise the servers end without it, too.
+const MAX_CRASHES_PER_HIT: usize = 4;
+
+/// Reports of the same server within this time are about the same crash, in ms: less than a server needs to start.
+const SAME_CRASH_MS: u64 = 1_000;
+
+/// The most parts or groups of parts that are quarantined. All of them must fit into a datagram.
+pub const MAX_NOTICES: usize = 12;
+
+/// The most parts in a group of parts that cannot be told apart.
+pub const MAX_GROUP: usize = 3;
+
+/// The most crashes that are remembered.
+const MAX_PAST: usize = 64;
+
+/// The most suspected parts that are remembered.
+const MAX_SUSPICIONS: usize = 1_024;
+
+/// The most answers that have just begun and are watched.
+const MAX_BEGUN: usize = 4_096;
+
+/// A notice of another host must end later by this much to prolong a quarantine, in ms. The time that messages take
+/// would otherwise prolong it with each exchange.
+const MIN_EXTENSION_MS: u64 = 5_000;
+
+/// A part of prompts in a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// Hash of the name of the pool.
+    pub pool: u64,
+    /// Id of the part.
+    pub part: u64,
+}
+
+impl Key {
+    /// The key of the part with the id `part` in a pool.
+    pub fn new(pool: &str, part: u64) -> Key {
+        Key {
+            pool: FixedState::default().hash_one(pool),
+            part,
+        }
+    }
+
+    /// The keys of the shared parts of a request, sorted. The last part belongs to one request and cannot crash servers
+    /// again.
+    pub fn of(demand: &Demand) -> Vec<Key> {
+        let Some(prompt) = &demand.prompt else {
+            return Vec::new();
+        };
+        let parts = prompt.shared_parts().iter();
+        let mut keys: Vec<Key> = parts.map(|part| Key::new(&demand.pool, part.id)).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
+}
+
+/// Tells another host of a part that is quarantined, or of parts of which at least one is a crashing one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Sorted, not empty. Requests that have all of these parts are refused.
+    pub keys: Vec<Key>,
+    /// Time until the quarantine ends, in ms.
+    pub remaining_ms: u64,
+}
+
+impl Notice {
+    /// Whether a register can have stated the notice. One without keys would refuse all requests.
+    fn is_valid(&self) -> bool {
+        (1..=MAX_GROUP).contains(&self.keys.len()) && self.keys.is_sorted()
+    }
+
+    /// The ids of the parts in hexadecimal, separated by commas.
+    pub fn parts(&self) -> String {
+        let ids: Vec<String> = self
+            .keys
+            .iter()
+            .map(|key| format!("{:x}", key.part))
+            .collect();
+        ids.join(",")
+    }
+}
+
+/// A server that has ended without notice.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// Id of the server.
+    pub server: Arc<str>,
+    /// Name of its pool.
+    pub pool: Arc<str>,
+    /// Its address.
+    pub address: SocketAddrV4,
+    /// Number of servers in the pool.
+    pub servers: usize,
+    /// The requests that may have caused the crash.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request on a crashed server whose answer had at most just begun.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+    /// The shared parts of its prompt, sorted.
+    pub keys: Vec<Key>,
+    /// When it was assigned to the server.
+    pub assigned: Time,
+}
+
+/// A crash that is remembered.
+#[derive(Clone, Debug)]
+struct Past {
+    number: u64,
+    at: Time,
+    server: Arc<str>,
+    pool: Arc<str>,
+    /// Whether a quarantined part was on the server.
+    is_explained: bool,
+}
+
+/// A part that was in crashes and has not been cleared.
+#[derive(Clone, Debug)]
+struct Suspicion {
+    key: Key,
+    /// In the order of their crashes. Invariant: not empty, and all crashes are remembered.
+    hits: Vec<Hit>,
+}
+
+/// A crash of a server that had a request with the part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Hit {
+    /// Number of the crash.
+    crash: u64,
+    at: Time,
+    address: SocketAddrV4,
+    /// When the latest such request was assigned.
+    assigned: Time,
+}
+
+/// An answer that has just begun.
+#[derive(Clone, Debug)]
+struct Begun {
+    at: Time,
+    server: Arc<str>,
+    keys: Vec<Key>,
+}
+
+/// Parts of which at least one crashes servers.
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Sorted, not empty, at most [`MAX_GROUP`].
+    keys: Vec<Key>,
+    /// The quarantine ends then. For [`QUARANTINE_MS`] longer, one crash quarantines the parts again.
+    until: Time,
+}
+
+impl Entry {
+    fn is_active(&self, now: Time) -> bool {
+        now < self.until
+    }
+
+    fn matches(&self, keys: &[Key]) -> bool {
+        is_subset(&self.keys, keys)
+    }
+}
+
+/// The crashes, the parts that are suspected, and those that are quarantined.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    /// Number of crashes so far.
+    crashes: u64,
+    /// In the order of their times; at most [`MAX_PAST`].
+    past: Vec<Past>,
+    /// Sorted by key; at most [`MAX_SUSPICIONS`].
+    suspicions: Vec<Suspicion>,
+    /// In the order of their times; at most [`MAX_BEGUN`].
+    begun: Vec<Begun>,
+    /// At most [`MAX_NOTICES`].
+    entries: Vec<Entry>,
+}
+
+impl Register {
+    /// Time until a request with these parts may be sent, in ms, or `None` if it may be sent now. `keys` are sorted.
+    pub fn remaining_ms(&self, now: Time, keys: &[Key]) -> Option<u64> {
+        let entries = self.entries.iter();
+        let matching = entries.filter(|entry| entry.is_active(now) && entry.matches(keys));
+        matching.map(|entry| entry.until.since(now)).max()
+    }
+
+    /// The parts that are quarantined, to be told to other hosts.
+    pub fn notices(&self, now: Time) -> Vec<Notice> {
+        let active = self.entries.iter().filter(|entry| entry.is_active(now));
+        let notices = active.map(|entry| Notice {
+            keys: entry.keys.clone(),
+            remaining_ms: entry.until.since(now),
+        });
+        notices.collect()
+    }
+
+    /// Takes over what another host has found. Returns the notices that were not known.
+    pub fn merge(&mut self, now: Time, notices: &[Notice]) -> Vec<Notice> {
+        let mut news = Vec::new();
+        for notice in notices.iter().filter(|notice| notice.is_valid()) {
+            // No host states a longer time; a damaged one must not refuse requests for longer.
+            let until = now.plus_ms(notice.remaining_ms.min(QUARANTINE_MS));
+            let known = self.entries.iter_mut();
+            let known = known
+                .filter(|entry| entry.keys == notice.keys)
+                .max_by_key(|entry| entry.until);
+            match known {
+                Some(entry) if entry.is_active(now) => {
+                    if until > entry.until.plus_ms(MIN_EXTENSION_MS) {
+                        entry.until = until;
+                    }
+                }
+                // The host that sends the notice has not noticed yet that the quarantine is over.
+                Some(entry) if until <= entry.until.plus_ms(MIN_EXTENSION_MS) => {}
+                _ => {
+                    self.insert(now, notice.keys.clone(), until);
+                    news.push(notice.clone());
+                }
+            }
+        }
+        news
+    }
+
+    /// Records that the answer to a request with these parts has begun on a server. They are cleared if it goes on.
+    pub fn record_begun(&mut self, now: Time, server: &Arc<str>, keys: &[Key]) {
+        self.clear_begun(now);
+        if self.begun.len() < MAX_BEGUN && keys.iter().any(|key| self.is_suspected(key)) {
+            self.begun.push(Begun {
+                at: now,
+                server: Arc::clone(server),
+                keys: keys.to_vec(),
+            });
+        }
+    }
+
+    /// Records that a request with these parts was answered, and clears them.
+    pub fn record_served(&mut self, now: Time, keys: &[Key]) {
+        for key in keys {
+            self.clear(now, key);
+        }
+    }
+
+    /// Records a crash. Returns the notice of a part that is quarantined because of it. If this register has an incomplete
+    /// view of the requests, `decides` is false, and no part is.
+    pub fn record_crash(&mut self, now: Time, crash: &Crash, decides: bool) -> Option<Notice> {
+        self.clear_begun(now);
+        self.begun.retain(|begun| begun.server != crash.server);
+        self.forget(now);
+        let is_known = self
+            .past
+            .iter()
+            .any(|past| past.server == crash.server && now.since(past.at) < SAME_CRASH_MS);
+        if is_known {
+            return None;
+        }
+        let explanation = self.entries.iter_mut().find(|entry| {
+            let mut suspects = crash.suspects.iter();
+            suspects.any(|suspect| entry.matches(&suspect.keys))
+        });
+        let is_explained = explanation.is_some();
+        let mut repeated = None;
+        if let Some(entry) = explanation
+            && !entry.is_active(now)
+        {
+            entry.until = now.plus_ms(QUARANTINE_MS);
+            repeated = Some(Notice {
+                keys: entry.keys.clone(),
+                remaining_ms: QUARANTINE_MS,
+            });
+        }
+        self.crashes += 1;
+        self.past.push(Past {
+            number: self.crashes,
+            at: now,
+            server: Arc::clone(&crash.server),
+            pool: Arc::clone(&crash.pool),
+            is_explained,
+        });
+        let excess = self.past.len().saturating_sub(MAX_PAST);
+        self.past.drain(..excess);
+        if is_explained {
+            return repeated;
+        }
+        self.suspect(now, crash);
+        if decides {
+            self.decide(now, crash)
+        } else {
+            None
+        }
+    }
+
+    /// Number of parts that are suspected.
+    pub fn suspected(&self) -> usize {
+        self.suspicions.len()
+    }
+
+    /// Adds a hit to all parts that may have caused the crash that was recorded last.
+    fn suspect(&mut self, now: Time, crash: &Crash) {
+        for suspect in &crash.suspects {
+            for &key in &suspect.keys {
+                let hit = Hit {
+                    crash: self.crashes,
+                    at: now,
+                    address: crash.address,
+                    assigned: suspect.assigned,
+                };
+                match self.position(&key) {
+                    Err(at) => {
+                        let suspicion = Suspicion {
+                            key,
+                            hits: vec![hit],
+                        };
+                        self.suspicions.insert(at, suspicion);
+                    }
+                    Ok(at) => match self.suspicions[at].hits.last_mut() {
+                        Some(last) if last.crash == hit.crash => {
+                            last.assigned = last.assigned.max(hit.assigned);
+                        }
+                        _ => self.suspicions[at].hits.push(hit),
+                    },
+                }
+            }
+        }
+        while self.suspicions.len() > MAX_SUSPICIONS {
+            let weakest = self
+                .suspicions
+                .iter()
+                .enumerate()
+                .min_by_key(|(_, suspicion)| {
+                    let last = suspicion.hits.last().map(|hit| hit.at);
+                    (suspicion.hits.len(), last)
+                });
+            let Some((at, _)) = weakest else { return };
+            self.suspicions.remove(at);
+        }
+    }
+
+    /// Quarantines the part, or the group of parts, that explains the most crashes, if the evidence is sufficient.
+    fn decide(&mut self, now: Time, crash: &Crash) -> Option<Notice> {
+        let pool = FixedState::default().hash_one(&*crash.pool);
+        let suspicions = self.suspicions.iter();
+        let suspicions: Vec<&Suspicion> = suspicions
+            .filter(|suspicion| suspicion.key.pool == pool)
+            .collect();
+        let convincing = suspicions.iter().filter(|suspicion| {
+            self.is_convincing(&suspicion.hits, crash)
+                && !suspicions
+                    .iter()
+                    .any(|other| explains_more(other, suspicion))
+        });
+        let best = convincing.max_by_key(|suspicion| suspicion.hits.len())?;
+        let explained: Vec<u64> = best.hits.iter().map(|hit| hit.crash).collect();
+        let equal = suspicions.iter().filter(|other| {
+            let crashes = other.hits.iter().map(|hit| hit.crash);
+            crashes.eq(explained.iter().copied())
+        });
+        let equal: Vec<Key> = equal.map(|other| other.key).collect();
+        // Parts of different requests cannot be refused together. One more crash tells them apart.
+        let mut suspects = crash.suspects.iter();
+        suspects.find(|suspect| is_subset(&equal, &suspect.keys))?;
+        let keys: Vec<Key> = equal.into_iter().take(MAX_GROUP).collect();
+        if self
+            .entries
+            .iter()
+            .any(|entry| entry.keys == keys && entry.is_active(now))
+        {
+            return None;
+        }
+        if let &[key] = &keys[..] {
+            // Groups with this part are no longer needed: it is known which of their parts crashes servers.
+            self.entries
+                .retain(|entry| entry.keys.binary_search(&key).is_err());
+            self.exonerate(&explained);
+        }
+        self.insert(now, keys.clone(), now.plus_ms(QUARANTINE_MS));
+        Some(Notice {
+            keys,
+            remaining_ms: QUARANTINE_MS,
+        })
+    }
+
+    fn is_convincing(&self, hits: &[Hit], crash: &Crash) -> bool {
+        let (mut count, mut last) = (0, Time::ZERO);
+        let mut addresses: Vec<SocketAddrV4> = Vec::new();
+        for hit in hits {
+            if count == 0 || hit.assigned >= last {
+                count += 1;
+                last = hit.at;
+                if !addresses.contains(&hit.address) {
+                    addresses.push(hit.address);
+                }
+            }
+        }
+        let min_servers = crash.servers.clamp(2, MIN_SERVERS);
+        let is_enough =
+            count >= CRASHES && addresses.len() >= min_servers || count >= CRASHES_OF_ANY_SERVER;
+        let first = hits.first().map_or(0, |hit| hit.crash);
+        let since = self
+            .past
+            .iter()
+            .filter(|past| past.pool == crash.pool && past.number >= first && !past.is_explained);
+        is_enough && since.count() <= hits.len() * MAX_CRASHES_PER_HIT
+    }
+
+    /// Removes crashes that a quarantined part explains from the suspicions against all parts.
+    fn exonerate(&mut self, explained: &[u64]) {
+        for past in &mut self.past {
+            past.is_explained |= explained.contains(&past.number);
+        }
+        self.suspicions.retain_mut(|suspicion| {
+            suspicion.hits.retain(|hit| !explained.contains(&hit.crash));
+            !suspicion.hits.is_empty()
+        });
+    }
+
+    fn insert(&mut self, now: Time, keys: Vec<Key>, until: Time) {
+        self.entries
+            .retain(|entry| entry.keys != keys && now < entry.until.plus_ms(QUARANTINE_MS));
+        if self.entries.len() >= MAX_NOTICES
+            && let Some((at, _)) = self
+                .entries
+                .iter()
+                .enumerate()
+                .min_by_key(|(_, entry)| entry.until)
+        {
+            self.entries.remove(at);
+        }
+        self.entries.push(Entry { keys, until });
+    }
+
+    /// Clears a part, since an answer to a request with it did not crash its server.
+    fn clear(&mut self, now: Time, key: &Key) {
+        if let Ok(at) = self.position(key) {
+            self.suspicions.remove(at);
+        }
+        // A part that is quarantined alone is not cleared by an answer that began before.
+        self.entries.retain_mut(|entry| {
+            if let Ok(at) = entry.keys.binary_search(key)
+                && (entry.keys.len() > 1 || !entry.is_active(now))
+            {
+                entry.keys.remove(at);
+            }
+            !entry.keys.is_empty()
+        });
+    }
+
+    fn is_suspected(&self, key: &Key) -> bool {
+        self.position(key).is_ok()
+            || self
+                .entries
+                .iter()
+                .any(|entry| entry.keys.binary_search(key).is_ok())
+    }
+
+    /// Clears the parts of answers that have gone on for long enough.
+    fn clear_begun(&mut self, now: Time) {
+        let is_over = |begun: &&Begun| now.since(begun.at) >= BEGINNING_MS;
+        let count = self.begun.iter().take_while(is_over).count();
+        let over: Vec<Begun> = self.begun.drain(..count).collect();
+        for begun in over {
+            self.record_served(now, &begun.keys);
+        }
+    }
+
+    /// Forgets crashes and quarantines that ended long ago.
+    fn forget(&mut self, now: Time) {
+        self.past.retain(|past| now.since(past.at) < MEMORY_MS);
+        let oldest = self.past.first().map_or(u64::MAX, |past| past.number);
+        self.suspicions.retain_mut(|suspicion| {
+            suspicion.hits.retain(|hit| hit.crash >= oldest);
+            !suspicion.hits.is_empty()
+        });
+        self.entries
+            .retain(|entry| now < entry.until.plus_ms(QUARANTINE_MS));
+    }
+
+    fn position(&self, key: &Key) -> Result<usize, usize> {
+        self.suspicions
+            .binary_search_by_key(key, |suspicion| suspicion.key)
+    }
+}
+
+/// Whether `all` has all of `keys`. `all` is sorted.
+fn is_subset(keys: &[Key], all: &[Key]) -> bool {
+    keys.iter().all(|key| all.binary_search(key).is_ok())
+}
+
+/// Whether a part was in all crashes in which the other one was, and in more.
+fn explains_more(part: &Suspicion, other: &Suspicion) -> bool {
+    let is_in = |hit: &Hit| part.hits.iter().any(|own| own.crash == hit.crash);
+    part.hits.len() > other.hits.len() && other.hits.iter().all(is_in)
+}
