place: Do not take over a group of parts again that is resolved

Cause: parts that were in exactly the same crashes are quarantined as a group. Once an answer has cleared one of them, the core host that places requests keeps the rest alone. Other core hosts and entry hosts still named the group, and each of their messages began it anew, with a line in the log.

What callers saw: nothing, since the group refuses a subset of what its rest refuses.

The fix: a notice of a group of which a part is quarantined is ignored, and a part replaces the groups that have it. The test failed before. It should have been among the tests of the exchange of notices, which had no groups.

--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -250,6 +250,13 @@
     pub fn merge(&mut self, now: Time, notices: &[Notice]) -> Vec<Notice> {
         let mut news = Vec::new();
         for notice in notices.iter().filter(|notice| notice.is_valid()) {
+            // It is known already which of the parts crashes servers.
+            let is_resolved = self.entries.iter().any(|entry| {
+                entry.is_active(now) && entry.keys != notice.keys && entry.matches(&notice.keys)
+            });
+            if is_resolved {
+                continue;
+            }
             // No host states a longer time; a damaged one must not refuse requests for longer.
             let until = now.plus_ms(notice.remaining_ms.min(QUARANTINE_MS));
             let known = self.entries.iter_mut();
@@ -418,10 +425,7 @@
         {
             return None;
         }
-        if let &[key] = &keys[..] {
-            // Groups with this part are no longer needed: it is known which of their parts crashes servers.
-            self.entries
-                .retain(|entry| entry.keys.binary_search(&key).is_err());
+        if keys.len() == 1 {
             self.exonerate(&explained);
         }
         self.insert(now, keys.clone(), now.plus_ms(QUARANTINE_MS));
@@ -466,8 +470,10 @@
     }
 
     fn insert(&mut self, now: Time, keys: Vec<Key>, until: Time) {
-        self.entries
-            .retain(|entry| entry.keys != keys && now < entry.until.plus_ms(QUARANTINE_MS));
+        // A group is no longer needed once it is known which of its parts crashes servers.
+        self.entries.retain(|entry| {
+            !is_subset(&keys, &entry.keys) && now < entry.until.plus_ms(QUARANTINE_MS)
+        });
         if self.entries.len() >= MAX_NOTICES
             && let Some((at, _)) = self
                 .entries
--- a/crates/place/tests/quarantine.rs
+++ b/crates/place/tests/quarantine.rs
@@ -356,6 +356,25 @@
     assert!(!scene.is_refused(&[9]));
 }
 
+// Once it is known which part of a group crashes servers, other hosts that still name the group must not begin its
+// quarantine anew with each message.
+#[test]
+fn group_that_is_resolved_is_not_taken_over_again() {
+    let mut scene = Scene::new();
+    let together: &[&[u64]] = &[&[1, 9]];
+    scene.crashes(&[together; 3]);
+    let group = scene.register.notices(scene.now);
+    scene.register.record_served(scene.now, &keys(&[1]));
+    assert!(scene.register.merge(scene.now, &group).is_empty());
+    assert_eq!(scene.register.notices(scene.now).len(), 1);
+    // The other host takes over what is known now in place of the group.
+    let mut other = Register::default();
+    other.merge(scene.now, &group);
+    let news = other.merge(scene.now, &scene.register.notices(scene.now));
+    assert_eq!(news.len(), 1);
+    assert_eq!(other.notices(scene.now), scene.register.notices(scene.now));
+}
+
 // A host that has not noticed the end of a quarantine must not begin it anew on the others.
 #[test]
 fn late_notice_begins_no_quarantine_again() {
