entry: Tell a core host that has restarted of quarantined parts at once

The other entry host knew the part, but told a core host only with its next announcement but one: it took the last status of the former process for what the core host knew.

Now an entry host that finds a new incarnation of a core host whose status lacks what it knows announces itself again at once. Notices are still compared with the latest status otherwise, so nothing is sent twice in calm.

A request whose answer had gone on is sent on without the wait for reports of a crash, since it is not the reason.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -593,6 +593,7 @@
         if is_new_incarnation {
             info!(self.inputs.log, "core host found"; "core" => %host);
             self.resend_assignments(address);
+            self.resend_quarantine(now, at);
         }
     }
 
@@ -614,6 +615,24 @@
         }
     }
 
+    /// Tells the core host at the index `at`, which has just been found or has restarted, which prompt parts are
+    /// quarantined. It may be asked for servers before the next announcement.
+    fn resend_quarantine(&self, now: Time, at: usize) {
+        let notices = self.placer.quarantine_notices(now);
+        if !unknown_to(&self.core_hosts[at], &notices).is_empty() {
+            self.announce(&self.core_hosts[at], &notices);
+        }
+    }
+
+    /// Sends a `Hello` to a core host. `notices` are the quarantined parts that this host knows.
+    fn announce(&self, core: &CoreHost, notices: &[Notice]) {
+        let hello = Packet::Hello {
+            stamp: Stamp::now(self.incarnation),
+            quarantine: unknown_to(core, notices),
+        };
+        self.send(core.address, &hello);
+    }
+
     /// Whether a document and a directory have been received.
     fn can_serve(&self) -> bool {
         self.table.borrow().is_some() && self.directory.is_some()
@@ -694,11 +713,7 @@
         self.pending.retain(|pending| !pending.reply.is_closed());
         let quarantine = self.placer.quarantine_notices(now);
         for core in &self.core_hosts {
-            let hello = Packet::Hello {
-                stamp: Stamp::now(self.incarnation),
-                quarantine: unknown_to(core, &quarantine),
-            };
-            self.send(core.address, &hello);
+            self.announce(core, &quarantine);
         }
     }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -22,6 +22,7 @@
 use primrose_place::Server;
 use primrose_place::demand::{Demand, Key, Prompt};
 use primrose_place::placer::{Decision, Outcome, Reason};
+use primrose_place::quarantine::BEGINNING_MS;
 use primrose_route::document::Route;
 use primrose_route::table::{Caller, choose_pool};
 use slog::{Logger, info};
@@ -820,7 +821,7 @@
             failure.retry_counter,
             "retry_answer_broken" | "stream_resumed"
         );
-        if has_broken && self.has_shared_parts() {
+        if has_broken && self.has_shared_parts() && !self.has_gone_on() {
             self.resend_at = Some(Instant::now() + crash::RESEND_DELAY);
         }
         Ok(())
@@ -974,6 +975,13 @@
             "resumed" => self.resumed, "sent" => self.sent);
     }
 
+    /// Whether the answer has gone on for so long that the request is not the reason if its server ends.
+    fn has_gone_on(&self) -> bool {
+        let age_ms = Time::now().since(self.started);
+        self.first_ms
+            .is_some_and(|first_ms| age_ms >= first_ms + BEGINNING_MS)
+    }
+
     /// Whether the prompt has parts that other requests may share.
     fn has_shared_parts(&self) -> bool {
         let prompt = self.metadata.prompt.as_ref();
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -98,8 +98,14 @@
         let Some(prompt) = &demand.prompt else {
             return Vec::new();
         };
+        let pool = FixedState::default().hash_one(&*demand.pool);
         let parts = prompt.shared_parts().iter();
-        let mut keys: Vec<Key> = parts.map(|part| Key::new(&demand.pool, part.id)).collect();
+        let mut keys: Vec<Key> = parts
+            .map(|part| Key {
+                pool,
+                part: part.id,
+            })
+            .collect();
         keys.sort_unstable();
         keys.dedup();
         keys
