proxy: Pass on documents that end with their connection

What callers saw: a backend server of primrosed that sends its documents with neither a length nor chunks ran each request, up to three times if it was idempotent, and its callers always got 502 (answer_unbounded).

Cause: a close in the middle of such a document looks like its end, so all of them were refused.

The fix: the answer of a plain service ends when its server closes the connection; one that is reset is broken off, and so is one that is closed before its first byte. The JSON document of a model shows its own end: one that is closed before its last brace is broken off. Streams are as before: without [DONE] and the empty line after it they are broken off. The counter answer_unbounded is gone, since nothing is refused for it.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -14,7 +14,6 @@
     "account_queue_full",
     "answer_cut_short",
     "answer_timeout",
-    "answer_unbounded",
     "answer_wrong_request",
     "backend_unreachable",
     "body_too_large",
@@ -76,7 +75,7 @@
     "wrong_answer",
 ];
 
-const COUNT: usize = 63;
+const COUNT: usize = 62;
 
 /// Prefix of the counter names that `cadence` sends.
 const PREFIX: &str = "primrose";
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -172,17 +172,14 @@
         let (head, mut body) = reply.response.into_parts();
         let format = format_of(job.plain, &head.headers);
         let has_announced_end = has_announced_end(&head.headers, &body);
-        // The last event of a plain service is not known.
-        if !has_announced_end && format != Format::Events {
-            let message =
-                "the end of the backend server's answer cannot be told from a lost connection";
-            return Err(fail_discarded(registration, "answer_unbounded", message));
-        }
         // The status is sent to the caller with the first bytes, so an attempt that fails before them can be retried.
         let limit = Duration::from_millis(self.settings.answer_timeout_ms);
         let first = match tokio::time::timeout(limit, first_bytes(&mut body)).await {
-            // A stream has at least its last event.
-            Ok(Ok(first)) if first.is_some() || format != Format::Events => first,
+            // A stream has at least its last event. A document without a length may be empty only if the server ended
+            // before it.
+            Ok(Ok(first)) if first.is_some() || has_announced_end && format != Format::Events => {
+                first
+            }
             Ok(_) => {
                 (self.count)("answer_cut_short");
                 let message = "the backend server cut the answer short";
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -41,6 +41,37 @@
     done: bool,
     /// Whether the empty line after `data: [DONE]`, which ends the event, has been received.
     done_ended: bool,
+    nesting: Nesting,
+}
+
+/// Finds the end of a JSON document without reading its values.
+#[derive(Debug, Default)]
+struct Nesting {
+    /// Number of objects and arrays that are open.
+    depth: usize,
+    in_string: bool,
+    is_escaped: bool,
+    /// Whether the outermost object or array has ended.
+    has_ended: bool,
+}
+
+impl Nesting {
+    fn feed(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            match byte {
+                _ if std::mem::take(&mut self.is_escaped) => {}
+                b'\\' if self.in_string => self.is_escaped = true,
+                b'"' => self.in_string = !self.in_string,
+                _ if self.in_string => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    self.has_ended = self.depth == 0;
+                }
+                _ => {}
+            }
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -76,6 +107,7 @@
             has_announced_end,
             done: false,
             done_ended: false,
+            nesting: Nesting::default(),
         }
     }
 
@@ -83,12 +115,14 @@
         self.usage
     }
 
-    /// Whether the end of the answer has arrived, as far as the contents show it. Only an event stream marks its end.
+    /// Whether the end of the answer has arrived, as far as the contents show it. Those of a plain service do not: if its
+    /// answer announces no end, it ends when the server closes the connection.
     pub(crate) fn is_complete(&self) -> bool {
         match self.format {
             Format::Events if self.has_announced_end => self.done,
             Format::Events => self.done_ended,
-            Format::Json | Format::Opaque => true,
+            Format::Json => self.has_announced_end || self.nesting.has_ended,
+            Format::Opaque => true,
         }
     }
 
@@ -159,6 +193,9 @@
     }
 
     fn feed_json(&mut self, bytes: &[u8], _now: Time) {
+        if !self.has_announced_end {
+            self.nesting.feed(bytes);
+        }
         self.buffer.extend_from_slice(bytes);
         let excess = self.buffer.len().saturating_sub(TAIL_BYTES);
         self.buffer.drain(..excess);
