platform, route, place: Read warm-up figures and the cold state of servers

Two new deployments have servers that tolerate few requests after a start. The values are now kept for the parts that docs/design/ hard-load.md describes; nothing uses them yet.

--- a/crates/entry/tests/notice.rs
+++ b/crates/entry/tests/notice.rs
@@ -35,6 +35,7 @@
         domain: "north".into(),
         slots: 4,
         draining,
+        cold: false,
     }
 }
 
--- a/crates/fleet/tests/damaged.rs
+++ b/crates/fleet/tests/damaged.rs
@@ -48,6 +48,7 @@
         domain: "p".into(),
         slots: 1,
         draining: false,
+        cold: false,
     }]);
     let engine = Engine {
         slots: 1,
@@ -60,6 +61,7 @@
             name: "p".into(),
             max_connections: 1,
             engine: Some(engine),
+            warmup: None,
         }],
         ..Document::default()
     }));
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -11,6 +11,7 @@
         domain: "z".into(),
         slots: 1,
         draining,
+        cold: false,
     }
 }
 
--- a/crates/fleet/tests/stale_list.rs
+++ b/crates/fleet/tests/stale_list.rs
@@ -37,6 +37,7 @@
         domain: "north".into(),
         slots: 1,
         draining,
+        cold: false,
     }]
 }
 
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -49,6 +49,7 @@
         domain: "north".into(),
         slots: 1,
         draining,
+        cold: false,
     }
 }
 
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -20,4 +20,7 @@
     pub slots: u32,
     /// Whether the server is draining: it finishes its requests and must get no new ones.
     pub draining: bool,
+    /// Whether the list says that the server is cold: it has just started, or has become cold again, and tolerates few
+    /// requests per second.
+    pub cold: bool,
 }
--- a/crates/place/tests/extremes.rs
+++ b/crates/place/tests/extremes.rs
@@ -127,7 +127,7 @@
         let mut placer = Placer::new(Settings::default());
         let servers: Vec<_> = (1..=3).map(|number| primrose_place::Server { slots, ..support::engine(number) }).collect();
         placer.set_servers(&servers);
-        let pool = Pool { name: servers[0].pool.clone(), max_connections: 1, engine: Some(engine) };
+        let pool = Pool { name: servers[0].pool.clone(), max_connections: 1, engine: Some(engine), warmup: None };
         placer.set_document(&Arc::new(Document {
             pools: vec![pool],
             limits: Limits { tokens_per_s, ..Limits::default() },
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -24,6 +24,7 @@
         name: POOL.into(),
         max_connections: 110,
         engine: None,
+        warmup: None,
     };
     let mut placer = Placer::new(Settings::default());
     placer.set_servers(&(1..=3).map(server).collect::<Vec<_>>());
--- a/crates/place/tests/quarantine.rs
+++ b/crates/place/tests/quarantine.rs
@@ -441,6 +441,7 @@
     let server = |number: u32| Server {
         pool: POOL.into(),
         draining: number == 4,
+        cold: false,
         ..support::engine(number)
     };
     let mut placer = Placer::new(Settings::default());
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/support/mod.rs
@@ -21,6 +21,7 @@
         domain: "north".into(),
         slots: 48,
         draining: false,
+        cold: false,
     }
 }
 
@@ -42,6 +43,7 @@
             name: POOL.into(),
             max_connections: 310,
             engine: Some(engine),
+            warmup: None,
         }],
         ..Document::default()
     };
--- a/crates/route/src/document.rs
+++ b/crates/route/src/document.rs
@@ -90,6 +90,17 @@
     pub max_connections: u32,
     /// `Some` if the servers are model engines, `None` for a plain service.
     pub engine: Option<Engine>,
+    /// How the servers warm up after a start, or `None` if they need no time for it.
+    pub warmup: Option<Warmup>,
+}
+
+/// The time in which a server that has just started tolerates few requests.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// How long a server is cold after its start, in ms; above 0.
+    pub duration_ms: u64,
+    /// Requests per second that a cold server tolerates; finite and above 0.
+    pub per_s: f64,
 }
 
 /// The capacity of each model engine of a pool.
--- a/crates/route/tests/document.rs
+++ b/crates/route/tests/document.rs
@@ -41,6 +41,7 @@
             name: "desk".into(),
             max_connections: 10,
             engine: None,
+            warmup: None,
         }],
         limits: Limits::default(),
         accounts: Some(vec![account("x", "k1"), account("y", "k2")]),
@@ -116,6 +117,7 @@
             name: format!("pool-{number}").into(),
             max_connections: 1,
             engine: None,
+            warmup: None,
         })
         .collect();
     let routes: Vec<Route> = (0..COUNT)
