entry: Keep the listener of an overloaded host open, and scale its thresholds

The module pressure bounds the passes of the accept loop instead: 64 connections, then other tasks run. A pass admits as many connections as the host can serve within half of the shortest objective and rejects the others. If no pass empties the queue for 250 ms, the listener is opened anew, which resets the pending connections, and only if that does not help either, it is closed for 25 ms. Thresholds are proportional to the shortest objective, plus the time for which one request occupies the host. A readiness check fails as soon as requests are refused and for 900 ms after that.

Hosts derive a capacity from their limits and report it in Hello; Status holds the smallest and the largest one. The part is on if they differ by a factor of 2, or if the settings name the contract 'pressure'. Without it, the behaviour is unchanged.

Tests: cargo test -p primrose-entry -p primrose-fleet passes; clippy of entry, fleet and platform has no warnings. The tests of the platform were not run yet.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 82] = [
+pub const ALL: [&str; 83] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -44,6 +44,7 @@
     "host_behind",
     "listener_closed",
     "listener_not_opened",
+    "listener_renewed",
     "malformed_request",
     "no_memory",
     "no_retry_attempts",
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -75,6 +75,8 @@
     pub address: SocketAddrV4,
     /// Name of the failure domain of this host.
     pub domain: Arc<str>,
+    /// Capacity of this host, as [`crate::pressure::Resources::capacity`].
+    pub capacity: u32,
     /// The port of all core hosts for datagrams and calls.
     pub core_port: u16,
     /// The core hosts that the settings name, by their addresses.
@@ -110,6 +112,8 @@
     pub has_directory: bool,
     /// Number of entry hosts in the fleet; at least 1.
     pub entry_hosts: u32,
+    /// Smallest capacity of an entry host, and the largest one, that any core host reports; 0 if unknown.
+    pub capacities: (u32, u32),
 }
 
 enum Command {
@@ -195,6 +199,7 @@
     let (state_sender, state) = watch::channel(State {
         has_directory: false,
         entry_hosts: 1,
+        capacities: (0, 0),
     });
     let (events, events_receiver) = mpsc::channel(64);
     let incarnation = rand::random();
@@ -582,14 +587,24 @@
             }
         }
         let entry_hosts = status.entry_hosts.max(1);
+        let core = &mut self.core_hosts[at];
+        core.last_heard = now;
+        core.status = Some(status);
+        // A core host that has just started knows few entry hosts, so the reports of all count.
+        let reports = self
+            .core_hosts
+            .iter()
+            .filter_map(|core| core.status.as_ref());
+        let smallest = reports.clone().map(|status| status.smallest_capacity);
+        let smallest = smallest.filter(|&capacity| capacity > 0).min().unwrap_or(0);
+        let largest = reports.map(|status| status.largest_capacity).max();
+        let capacities = (smallest, largest.unwrap_or(0));
         self.state.send_if_modified(|state| {
-            let is_changed = state.entry_hosts != entry_hosts;
+            let is_changed = state.entry_hosts != entry_hosts || state.capacities != capacities;
             state.entry_hosts = entry_hosts;
+            state.capacities = capacities;
             is_changed
         });
-        let core = &mut self.core_hosts[at];
-        core.last_heard = now;
-        core.status = Some(status);
         if is_new_incarnation {
             info!(self.inputs.log, "core host found"; "core" => %host);
             self.resend_assignments(address);
@@ -629,6 +644,7 @@
         let hello = Packet::Hello {
             stamp: Stamp::now(self.incarnation),
             quarantine: unknown_to(core, notices),
+            capacity: self.inputs.capacity,
         };
         self.send(core.address, &hello);
     }
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -21,24 +21,19 @@
 use rustix::net::{SocketFlags, accept_with};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::unconstrained;
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::Instant;
 
 use crate::body::Body;
 use crate::closing::{self, Cause, Guard, Record};
 use crate::idle::{self, Activity};
 use crate::overload::{self, Detector};
+use crate::pressure::{Intake, Next};
 use crate::tracked::{Answer, Socket};
 
 /// The largest head of a request that the listener accepts, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// The most connections that are rejected in one pass of the accept loop; then the listener is closed for a while.
-/// Rejected callers reconnect at once: in a flood of thousands of connections a second, the host closed 3,400 of them
-/// while it served 150 requests, within half a second. While the listener is closed, the kernel refuses connections
-/// at no cost to the host.
-const MAX_REJECTED: usize = 8;
-
 /// How long the listener stays closed: until the overload has been measured again.
 const REOPEN_DELAY: Duration = overload::SAMPLE_INTERVAL;
 
@@ -147,8 +142,8 @@
 
 /// Accepts connections until the closing phase, and passes the admitted ones to `start_serving`.
 ///
-/// All pending connections are accepted in one pass. On a busy host it takes long until the task runs again, and
-/// callers whose connections are not accepted cannot go to another host.
+/// Pending connections are accepted in one pass, within the limits of [`Intake`]. On a busy host it takes long until
+/// the task runs again, and callers whose connections are not accepted cannot go to another host.
 async fn accept(
     mut listener: TcpListener,
     address: SocketAddr,
@@ -156,6 +151,7 @@
     admission: Admission,
     start_serving: impl Fn(TcpStream),
 ) {
+    let mut intake = Intake::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -163,52 +159,81 @@
             // accepted this late might not end before the process does.
             _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
         };
-        let mut rejected = 0;
+        intake.begin(Time::now(), admission.limits.overload.thresholds());
         match accepted {
             // Callers whose connection is closed unread retry at another host.
-            Ok((stream, _)) if admission.rejects() => {
+            Ok((stream, _)) if admission.rejects(&intake) => {
                 drop(stream);
-                rejected += 1;
+                intake.record(true);
+            }
+            Ok((stream, _)) => {
+                start_serving(stream);
+                intake.record(false);
             }
-            Ok((stream, _)) => start_serving(stream),
             // For example, no file descriptors are left.
             Err(_) => {
                 admission.limits.overload.count("accept_failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
-        while rejected < MAX_REJECTED
-            && let Some(socket) = accept_pending(&listener)
-        {
-            if admission.rejects() {
-                drop(socket);
-                rejected += 1;
-            } else {
-                match TcpStream::from_std(socket.into()) {
-                    Ok(stream) => start_serving(stream),
-                    Err(_) => admission.limits.overload.count("accept_failed"),
+        let next = loop {
+            let mut is_empty = false;
+            while intake.may_take() {
+                let Some(socket) = accept_pending(&listener) else {
+                    is_empty = true;
+                    break;
+                };
+                let is_rejected = admission.rejects(&intake);
+                intake.record(is_rejected);
+                if is_rejected {
+                    drop(socket);
+                } else {
+                    match TcpStream::from_std(socket.into()) {
+                        Ok(stream) => start_serving(stream),
+                        Err(_) => admission.limits.overload.count("accept_failed"),
+                    }
                 }
             }
-        }
-        if rejected == MAX_REJECTED {
-            drop(listener);
-            listener = tokio::select! {
-                listener = reopen(address, &admission.limits.overload) => listener,
-                _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
-            };
-        }
+            let next = intake.end(is_empty);
+            if next != Next::Yield {
+                break next;
+            }
+            yield_now().await;
+            if *closing.borrow() == Phase::Closing {
+                return;
+            }
+            intake.begin(Time::now(), admission.limits.overload.thresholds());
+        };
+        let delay = match next {
+            Next::Wait | Next::Yield => continue,
+            Next::Renew => {
+                admission.limits.overload.count("listener_renewed");
+                Duration::ZERO
+            }
+            Next::Close => {
+                admission.limits.overload.count("listener_closed");
+                REOPEN_DELAY
+            }
+        };
+        drop(listener);
+        listener = tokio::select! {
+            listener = reopen(address, delay, &admission.limits.overload) => listener,
+            _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
     }
 }
 
-/// Listens again after a delay. Binding is retried without limit, because the host is useless without its address.
-async fn reopen(address: SocketAddr, overload: &Detector) -> TcpListener {
-    overload.count("listener_closed");
+/// Listens again after `delay`. Binding is retried without limit, because the host is useless without its address.
+async fn reopen(address: SocketAddr, delay: Duration, overload: &Detector) -> TcpListener {
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
     loop {
-        tokio::time::sleep(REOPEN_DELAY).await;
         match TcpListener::bind(address).await {
             Ok(listener) => return listener,
             Err(_) => overload.count("listener_not_opened"),
         }
+        tokio::time::sleep(REOPEN_DELAY).await;
     }
 }
 
@@ -239,8 +264,9 @@
     }
 
     /// Whether a new connection is to be closed without reading from it.
-    fn rejects(&self) -> bool {
-        self.open() >= self.limits.max_connections || self.limits.overload.rejects_connection()
+    fn rejects(&self, intake: &Intake) -> bool {
+        self.open() >= self.limits.max_connections
+            || self.limits.overload.rejects_connection(intake)
     }
 
     /// Whether answers close their connections because more than half of the allowed connections are open.
--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -4,13 +4,15 @@
 //! even if the next host is idle. Such a host reports that it is not ready, and at once refuses requests that another
 //! host can serve.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use primrose_base::clock::Time;
 use primrose_observe::Meter;
 use slog::{Logger, info};
 
+use crate::pressure::{Gate, Intake, Thresholds};
+
 /// Duration of the sleeps that measure the scheduling delay of the async runtime. The delay is the time by which a
 /// sleep takes longer than this.
 pub(crate) const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
@@ -18,33 +20,26 @@
 /// Weight of one measurement in the moving average.
 const WEIGHT: f64 = 0.2;
 
-/// Mean delay above which a fraction of the requests is refused, in ms. A request waits several times to be scheduled
-/// between its arrival and its answer, and the shortest latency objectives are 100 ms.
-const SHED_FROM_MS: f64 = 2.0;
-
-/// Mean delay at which all requests are refused, in ms.
-const SHED_ALL_MS: f64 = 12.0;
-
-/// Mean delay above which the host reports that it is not ready for more callers, in ms.
-const OVERLOADED_MS: u64 = 8;
-
 /// Upper bound of one measurement, in ms: a long pause, such as a suspended machine, says nothing about the load.
 const MAX_DELAY_MS: f64 = 320.0;
 
+/// Number of measurements after which the thresholds are determined again: half a second.
+const SAMPLES_PER_UPDATE: u32 = 20;
+
+/// Returns the thresholds in force, `None` while [`crate::pressure`] is off.
+pub type Source = Arc<dyn Fn() -> Option<Thresholds> + Send + Sync>;
+
 /// Measures the scheduling delay of the runtime of this process. Clones share the measurement.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
-    delay_ms: Arc<AtomicU64>,
-    /// Number of requests that should have been refused so far, less the number that were, in thousandths of a
-    /// request.
-    shed_debt: Arc<AtomicU64>,
+    gate: Arc<Mutex<Gate>>,
     /// Counts rejected connections, or `None` if they are not counted.
     meter: Option<Arc<Meter>>,
 }
 
 impl Detector {
-    /// Starts a task that measures the delay.
-    pub fn spawn(meter: &Arc<Meter>, log: &Logger) -> Detector {
+    /// Starts a task that measures the delay. `thresholds` is called every [`SAMPLES_PER_UPDATE`] measurements.
+    pub fn spawn(meter: &Arc<Meter>, log: &Logger, thresholds: Source) -> Detector {
         let detector = Detector {
             meter: Some(Arc::clone(meter)),
             ..Detector::default()
@@ -53,14 +48,26 @@
         tokio::spawn(async move {
             let mut mean = 0.0;
             let mut was_overloaded = false;
+            let mut until_update = 0;
             loop {
+                if until_update == 0 {
+                    until_update = SAMPLES_PER_UPDATE;
+                    let thresholds = thresholds();
+                    if shared_detector.set_thresholds(thresholds) {
+                        info!(log, "thresholds of overload changed"; "on" => thresholds.is_some(),
+                            "shed_from_ms" => thresholds.map(|thresholds| thresholds.shed_from_ms),
+                            "shed_all_ms" => thresholds.map(|thresholds| thresholds.shed_all_ms));
+                    }
+                }
+                until_update -= 1;
                 let start = Instant::now();
                 tokio::time::sleep(SAMPLE_INTERVAL).await;
                 mean = moving_average(mean, start.elapsed());
-                shared_detector
-                    .delay_ms
-                    .store(mean as u64, Ordering::Relaxed);
-                let is_overloaded = shared_detector.is_overloaded();
+                let is_overloaded = {
+                    let mut gate = shared_detector.gate();
+                    gate.record_delay(Time::now(), mean as u64);
+                    gate.is_overloaded()
+                };
                 if is_overloaded != was_overloaded {
                     was_overloaded = is_overloaded;
                     info!(log, "load of this host changed"; "behind" => is_overloaded, "delay_ms" => mean as u64);
@@ -73,28 +80,37 @@
     /// Creates a detector that does not measure but has this mean delay, in ms.
     pub fn fixed(delay_ms: u64) -> Detector {
         let detector = Detector::default();
-        detector.delay_ms.store(delay_ms, Ordering::Relaxed);
+        detector.gate().record_delay(Time::now(), delay_ms);
         detector
     }
 
-    /// Whether a request that has just arrived should be refused because another host serves it better. The
-    /// fraction of the requests for which this returns true grows with the delay, so that the host continues to serve
-    /// what it can. Each call counts as one request.
+    fn gate(&self) -> MutexGuard<'_, Gate> {
+        // Nothing can panic between two changes, so the gate is valid even after a panic.
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Turns [`crate::pressure`] on with these thresholds, or off. Returns whether that is a change.
+    pub fn set_thresholds(&self, thresholds: Option<Thresholds>) -> bool {
+        self.gate().set_thresholds(thresholds)
+    }
+
+    /// The thresholds in force, `None` while [`crate::pressure`] is off.
+    pub(crate) fn thresholds(&self) -> Option<Thresholds> {
+        let gate = self.gate();
+        gate.is_on().then(|| gate.thresholds())
+    }
+
+    /// Whether a request that has just arrived should be refused because another host serves it better. Each call
+    /// counts as one request.
     pub fn sheds_request(&self) -> bool {
-        let delay = self.delay_ms.load(Ordering::Relaxed) as f64;
-        let fraction = ((delay - SHED_FROM_MS) / (SHED_ALL_MS - SHED_FROM_MS)).clamp(0.0, 1.0);
-        let shed_debt = self.shed_debt.load(Ordering::Relaxed) + (fraction * 1_000.0) as u64;
-        let sheds = shed_debt >= 1_000;
-        let rest = if sheds { shed_debt - 1_000 } else { shed_debt };
-        self.shed_debt.store(rest, Ordering::Relaxed);
-        sheds
+        self.gate().sheds()
     }
 
     /// Whether a connection that was just opened should be rejected, which also counts it. A rejected connection is
     /// closed without reading from it, which costs this host much less than a refusal. Callers repeat unread requests
     /// at another host, whether idempotent or not.
-    pub fn rejects_connection(&self) -> bool {
-        let sheds = self.sheds_request();
+    pub fn rejects_connection(&self, intake: &Intake) -> bool {
+        let sheds = intake.rejects() || self.sheds_request();
         if sheds {
             self.count("connection_turned_away");
         }
@@ -110,7 +126,12 @@
 
     /// Whether the host is so overloaded that it should get no more callers.
     pub fn is_overloaded(&self) -> bool {
-        self.delay_ms.load(Ordering::Relaxed) > OVERLOADED_MS
+        self.gate().is_overloaded()
+    }
+
+    /// Whether a readiness check is answered with "ready" as far as the load is concerned.
+    pub fn is_ready(&self) -> bool {
+        self.gate().is_ready(Time::now())
     }
 }
 
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -256,6 +256,7 @@
     let link = link::bind(link::Inputs {
         address: "127.0.0.1:0".parse().expect("the address is valid"),
         domain: "north".into(),
+        capacity: 1,
         core_port: 1,
         seeds,
         key: Key::new(&[7; 32]).expect("the key is valid"),
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -169,6 +169,8 @@
     address: SocketAddr,
     last_heard: Time,
     last_hello: Stamp,
+    /// Capacity in the latest `Hello`.
+    capacity: u32,
 }
 
 /// Another core host that this host knows.
@@ -232,9 +234,13 @@
             return;
         };
         match packet {
-            Packet::Hello { stamp, quarantine } => {
+            Packet::Hello {
+                stamp,
+                quarantine,
+                capacity,
+            } => {
                 self.merge_quarantine(&quarantine);
-                self.handle_hello(source, stamp);
+                self.handle_hello(source, stamp, capacity);
             }
             Packet::Place(demand) => self.place(source, &demand),
             Packet::Updates(updates) => self.record_updates(updates),
@@ -248,7 +254,7 @@
         }
     }
 
-    fn handle_hello(&mut self, source: SocketAddr, stamp: Stamp) {
+    fn handle_hello(&mut self, source: SocketAddr, stamp: Stamp, capacity: u32) {
         let now = Time::now();
         match self
             .entry_hosts
@@ -257,6 +263,7 @@
             Ok(at) => {
                 self.entry_hosts[at].last_heard = now;
                 self.entry_hosts[at].last_hello = stamp;
+                self.entry_hosts[at].capacity = capacity;
             }
             Err(at) => {
                 info!(self.inputs.log, "entry host found"; "address" => %source);
@@ -266,6 +273,7 @@
                         address: source,
                         last_heard: now,
                         last_hello: stamp,
+                        capacity,
                     },
                 );
             }
@@ -514,6 +522,7 @@
             .borrow()
             .as_ref()
             .map_or(0, |stored| stored.document.version);
+        let capacities = self.entry_hosts.iter().map(|entry| entry.capacity);
         Status {
             host: self.inputs.host.clone(),
             incarnation: self.incarnation,
@@ -525,6 +534,8 @@
             directory: self.freshness(),
             answers,
             entry_hosts: self.entry_hosts.len() as u32,
+            smallest_capacity: capacities.clone().min().unwrap_or(0),
+            largest_capacity: capacities.max().unwrap_or(0),
             quarantine: self.placer.quarantine_notices(Time::now()),
         }
     }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -27,6 +27,8 @@
         /// The prompt parts that the entry host knows to be quarantined and that the latest status of the core host did
         /// not name.
         quarantine: Vec<Notice>,
+        /// Capacity of the entry host, in the unit of its fleet; at least 1.
+        capacity: u32,
     },
     /// The answer of a core host to `Hello`, also sent when the directory or the document changes.
     Status(Status),
@@ -99,6 +101,10 @@
     pub answers: Stamp,
     /// Number of entry hosts that the sender has heard from recently. They share the retry budget.
     pub entry_hosts: u32,
+    /// Smallest capacity of these entry hosts; 0 if there are none.
+    pub smallest_capacity: u32,
+    /// Largest capacity of these entry hosts; 0 if there are none.
+    pub largest_capacity: u32,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
 }
