place: Decide transfers of prompt parts by their cost

Each copy evicted other parts, which were read again.

Otherwise a copy is weighed with the prices of the transfer, of the evicted parts and of a late answer (`place::transfer`). This applies where the document allows to fetch a cached token in less than a quarter of the time in which it is read. Setting `copy_weight` to 0 restores the previous rule.

--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -31,6 +31,8 @@
     /// Whether the engine has prefilled the part. Before that, only requests behind the one that
     /// prefills it can use it, and only on this engine.
     is_ready: bool,
+    /// Whether more than one request has used the part.
+    is_reused: bool,
 }
 
 /// Returns the cache key of the part with the id `part` for the model with the hash `model`.
@@ -63,7 +65,7 @@
 
     /// Records that the engine has prefilled all parts of a prompt.
     pub fn record_ready(&mut self, parts: &[(u64, u32)], capacity: u64) {
-        self.touch(parts, capacity);
+        self.mark_used(parts, capacity);
         for (key, _) in parts {
             if let Ok(at) = self.position(*key) {
                 self.entries[at].is_ready = true;
@@ -87,6 +89,15 @@
     /// Records that the engine uses all parts of a prompt, and evicts the least recently used parts
     /// if the cache exceeds `capacity` tokens. Parts that are new are not prefilled yet.
     pub fn touch(&mut self, parts: &[(u64, u32)], capacity: u64) {
+        for (key, _) in parts {
+            if let Ok(at) = self.position(*key) {
+                self.entries[at].is_reused = true;
+            }
+        }
+        self.mark_used(parts, capacity);
+    }
+
+    fn mark_used(&mut self, parts: &[(u64, u32)], capacity: u64) {
         // The first part becomes the most recently used one, since the others are useless without
         // it.
         for &(key, tokens) in parts.iter().rev() {
@@ -100,6 +111,7 @@
                         tokens,
                         last_use,
                         is_ready: false,
+                        is_reused: false,
                     };
                     self.entries.insert(at, entry);
                     self.tokens += u64::from(tokens);
@@ -111,6 +123,27 @@
         }
     }
 
+    /// Tokens of parts that more than one request has used and that the engine evicts to cache `tokens` more.
+    pub fn evicted_tokens(&self, tokens: u32, capacity: u64) -> u64 {
+        let mut excess = (self.tokens + u64::from(tokens)).saturating_sub(capacity);
+        if excess == 0 {
+            return 0;
+        }
+        let mut oldest: Vec<&Entry> = self.entries.iter().collect();
+        oldest.sort_unstable_by_key(|entry| entry.last_use);
+        let mut reused = 0;
+        for entry in oldest {
+            if excess == 0 {
+                break;
+            }
+            excess = excess.saturating_sub(u64::from(entry.tokens));
+            if entry.is_reused {
+                reused += u64::from(entry.tokens);
+            }
+        }
+        reused
+    }
+
     /// Removes all parts, after the engine was lost or restarted.
     pub fn clear(&mut self) {
         self.entries.clear();
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
-//! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
+//! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
+//! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines.
 
 pub mod cache;
 pub mod demand;
@@ -25,6 +26,7 @@
 pub mod server;
 pub mod settings;
 pub mod share;
+pub mod transfer;
 
 pub use demand::Demand;
 pub use placer::Placer;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
+use crate::transfer;
 
 /// The smallest part of `excess_limit` that applies to an account far beyond its share, so that
 /// idle servers still serve it.
@@ -262,6 +263,8 @@
     from: usize,
     /// Time until all parts have arrived, in ms.
     arrival_ms: f64,
+    /// Number of tokens that are transferred.
+    tokens: u32,
 }
 
 /// The engine that has the longest cached prefix of a prompt.
@@ -365,7 +368,8 @@
             self.shares.record_requested(now, account, cost);
         }
         let parts = parts_of(demand);
-        let Some(best) = self.best(now, demand, &parts) else {
+        let holder = self.best_holder(now, demand, &parts);
+        let Some(mut best) = holder.or_else(|| self.best(now, demand, &parts)) else {
             return Decision::Refuse {
                 reason: Reason::NoServer,
                 retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
@@ -374,7 +378,16 @@
         };
         let own_part = parts.last().map(|part| part.0);
         let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
-        if let Some(refusal) = self.refusal(now, demand, &best, has_returned) {
+        let mut refusal = self.refusal(now, demand, &best, has_returned);
+        // An account beyond its share is refused after a short wait, which another engine may not have.
+        if refusal.is_some()
+            && holder.is_some()
+            && let Some(other) = self.best(now, demand, &parts)
+        {
+            best = other;
+            refusal = self.refusal(now, demand, &best, has_returned);
+        }
+        if let Some(refusal) = refusal {
             if let (Some(key), false) = (own_part, has_returned) {
                 self.refusals.record(now, key);
             }
@@ -592,13 +605,7 @@
 
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
     fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
-        let usable = self.servers.iter().enumerate().filter(|(_, state)| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
-                && !demand.tried.contains(&state.server.id)
-                && !state.health.is_unavailable(now, &demand.domain)
-        });
+        let usable = self.usable(now, demand);
         let cached: Vec<u32> = self
             .servers
             .iter()
@@ -610,6 +617,45 @@
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Returns the usable engine with the lowest score among those that have the shared parts of the prompt and are
+    /// predicted to answer well within the objective. Returns `None` if there is none, or if copies of parts have no
+    /// price in the pool.
+    fn best_holder(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+        self.price(&demand.pool)?;
+        let cached: Vec<(usize, u32)> = self
+            .usable(now, demand)
+            .map(|(at, state)| (at, state.cache.cached_tokens(parts)))
+            .collect();
+        let most = cached.iter().map(|&(_, tokens)| tokens).max()?;
+        let missing = self.settings.min_fetch_tokens;
+        cached
+            .into_iter()
+            .filter(|&(_, tokens)| tokens >= missing && tokens.saturating_add(missing) > most)
+            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, None))
+            .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+    }
+
+    /// The servers that may get a request, with their indices.
+    fn usable<'a>(
+        &'a self,
+        now: Time,
+        demand: &'a Demand,
+    ) -> impl Iterator<Item = (usize, &'a State)> {
+        self.servers.iter().enumerate().filter(move |(_, state)| {
+            state.server.pool == demand.pool
+                && !state.server.draining
+                && !state.replaced
+                && !demand.tried.contains(&state.server.id)
+                && !state.health.is_unavailable(now, &demand.domain)
+        })
+    }
+
+    /// The costs of copies between the engines of a pool, or `None` if their time is their cost.
+    fn price(&self, pool: &str) -> Option<transfer::Price> {
+        transfer::Price::of(self.engine(pool)?, &self.settings)
+    }
+
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
     /// of its prompt cached and may fetch more from `source`.
     fn candidate(
@@ -651,18 +697,35 @@
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
         let affinity = affinity(parts, &state.server.id);
+        let price = self.price(&demand.pool);
+        // The copy of the parts evicts others, whether it is fetched or read.
+        let eviction_ms = price.map_or(0.0, |price| {
+            let outputs = u64::from(prompt.output_tokens).saturating_mul(state.load.len() as u64);
+            let capacity = self.cache_tokens(&demand.pool).saturating_sub(outputs);
+            let new = prompt.input_tokens.saturating_sub(cached_tokens);
+            price.eviction_ms(state.cache.evicted_tokens(new, capacity))
+        });
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
             let prefill = settings.speed.prefill(prompt.input_tokens, cached_tokens);
             let own_ms = state.load.prefill_ms(&prefill, &settings.speed);
             let arrival = fetch.map_or(0.0, |fetch| fetch.arrival_ms);
             let start = wait_ms.max(arrival);
             let tie_break = affinity * (4.0 + settings.home_weight * own_ms);
-            let cost = start + settings.reading_weight * own_ms + settings.fetch_weight * arrival;
+            let first_ms = settings.speed.first_ms;
+            let copy_ms = match price {
+                Some(price) => {
+                    let fetched = fetch.map_or(0, |fetch| fetch.tokens);
+                    let late_ms = price.late_ms(start + own_ms + first_ms, demand, settings);
+                    price.transfer_ms(fetched) + eviction_ms + late_ms
+                }
+                None => settings.fetch_weight * arrival,
+            };
+            let cost = start + settings.reading_weight * own_ms + copy_ms;
             Candidate {
                 server: at,
                 wait_ms: start,
                 own_ms,
-                first_ms: settings.speed.first_ms,
+                first_ms,
                 cached_tokens,
                 fetch,
                 score: (cost + load) * failure_factor + remote_ms + tie_break,
@@ -739,6 +802,7 @@
         arrival_ms.is_finite().then_some(Fetch {
             from: source.server,
             arrival_ms,
+            tokens,
         })
     }
 
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -43,6 +43,9 @@
     /// Weight of the time to fetch cached parts from another engine, relative to waiting: a transfer
     /// occupies the links, but no engine has to compute for it.
     pub fetch_weight: f64,
+    /// Weight of the costs of copies of prompt parts, in pools where a cached token is fetched in less than a quarter of
+    /// the time in which it is read. `fetch_weight` has no effect there unless this is 0, which turns the costs off.
+    pub copy_weight: f64,
     /// The fewest tokens that are fetched from another engine. Fewer are prefilled again, because
     /// setting up a transfer takes some ms.
     pub min_fetch_tokens: u32,
@@ -63,6 +66,7 @@
             remote_ms: 3.0,
             failure_weight: 6.0,
             fetch_weight: 0.5,
+            copy_weight: 1.0,
             min_fetch_tokens: 200,
         }
     }
@@ -101,6 +105,7 @@
             ("remote_ms", self.remote_ms),
             ("failure_weight", self.failure_weight),
             ("fetch_weight", self.fetch_weight),
+            ("copy_weight", self.copy_weight),
         ];
         for (name, value) in positive {
             if !value.is_finite() || value <= 0.0 {
