place: Learn speed figures of whole pools

A new engine of a pool whose engines all differ from the operators' figures got the load of a default engine until its own speed was measured, engines at 0.49 of the default time looked slower than they are, and a wrong fixed time of the first event shifted every prediction.

In pools whose engines fetch cached tokens quickly (as for transfers), a new engine starts from the median of the measured slowdowns, the slowdown may fall to 0.3, and `first_ms` is learnt from short prompts on free engines, bounded and moved by at most 0.5 ms per sample. Other pools are unchanged.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -70,7 +70,8 @@
 /// Weight of one observation in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.1;
 
-/// Bounds of the slowdown: a value outside of them has another cause than the engine's speed.
+/// Bounds of the slowdown: a value outside of them has another cause than the engine's speed. Pools with learnt figures
+/// have a lower bound of [`crate::speed::MIN_SLOWDOWN`].
 const SLOWDOWN_RANGE: std::ops::RangeInclusive<f64> = 0.7..=5.0;
 
 /// Time that the report of a first event takes to reach the placer, in ms: about two hops between
@@ -92,6 +93,10 @@
     prefilled_until: f64,
     /// Ratio of the measured to the predicted prefill time, as a moving average.
     slowdown: f64,
+    /// Whether `slowdown` comes from requests of this engine.
+    is_measured: bool,
+    /// Lower bound of `slowdown`; above 0.
+    min_slowdown: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -114,6 +119,8 @@
             running: Vec::new(),
             prefilled_until: 0.0,
             slowdown: 1.0,
+            is_measured: false,
+            min_slowdown: *SLOWDOWN_RANGE.start(),
         }
     }
 }
@@ -140,6 +147,23 @@
         self.slowdown
     }
 
+    /// The slowdown if it was measured on this engine.
+    pub fn measured_slowdown(&self) -> Option<f64> {
+        self.is_measured.then_some(self.slowdown)
+    }
+
+    /// Sets the slowdown that is assumed until it is measured.
+    pub fn assume_slowdown(&mut self, slowdown: f64) {
+        if !self.is_measured {
+            self.slowdown = slowdown;
+        }
+    }
+
+    /// Sets the lower bound of the slowdown, which must be above 0.
+    pub fn set_min_slowdown(&mut self, min_slowdown: f64) {
+        self.min_slowdown = min_slowdown;
+    }
+
     /// Duration of a step without the prefill of prompts, in ms.
     fn step_ms(&self, speed: &Speed) -> f64 {
         let context: f64 = self
@@ -183,11 +207,10 @@
     }
 
     /// Records the first event of a request, and updates the slowdown if the request was the
-    /// oldest without one.
-    pub fn record_first_event(&mut self, now: Time, key: Key, speed: &Speed) {
-        let Some(at) = self.pending.iter().position(|pending| pending.key == key) else {
-            return;
-        };
+    /// oldest without one. Returns the fixed time of the first event, in ms, if the engine was free and the prefill was
+    /// too short for its speed to matter.
+    pub fn record_first_event(&mut self, now: Time, key: Key, speed: &Speed) -> Option<f64> {
+        let at = self.pending.iter().position(|pending| pending.key == key)?;
         let pending = self.pending.remove(at);
         let end = now.as_ms() as f64 - speed.first_ms - REPORT_DELAY_MS;
         let start = self.prefilled_until.max(pending.assigned.as_ms() as f64);
@@ -195,14 +218,19 @@
         if at == 0 && expected >= MIN_OBSERVED_MS && end > start {
             let measured = (end - start) / expected * self.slowdown;
             let slowdown = self.slowdown + SLOWDOWN_WEIGHT * (measured - self.slowdown);
-            self.slowdown = slowdown.clamp(*SLOWDOWN_RANGE.start(), *SLOWDOWN_RANGE.end());
+            self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
+            self.is_measured = true;
         }
+        let assigned = pending.assigned.as_ms() as f64;
+        let is_fixed = at == 0 && expected < MIN_OBSERVED_MS && self.prefilled_until <= assigned;
+        let fixed = now.as_ms() as f64 - assigned - expected - REPORT_DELAY_MS;
         self.prefilled_until = self.prefilled_until.max(end);
         let context_tokens = pending.prefill.context_tokens;
         self.running.push(Running {
             key,
             context_tokens,
         });
+        is_fixed.then_some(fixed)
     }
 
     /// Removes a request that has ended, with or without an answer.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 //!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
+//! - [`speed`] learns figures of whole pools, for pools whose engines all differ from the operators' figures;
 //! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines.
 
 pub mod cache;
@@ -26,6 +27,7 @@
 pub mod server;
 pub mod settings;
 pub mod share;
+pub mod speed;
 pub mod transfer;
 
 pub use demand::Demand;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
+use crate::speed;
 use crate::transfer;
 
 /// The smallest part of `excess_limit` that applies to an account far beyond its share, so that
@@ -220,6 +221,8 @@
     shares: Meter,
     /// The newest document, for the sizes of the pools and the capacity that accounts share.
     document: Arc<Document>,
+    /// The learnt figures of the pools of `document`.
+    speeds: speed::Register,
     /// When expired assignments were last removed.
     last_expiry: Time,
     refusals: Refusals,
@@ -285,6 +288,7 @@
             assignments: Vec::new(),
             shares: Meter::default(),
             document: Arc::default(),
+            speeds: speed::Register::default(),
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
             quarantine: quarantine::Register::default(),
@@ -297,12 +301,27 @@
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
+        self.speeds.set_document(document, &self.settings.speed);
+        for state in &mut self.servers {
+            if self.speeds.is_on(&state.server.pool) {
+                state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            }
+        }
     }
 
     /// Replaces the list of servers from service discovery. The load, cache and health of a server
     /// are retained if its id and address are unchanged.
     pub fn set_servers(&mut self, servers: &[Server]) {
         let mut old = std::mem::take(&mut self.servers);
+        let slowdowns: Vec<(Arc<str>, Option<f64>)> = old
+            .iter()
+            .map(|state| {
+                (
+                    Arc::clone(&state.server.pool),
+                    state.load.measured_slowdown(),
+                )
+            })
+            .collect();
         for server in servers {
             let known = old
                 .binary_search_by(|state| state.server.id.cmp(&server.id))
@@ -320,7 +339,7 @@
                 },
                 None => State {
                     server: server.clone(),
-                    load: Load::default(),
+                    load: self.new_load(&server.pool, &slowdowns),
                     cache: Cache::default(),
                     health: Health::default(),
                     slot_ms: 0.0,
@@ -333,6 +352,20 @@
         self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
     }
 
+    /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
+    fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
+        let mut load = Load::default();
+        if self.speeds.is_on(pool) {
+            load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
+            let measured = of_pool.filter_map(|&(_, slowdown)| slowdown).collect();
+            if let Some(median) = speed::median(measured) {
+                load.assume_slowdown(median);
+            }
+        }
+        load
+    }
+
     /// Records the parts that the server with the id `server` reports as cached, as pairs of the
     /// cache key of a part and its length in tokens. All of them count as used now.
     pub fn record_cached_parts(&mut self, server: &str, parts: &[(u64, u32)]) {
@@ -500,9 +533,12 @@
             .record_begun(now, &assignment.server, &assignment.shared);
         let state = &mut self.servers[server];
         state.cache.record_ready(&assignment.parts, capacity);
-        state
-            .load
-            .record_first_event(now, key, &self.settings.speed);
+        let pool = &state.server.pool;
+        let speed = self.speeds.speed(pool, &self.settings.speed);
+        if let Some(first_ms) = state.load.record_first_event(now, key, &speed) {
+            self.speeds
+                .record_first(pool, first_ms, &self.settings.speed);
+        }
     }
 
     /// Records the end of a request and removes its assignment.
@@ -692,7 +728,8 @@
             };
         };
         let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
-        let wait_ms = state.load.wait_ms(now, &settings.speed) + slot_wait_ms(state, slot_ms);
+        let speed = self.speeds.speed(&demand.pool, &settings.speed);
+        let wait_ms = state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms);
         let load = state.load.len() as f64;
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
@@ -706,12 +743,12 @@
             price.eviction_ms(state.cache.evicted_tokens(new, capacity))
         });
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
-            let prefill = settings.speed.prefill(prompt.input_tokens, cached_tokens);
-            let own_ms = state.load.prefill_ms(&prefill, &settings.speed);
+            let prefill = speed.prefill(prompt.input_tokens, cached_tokens);
+            let own_ms = state.load.prefill_ms(&prefill, &speed);
             let arrival = fetch.map_or(0.0, |fetch| fetch.arrival_ms);
             let start = wait_ms.max(arrival);
             let tie_break = affinity * (4.0 + settings.home_weight * own_ms);
-            let first_ms = settings.speed.first_ms;
+            let first_ms = speed.first_ms;
             let copy_ms = match price {
                 Some(price) => {
                     let fetched = fetch.map_or(0, |fetch| fetch.tokens);
