place, fleet, entry: Decide by cost which requests leave their failure domain

The placer added a constant of 3 ms to servers of other domains, which is a time and not the cost of the traffic. Hosts that decide alone had no bound at all.

`place::crossing` derives a price and a share for each pool and home domain from the backlogs of the servers, with hysteresis; the share is bounded by the free capacity of the other domains and sent in `Status` to entry hosts, which use it while they decide alone. A home domain without usable servers does not restrict its requests. The part is on where engines fetch cached tokens quickly; setting `crossing_weight` to 0 restores the constant.

Tests of primrose-place, primrose-fleet and primrose-entry pass, and those of primrose-platform in tests/translate.rs. In one of five runs, with a load average of 23 on 7 processors, crates/fleet/tests/ledger.rs acknowledged_documents_survive_a_restart_of_all_replicas failed (put of version 33 was not acknowledged); the change does not touch the replica.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 82] = [
+pub const ALL: [&str; 84] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -53,6 +53,8 @@
     "not_ready",
     "over_share",
     "overload",
+    "placed_fetch",
+    "placed_remote",
     "pool_paused",
     "quarantined",
     "resume_refused",
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -557,6 +557,9 @@
             warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
                 "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
         }
+        if !status.crossing.is_empty() {
+            self.placer.set_crossing_shares(&status.crossing);
+        }
         for other in &status.core_hosts {
             self.record_core_host(now, other);
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -640,6 +640,12 @@
                 cached_tokens,
                 fetch_from,
             } => {
+                if fetch_from.is_some() {
+                    self.shared.meter.count("placed_fetch");
+                }
+                if server.domain != self.shared.domain {
+                    self.shared.meter.count("placed_remote");
+                }
                 self.fetch_from = fetch_from;
                 self.predicted_ms = predicted_ms;
                 self.wait_ms = wait_ms;
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -287,6 +287,26 @@
         });
         let key = demand.key;
         self.send(source, &Packet::Decision { key, decision });
+        self.report_crossing();
+    }
+
+    fn report_crossing(&mut self) {
+        for change in self.placer.take_crossing_changes() {
+            let (name, text) = if change.is_open {
+                (
+                    "crossing_opened",
+                    "requests leave their busy failure domain",
+                )
+            } else {
+                (
+                    "crossing_closed",
+                    "requests stay in their failure domain again",
+                )
+            };
+            self.inputs.meter.count(name);
+            info!(self.inputs.log, "{}", text; "pool" => %change.pool, "domain" => %change.home,
+                "backlog" => change.backlog);
+        }
     }
 
     fn record_updates(&mut self, updates: Vec<Update>) {
@@ -526,6 +546,7 @@
             answers,
             entry_hosts: self.entry_hosts.len() as u32,
             quarantine: self.placer.quarantine_notices(Time::now()),
+            crossing: self.placer.crossing_shares(Time::now()),
         }
     }
 
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,13 +1,15 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 28] = [
+pub const ALL: [&str; 30] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
     "ask_refused_overload",
     "ask_refused_quarantined",
+    "crossing_closed",
+    "crossing_opened",
     "datagram_refused",
     "directory_changed",
     "directory_entry_skipped",
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -9,6 +9,7 @@
 use primrose_base::name::Name;
 use primrose_consensus::membership::{Id, Member};
 use primrose_consensus::message::Message;
+use primrose_place::crossing::Share;
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::{Decision, Outcome};
 use primrose_place::quarantine::Notice;
@@ -101,6 +102,9 @@
     pub entry_hosts: u32,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
+    /// The shares of requests that may leave their failure domain while entry hosts decide alone. Empty unless the sender
+    /// places requests at present; at most [`primrose_place::crossing::MAX_WAYS`].
+    pub crossing: Vec<Share>,
 }
 
 /// An update on a request that was assigned to a server.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,10 +14,12 @@
 //!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
+//! - [`crossing`] decides when requests may leave the failure domain of their entry host;
 //! - [`speed`] learns figures of whole pools, for pools whose engines all differ from the operators' figures;
 //! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines.
 
 pub mod cache;
+pub mod crossing;
 pub mod demand;
 pub mod engine;
 pub mod health;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cache::{self, Cache};
+use crate::crossing::{self, Share, View};
 use crate::demand::{Demand, Key, Prompt};
 use crate::engine::Load;
 use crate::health::Health;
@@ -32,6 +33,9 @@
 /// The shortest and longest time after which a refused caller is told to retry, in ms.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 300.0..=2_500.0;
 
+/// Weight of one request in the mean objective.
+const OBJECTIVE_WEIGHT: f64 = 0.02;
+
 /// The time after which a caller is told to retry if no server is usable, in ms: about the time
 /// until a restarted server is discovered.
 const NO_SERVER_RETRY_AFTER_MS: u32 = 700;
@@ -200,6 +204,14 @@
 }
 
 impl State {
+    /// Whether hosts of `domain` may send requests for `pool` to the server.
+    fn is_usable(&self, now: Time, pool: &str, domain: &str) -> bool {
+        *self.server.pool == *pool
+            && !self.server.draining
+            && !self.replaced
+            && !self.health.is_unavailable(now, domain)
+    }
+
     /// The mean slot time in ms, or `initial` before any was measured.
     fn slot_ms_or(&self, initial: f64) -> f64 {
         if self.slot_ms > 0.0 {
@@ -223,6 +235,13 @@
     document: Arc<Document>,
     /// The learnt figures of the pools of `document`.
     speeds: speed::Register,
+    crossing: crossing::Register,
+    /// When `crossing` was last updated.
+    last_crossing: Time,
+    /// The mean objective of recent requests to engines, in ms; 0 before the first one.
+    mean_objective_ms: f64,
+    /// The shares that another placer has derived, if this one decides alone; at most [`crossing::MAX_WAYS`].
+    shares_alone: Vec<Share>,
     /// When expired assignments were last removed.
     last_expiry: Time,
     refusals: Refusals,
@@ -289,6 +308,10 @@
             shares: Meter::default(),
             document: Arc::default(),
             speeds: speed::Register::default(),
+            crossing: crossing::Register::default(),
+            last_crossing: Time::ZERO,
+            mean_objective_ms: 0.0,
+            shares_alone: Vec::new(),
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
             quarantine: quarantine::Register::default(),
@@ -302,6 +325,7 @@
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
         self.speeds.set_document(document, &self.settings.speed);
+        self.crossing.retain(|pool| self.speeds.is_on(pool));
         for state in &mut self.servers {
             if self.speeds.is_on(&state.server.pool) {
                 state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
@@ -391,6 +415,7 @@
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
         self.expire(now);
         self.last_asked = now;
+        self.update_crossing(now, demand);
         if let Some(refusal) = self.quarantined(now, demand) {
             return refusal;
         }
@@ -446,6 +471,125 @@
         }
     }
 
+    /// The shares of requests that hosts that decide alone may send to other domains. Empty unless this placer was asked
+    /// for servers recently, because it does not know the backlogs otherwise.
+    pub fn crossing_shares(&self, now: Time) -> Vec<Share> {
+        if now.since(self.last_asked) >= IN_CHARGE_MS {
+            return Vec::new();
+        }
+        self.crossing.shares()
+    }
+
+    /// Returns the changes of prices since the last call.
+    pub fn take_crossing_changes(&mut self) -> Vec<crossing::Change> {
+        self.crossing.take_changes()
+    }
+
+    /// Sets the shares that the placer in charge has derived. From then on this placer uses them instead of its own
+    /// view of the backlogs, which lacks the requests of other hosts.
+    pub fn set_crossing_shares(&mut self, shares: &[Share]) {
+        self.shares_alone = shares[..shares.len().min(crossing::MAX_WAYS)].to_vec();
+    }
+
+    fn update_crossing(&mut self, now: Time, demand: &Demand) {
+        if demand.prompt.is_none() {
+            return;
+        }
+        let objective = f64::from(demand.objective_ms.max(1));
+        if self.mean_objective_ms > 0.0 {
+            self.mean_objective_ms += OBJECTIVE_WEIGHT * (objective - self.mean_objective_ms);
+        } else {
+            self.mean_objective_ms = objective;
+        }
+        let is_due = now.since(self.last_crossing) >= crossing::INTERVAL_MS;
+        if !is_due || self.settings.crossing_weight <= 0.0 {
+            return;
+        }
+        self.last_crossing = now;
+        let document = Arc::clone(&self.document);
+        for pool in &document.pools {
+            if self.speeds.is_on(&pool.name) {
+                let views = self.views(now, &pool.name);
+                self.crossing.update(now, &pool.name, &views);
+            }
+        }
+    }
+
+    /// The usable servers of a pool as seen from each domain that has servers.
+    fn views(&self, now: Time, pool: &str) -> Vec<View> {
+        let speed = self.speeds.speed(pool, &self.settings.speed);
+        let servers = self.servers.iter();
+        let servers = servers.filter(|state| *state.server.pool == *pool);
+        let backlogs: Vec<(&State, f64)> = servers
+            .map(|state| {
+                let slot_ms = slot_wait_ms(state, state.slot_ms_or(INITIAL_ENGINE_SLOT_MS));
+                let wait_ms = state.load.wait_ms(now, &speed) + slot_ms;
+                (state, wait_ms / self.mean_objective_ms)
+            })
+            .collect();
+        let mut homes: Vec<&Arc<str>> = backlogs
+            .iter()
+            .map(|(state, _)| &state.server.domain)
+            .collect();
+        homes.sort_unstable();
+        homes.dedup();
+        homes
+            .into_iter()
+            .map(|home| {
+                let mut view = View {
+                    home: Arc::clone(home),
+                    ..View::default()
+                };
+                let mut sum = 0.0;
+                for &(state, backlog) in &backlogs {
+                    if !state.is_usable(now, pool, home) {
+                        continue;
+                    }
+                    if state.server.domain == *home {
+                        view.servers += 1;
+                        sum += backlog;
+                    } else {
+                        view.others.push(backlog);
+                    }
+                }
+                view.backlog = sum / f64::from(view.servers.max(1));
+                view
+            })
+            .collect()
+    }
+
+    /// Whether the request may be sent to another domain. Without a usable server at home it may, whatever the share.
+    fn may_leave(&self, now: Time, demand: &Demand) -> bool {
+        let share = self.share_alone(demand);
+        share.is_none_or(|share| share.admits(demand.key))
+            || !self.servers.iter().any(|state| {
+                state.server.domain == demand.domain
+                    && !demand.tried.contains(&state.server.id)
+                    && state.is_usable(now, &demand.pool, &demand.domain)
+            })
+    }
+
+    /// The share that applies to a request if this placer decides alone.
+    fn share_alone(&self, demand: &Demand) -> Option<&Share> {
+        let is_on = self.speeds.is_on(&demand.pool) && self.settings.crossing_weight > 0.0;
+        let mut shares = self.shares_alone.iter();
+        shares.find(|share| is_on && share.pool == demand.pool && share.home == demand.domain)
+    }
+
+    /// Added to the score of a server of another domain, in ms.
+    fn remote_ms(&self, demand: &Demand) -> f64 {
+        if demand.prompt.is_none() || !self.speeds.is_on(&demand.pool) {
+            return self.settings.remote_ms;
+        }
+        // The home domain is busier than this placer knows, so requests that may leave are not kept by a price.
+        if self.share_alone(demand).is_some() {
+            return 0.0;
+        }
+        let objective_ms = demand.objective_ms;
+        self.crossing
+            .price_ms(&demand.pool, &demand.domain, objective_ms, &self.settings)
+    }
+
     /// The refusal of a request with a part that crashes servers, or `None` if it has no such part.
     pub fn quarantined(&self, now: Time, demand: &Demand) -> Option<Decision> {
         let remaining_ms = self
@@ -664,9 +808,17 @@
             .collect();
         let most = cached.iter().map(|&(_, tokens)| tokens).max()?;
         let missing = self.settings.min_fetch_tokens;
+        let is_home = |at: usize| self.servers[at].server.domain == demand.domain;
+        let holds = |tokens: u32| tokens >= missing && tokens.saturating_add(missing) > most;
+        // If no engine at home has the parts, short ones are rather read there than used in another domain.
+        let reads_at_home = most >= missing
+            && self.settings.crossing_weight > 0.0
+            && !cached
+                .iter()
+                .any(|&(at, tokens)| is_home(at) && holds(tokens));
         cached
             .into_iter()
-            .filter(|&(_, tokens)| tokens >= missing && tokens.saturating_add(missing) > most)
+            .filter(|&(at, tokens)| holds(tokens) || (reads_at_home && is_home(at)))
             .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, None))
             .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
             .min_by(|a, b| a.score.total_cmp(&b.score))
@@ -678,12 +830,11 @@
         now: Time,
         demand: &'a Demand,
     ) -> impl Iterator<Item = (usize, &'a State)> {
+        let may_leave = self.may_leave(now, demand);
         self.servers.iter().enumerate().filter(move |(_, state)| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
+            state.is_usable(now, &demand.pool, &demand.domain)
                 && !demand.tried.contains(&state.server.id)
-                && !state.health.is_unavailable(now, &demand.domain)
+                && (may_leave || state.server.domain == demand.domain)
         })
     }
 
@@ -708,7 +859,7 @@
         let remote_ms = if state.server.domain == demand.domain {
             0.0
         } else {
-            settings.remote_ms
+            self.remote_ms(demand)
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -37,6 +37,9 @@
     pub home_weight: f64,
     /// Added to the predicted time for a server in another failure domain, in ms.
     pub remote_ms: f64,
+    /// Weight of the costs of requests that leave the failure domain, which are added to `remote_ms` in pools where a
+    /// cached token is fetched in less than a quarter of the time in which it is read; 0 turns them off.
+    pub crossing_weight: f64,
     /// How strongly the failure rate of a server increases its predicted time: a server that fails
     /// half of its requests counts as several times slower.
     pub failure_weight: f64,
@@ -64,6 +67,7 @@
             reading_weight: 3.0,
             home_weight: 0.0,
             remote_ms: 3.0,
+            crossing_weight: 1.0,
             failure_weight: 6.0,
             fetch_weight: 0.5,
             copy_weight: 1.0,
@@ -103,6 +107,7 @@
             ("reading_weight", self.reading_weight),
             ("home_weight", self.home_weight),
             ("remote_ms", self.remote_ms),
+            ("crossing_weight", self.crossing_weight),
             ("failure_weight", self.failure_weight),
             ("fetch_weight", self.fetch_weight),
             ("copy_weight", self.copy_weight),
--- a/crates/place/tests/transfer.rs
+++ b/crates/place/tests/transfer.rs
@@ -66,6 +66,8 @@
     /// Shared tokens that were read although an engine had them or had had them.
     read_again: u64,
     moved: u64,
+    /// Requests to an engine of another domain.
+    left: u32,
 }
 
 struct Fleet {
@@ -99,7 +101,7 @@
 }
 
 impl Fleet {
-    fn new(count: u32, copy_weight: f64) -> Fleet {
+    fn new(count: u32, settings: Settings) -> Fleet {
         let domains = ["east", "north", "west"];
         let server = |number: u32| Server {
             slots: 64,
@@ -107,7 +109,7 @@
             ..engine(number)
         };
         let servers: Vec<Server> = (1..=count).map(server).collect();
-        let mut placer = Placer::new(settings(copy_weight));
+        let mut placer = Placer::new(settings);
         placer.set_servers(&servers);
         placer.set_document(&fast_document());
         Fleet {
@@ -172,6 +174,7 @@
                 self.seen.push(part.id);
             }
         }
+        self.sums.left += u32::from(server.domain != demand.domain);
         let standin = &mut self.standins[at];
         let step_ms = 4.34 + 0.15 * standin.running.len() as f64;
         let uncached = f64::from(uncached);
@@ -208,8 +211,8 @@
 
 /// Replays the requests of customer K at a third of its size: of the requests, 35 % share one of 128 parts of about 13,300
 /// tokens, 23 % one of 34 parts of about 6,300 tokens, with unequal popularity, and the rest are short.
-fn replay(copy_weight: f64, per_s: f64, seconds: u64, own: f64) -> Sums {
-    let mut fleet = Fleet::new(20, copy_weight);
+fn replay(settings: Settings, per_s: f64, seconds: u64, own: f64) -> Sums {
+    let mut fleet = Fleet::new(20, settings);
     let mut seed = 77_123;
     let mut due = 0.0;
     let mut sequence = 0;
@@ -266,8 +269,8 @@
 #[test_case(190.0; "spare_capacity")]
 #[test_case(240.0; "insufficient_capacity")]
 fn few_parts_are_copied(per_s: f64) {
-    let before = replay(0.0, per_s, 20, 2_500.0);
-    let now = replay(1.0, per_s, 20, 2_500.0);
+    let before = replay(settings(0.0), per_s, 20, 2_500.0);
+    let now = replay(settings(1.0), per_s, 20, 2_500.0);
     println!("before: {before:?}\nnow: {now:?}");
     assert!(now.on_time >= before.on_time, "{before:?} {now:?}");
     assert!(now.late <= before.late + 5, "{before:?} {now:?}");
@@ -278,6 +281,24 @@
     );
 }
 
+// Traffic between domains is expensive. Requests must stay in their domain if that makes none late.
+#[test_case(190.0; "spare_capacity_at_home")]
+#[test_case(240.0; "insufficient_capacity_at_home")]
+fn fewer_requests_leave_their_domain(per_s: f64) {
+    let without_price = Settings {
+        crossing_weight: 0.0,
+        ..settings(1.0)
+    };
+    let before = replay(without_price, per_s, 20, 2_500.0);
+    let now = replay(settings(1.0), per_s, 20, 2_500.0);
+    println!("before: {before:?}\nnow: {now:?}");
+    assert!(now.left * 4 <= before.left * 3, "{before:?} {now:?}");
+    assert!(
+        now.on_time * 100 >= before.on_time * 99,
+        "{before:?} {now:?}"
+    );
+}
+
 /// Places `count` requests with the same shared part within 1 ms on engines of which only the first has the part, and
 /// returns how many go to the first one and how many are fetched.
 fn burst(placer: &mut Placer, count: u64) -> (usize, usize) {
