--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -295,6 +295,26 @@
         });
         let key = demand.key;
         self.send(source, &Packet::Decision { key, decision });
+        self.report_crossing();
+    }
+
+    fn report_crossing(&mut self) {
+        for change in self.placer.take_crossing_changes() {
+            let (name, text) = if change.is_open {
+                (
+                    "crossing_opened",
+                    "requests leave their busy failure domain",
+                )
+            } else {
+                (
+                    "crossing_closed",
+                    "requests stay in their failure domain again",
+                )
+            };
+            self.inputs.meter.count(name);
+            info!(self.inputs.log, "{}", text; "pool" => %change.pool, "domain" => %change.home,
+                "backlog" => change.backlog);
+        }
     }
 
     fn record_updates(&mut self, updates: Vec<Update>) {
@@ -537,6 +557,7 @@
             smallest_capacity: capacities.clone().min().unwrap_or(0),
             largest_capacity: capacities.max().unwrap_or(0),
             quarantine: self.placer.quarantine_notices(Time::now()),
+            crossing: self.placer.crossing_shares(Time::now()),
         }
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,9 +13,13 @@
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
-//! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
+//! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
+//! - [`crossing`] decides when requests may leave the failure domain of their entry host;
+//! - [`speed`] learns figures of whole pools, for pools whose engines all differ from the operators' figures;
+//! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines.
 
 pub mod cache;
+pub mod crossing;
 pub mod demand;
 pub mod engine;
 pub mod health;
@@ -25,6 +29,8 @@
 pub mod server;
 pub mod settings;
 pub mod share;
+pub mod speed;
+pub mod transfer;
 
 pub use demand::Demand;
 pub use placer::Placer;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cache::{self, Cache};
+use crate::crossing::{self, Share, View};
 use crate::demand::{Demand, Key, Prompt};
 use crate::engine::Load;
 use crate::health::Health;
@@ -19,6 +20,8 @@
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
+use crate::speed;
+use crate::transfer;
 
 /// The smallest part of `excess_limit` that applies to an account far beyond its share, so that
 /// idle servers still serve it.
@@ -30,6 +33,9 @@
 /// The shortest and longest time after which a refused caller is told to retry, in ms.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 300.0..=2_500.0;
 
+/// Weight of one request in the mean objective.
+const OBJECTIVE_WEIGHT: f64 = 0.02;
+
 /// The time after which a caller is told to retry if no server is usable, in ms: about the time
 /// until a restarted server is discovered.
 const NO_SERVER_RETRY_AFTER_MS: u32 = 700;
@@ -198,6 +204,14 @@
 }
 
 impl State {
+    /// Whether hosts of `domain` may send requests for `pool` to the server.
+    fn is_usable(&self, now: Time, pool: &str, domain: &str) -> bool {
+        *self.server.pool == *pool
+            && !self.server.draining
+            && !self.replaced
+            && !self.health.is_unavailable(now, domain)
+    }
+
     /// The mean slot time in ms, or `initial` before any was measured.
     fn slot_ms_or(&self, initial: f64) -> f64 {
         if self.slot_ms > 0.0 {
@@ -219,6 +233,15 @@
     shares: Meter,
     /// The newest document, for the sizes of the pools and the capacity that accounts share.
     document: Arc<Document>,
+    /// The learnt figures of the pools of `document`.
+    speeds: speed::Register,
+    crossing: crossing::Register,
+    /// When `crossing` was last updated.
+    last_crossing: Time,
+    /// The mean objective of recent requests to engines, in ms; 0 before the first one.
+    mean_objective_ms: f64,
+    /// The shares that another placer has derived, if this one decides alone; at most [`crossing::MAX_WAYS`].
+    shares_alone: Vec<Share>,
     /// When expired assignments were last removed.
     last_expiry: Time,
     refusals: Refusals,
@@ -262,6 +285,8 @@
     from: usize,
     /// Time until all parts have arrived, in ms.
     arrival_ms: f64,
+    /// Number of tokens that are transferred.
+    tokens: u32,
 }
 
 /// The engine that has the longest cached prefix of a prompt.
@@ -282,6 +307,11 @@
             assignments: Vec::new(),
             shares: Meter::default(),
             document: Arc::default(),
+            speeds: speed::Register::default(),
+            crossing: crossing::Register::default(),
+            last_crossing: Time::ZERO,
+            mean_objective_ms: 0.0,
+            shares_alone: Vec::new(),
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
             quarantine: quarantine::Register::default(),
@@ -294,12 +324,28 @@
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
+        self.speeds.set_document(document, &self.settings.speed);
+        self.crossing.retain(|pool| self.speeds.is_on(pool));
+        for state in &mut self.servers {
+            if self.speeds.is_on(&state.server.pool) {
+                state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            }
+        }
     }
 
     /// Replaces the list of servers from service discovery. The load, cache and health of a server
     /// are retained if its id and address are unchanged.
     pub fn set_servers(&mut self, servers: &[Server]) {
         let mut old = std::mem::take(&mut self.servers);
+        let slowdowns: Vec<(Arc<str>, Option<f64>)> = old
+            .iter()
+            .map(|state| {
+                (
+                    Arc::clone(&state.server.pool),
+                    state.load.measured_slowdown(),
+                )
+            })
+            .collect();
         for server in servers {
             let known = old
                 .binary_search_by(|state| state.server.id.cmp(&server.id))
@@ -317,7 +363,7 @@
                 },
                 None => State {
                     server: server.clone(),
-                    load: Load::default(),
+                    load: self.new_load(&server.pool, &slowdowns),
                     cache: Cache::default(),
                     health: Health::default(),
                     slot_ms: 0.0,
@@ -330,6 +376,20 @@
         self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
     }
 
+    /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
+    fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
+        let mut load = Load::default();
+        if self.speeds.is_on(pool) {
+            load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
+            let measured = of_pool.filter_map(|&(_, slowdown)| slowdown).collect();
+            if let Some(median) = speed::median(measured) {
+                load.assume_slowdown(median);
+            }
+        }
+        load
+    }
+
     /// Records the parts that the server with the id `server` reports as cached, as pairs of the
     /// cache key of a part and its length in tokens. All of them count as used now.
     pub fn record_cached_parts(&mut self, server: &str, parts: &[(u64, u32)]) {
@@ -355,6 +415,7 @@
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
         self.expire(now);
         self.last_asked = now;
+        self.update_crossing(now, demand);
         if let Some(refusal) = self.quarantined(now, demand) {
             return refusal;
         }
@@ -365,7 +426,8 @@
             self.shares.record_requested(now, account, cost);
         }
         let parts = parts_of(demand);
-        let Some(best) = self.best(now, demand, &parts) else {
+        let holder = self.best_holder(now, demand, &parts);
+        let Some(mut best) = holder.or_else(|| self.best(now, demand, &parts)) else {
             return Decision::Refuse {
                 reason: Reason::NoServer,
                 retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
@@ -374,7 +436,16 @@
         };
         let own_part = parts.last().map(|part| part.0);
         let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
-        if let Some(refusal) = self.refusal(now, demand, &best, has_returned) {
+        let mut refusal = self.refusal(now, demand, &best, has_returned);
+        // An account beyond its share is refused after a short wait, which another engine may not have.
+        if refusal.is_some()
+            && holder.is_some()
+            && let Some(other) = self.best(now, demand, &parts)
+        {
+            best = other;
+            refusal = self.refusal(now, demand, &best, has_returned);
+        }
+        if let Some(refusal) = refusal {
             if let (Some(key), false) = (own_part, has_returned) {
                 self.refusals.record(now, key);
             }
@@ -400,6 +471,125 @@
         }
     }
 
+    /// The shares of requests that hosts that decide alone may send to other domains. Empty unless this placer was asked
+    /// for servers recently, because it does not know the backlogs otherwise.
+    pub fn crossing_shares(&self, now: Time) -> Vec<Share> {
+        if now.since(self.last_asked) >= IN_CHARGE_MS {
+            return Vec::new();
+        }
+        self.crossing.shares()
+    }
+
+    /// Returns the changes of prices since the last call.
+    pub fn take_crossing_changes(&mut self) -> Vec<crossing::Change> {
+        self.crossing.take_changes()
+    }
+
+    /// Sets the shares that the placer in charge has derived. From then on this placer uses them instead of its own
+    /// view of the backlogs, which lacks the requests of other hosts.
+    pub fn set_crossing_shares(&mut self, shares: &[Share]) {
+        self.shares_alone = shares[..shares.len().min(crossing::MAX_WAYS)].to_vec();
+    }
+
+    fn update_crossing(&mut self, now: Time, demand: &Demand) {
+        if demand.prompt.is_none() {
+            return;
+        }
+        let objective = f64::from(demand.objective_ms.max(1));
+        if self.mean_objective_ms > 0.0 {
+            self.mean_objective_ms += OBJECTIVE_WEIGHT * (objective - self.mean_objective_ms);
+        } else {
+            self.mean_objective_ms = objective;
+        }
+        let is_due = now.since(self.last_crossing) >= crossing::INTERVAL_MS;
+        if !is_due || self.settings.crossing_weight <= 0.0 {
+            return;
+        }
+        self.last_crossing = now;
+        let document = Arc::clone(&self.document);
+        for pool in &document.pools {
+            if self.speeds.is_on(&pool.name) {
+                let views = self.views(now, &pool.name);
+                self.crossing.update(now, &pool.name, &views);
+            }
+        }
+    }
+
+    /// The usable servers of a pool as seen from each domain that has servers.
+    fn views(&self, now: Time, pool: &str) -> Vec<View> {
+        let speed = self.speeds.speed(pool, &self.settings.speed);
+        let servers = self.servers.iter();
+        let servers = servers.filter(|state| *state.server.pool == *pool);
+        let backlogs: Vec<(&State, f64)> = servers
+            .map(|state| {
+                let slot_ms = slot_wait_ms(state, state.slot_ms_or(INITIAL_ENGINE_SLOT_MS));
+                let wait_ms = state.load.wait_ms(now, &speed) + slot_ms;
+                (state, wait_ms / self.mean_objective_ms)
+            })
+            .collect();
+        let mut homes: Vec<&Arc<str>> = backlogs
+            .iter()
+            .map(|(state, _)| &state.server.domain)
+            .collect();
+        homes.sort_unstable();
+        homes.dedup();
+        homes
+            .into_iter()
+            .map(|home| {
+                let mut view = View {
+                    home: Arc::clone(home),
+                    ..View::default()
+                };
+                let mut sum = 0.0;
+                for &(state, backlog) in &backlogs {
+                    if !state.is_usable(now, pool, home) {
+                        continue;
+                    }
+                    if state.server.domain == *home {
+                        view.servers += 1;
+                        sum += backlog;
+                    } else {
+                        view.others.push(backlog);
+                    }
+                }
+                view.backlog = sum / f64::from(view.servers.max(1));
+                view
+            })
+            .collect()
+    }
+
+    /// Whether the request may be sent to another domain. Without a usable server at home it may, whatever the share.
+    fn may_leave(&self, now: Time, demand: &Demand) -> bool {
+        let share = self.share_alone(demand);
+        share.is_none_or(|share| share.admits(demand.key))
+            || !self.servers.iter().any(|state| {
+                state.server.domain == demand.domain
+                    && !demand.tried.contains(&state.server.id)
+                    && state.is_usable(now, &demand.pool, &demand.domain)
+            })
+    }
+
+    /// The share that applies to a request if this placer decides alone.
+    fn share_alone(&self, demand: &Demand) -> Option<&Share> {
+        let is_on = self.speeds.is_on(&demand.pool) && self.settings.crossing_weight > 0.0;
+        let mut shares = self.shares_alone.iter();
+        shares.find(|share| is_on && share.pool == demand.pool && share.home == demand.domain)
+    }
+
+    /// Added to the score of a server of another domain, in ms.
+    fn remote_ms(&self, demand: &Demand) -> f64 {
+        if demand.prompt.is_none() || !self.speeds.is_on(&demand.pool) {
+            return self.settings.remote_ms;
+        }
+        // The home domain is busier than this placer knows, so requests that may leave are not kept by a price.
+        if self.share_alone(demand).is_some() {
+            return 0.0;
+        }
+        let objective_ms = demand.objective_ms;
+        self.crossing
+            .price_ms(&demand.pool, &demand.domain, objective_ms, &self.settings)
+    }
+
     /// The refusal of a request with a part that crashes servers, or `None` if it has no such part.
     pub fn quarantined(&self, now: Time, demand: &Demand) -> Option<Decision> {
         let remaining_ms = self
@@ -487,9 +677,12 @@
             .record_begun(now, &assignment.server, &assignment.shared);
         let state = &mut self.servers[server];
         state.cache.record_ready(&assignment.parts, capacity);
-        state
-            .load
-            .record_first_event(now, key, &self.settings.speed);
+        let pool = &state.server.pool;
+        let speed = self.speeds.speed(pool, &self.settings.speed);
+        if let Some(first_ms) = state.load.record_first_event(now, key, &speed) {
+            self.speeds
+                .record_first(pool, first_ms, &self.settings.speed);
+        }
     }
 
     /// Records the end of a request and removes its assignment.
@@ -592,13 +785,7 @@
 
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
     fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
-        let usable = self.servers.iter().enumerate().filter(|(_, state)| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
-                && !demand.tried.contains(&state.server.id)
-                && !state.health.is_unavailable(now, &demand.domain)
-        });
+        let usable = self.usable(now, demand);
         let cached: Vec<u32> = self
             .servers
             .iter()
@@ -610,6 +797,52 @@
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Returns the usable engine with the lowest score among those that have the shared parts of the prompt and are
+    /// predicted to answer well within the objective. Returns `None` if there is none, or if copies of parts have no
+    /// price in the pool.
+    fn best_holder(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+        self.price(&demand.pool)?;
+        let cached: Vec<(usize, u32)> = self
+            .usable(now, demand)
+            .map(|(at, state)| (at, state.cache.cached_tokens(parts)))
+            .collect();
+        let most = cached.iter().map(|&(_, tokens)| tokens).max()?;
+        let missing = self.settings.min_fetch_tokens;
+        let is_home = |at: usize| self.servers[at].server.domain == demand.domain;
+        let holds = |tokens: u32| tokens >= missing && tokens.saturating_add(missing) > most;
+        // If no engine at home has the parts, short ones are rather read there than used in another domain.
+        let reads_at_home = most >= missing
+            && self.settings.crossing_weight > 0.0
+            && !cached
+                .iter()
+                .any(|&(at, tokens)| is_home(at) && holds(tokens));
+        cached
+            .into_iter()
+            .filter(|&(at, tokens)| holds(tokens) || (reads_at_home && is_home(at)))
+            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, None))
+            .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+    }
+
+    /// The servers that may get a request, with their indices.
+    fn usable<'a>(
+        &'a self,
+        now: Time,
+        demand: &'a Demand,
+    ) -> impl Iterator<Item = (usize, &'a State)> {
+        let may_leave = self.may_leave(now, demand);
+        self.servers.iter().enumerate().filter(move |(_, state)| {
+            state.is_usable(now, &demand.pool, &demand.domain)
+                && !demand.tried.contains(&state.server.id)
+                && (may_leave || state.server.domain == demand.domain)
+        })
+    }
+
+    /// The costs of copies between the engines of a pool, or `None` if their time is their cost.
+    fn price(&self, pool: &str) -> Option<transfer::Price> {
+        transfer::Price::of(self.engine(pool)?, &self.settings)
+    }
+
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
     /// of its prompt cached and may fetch more from `source`.
     fn candidate(
@@ -626,7 +859,7 @@
         let remote_ms = if state.server.domain == demand.domain {
             0.0
         } else {
-            settings.remote_ms
+            self.remote_ms(demand)
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
@@ -646,23 +879,41 @@
             };
         };
         let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
-        let wait_ms = state.load.wait_ms(now, &settings.speed) + slot_wait_ms(state, slot_ms);
+        let speed = self.speeds.speed(&demand.pool, &settings.speed);
+        let wait_ms = state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms);
         let load = state.load.len() as f64;
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
         let affinity = affinity(parts, &state.server.id);
+        let price = self.price(&demand.pool);
+        // The copy of the parts evicts others, whether it is fetched or read.
+        let eviction_ms = price.map_or(0.0, |price| {
+            let outputs = u64::from(prompt.output_tokens).saturating_mul(state.load.len() as u64);
+            let capacity = self.cache_tokens(&demand.pool).saturating_sub(outputs);
+            let new = prompt.input_tokens.saturating_sub(cached_tokens);
+            price.eviction_ms(state.cache.evicted_tokens(new, capacity))
+        });
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
-            let prefill = settings.speed.prefill(prompt.input_tokens, cached_tokens);
-            let own_ms = state.load.prefill_ms(&prefill, &settings.speed);
+            let prefill = speed.prefill(prompt.input_tokens, cached_tokens);
+            let own_ms = state.load.prefill_ms(&prefill, &speed);
             let arrival = fetch.map_or(0.0, |fetch| fetch.arrival_ms);
             let start = wait_ms.max(arrival);
             let tie_break = affinity * (4.0 + settings.home_weight * own_ms);
-            let cost = start + settings.reading_weight * own_ms + settings.fetch_weight * arrival;
+            let first_ms = speed.first_ms;
+            let copy_ms = match price {
+                Some(price) => {
+                    let fetched = fetch.map_or(0, |fetch| fetch.tokens);
+                    let late_ms = price.late_ms(start + own_ms + first_ms, demand, settings);
+                    price.transfer_ms(fetched) + eviction_ms + late_ms
+                }
+                None => settings.fetch_weight * arrival,
+            };
+            let cost = start + settings.reading_weight * own_ms + copy_ms;
             Candidate {
                 server: at,
                 wait_ms: start,
                 own_ms,
-                first_ms: settings.speed.first_ms,
+                first_ms,
                 cached_tokens,
                 fetch,
                 score: (cost + load) * failure_factor + remote_ms + tie_break,
@@ -739,6 +990,7 @@
         arrival_ms.is_finite().then_some(Fetch {
             from: source.server,
             arrival_ms,
+            tokens,
         })
     }
 
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -37,12 +37,18 @@
     pub home_weight: f64,
     /// Added to the predicted time for a server in another failure domain, in ms.
     pub remote_ms: f64,
+    /// Weight of the costs of requests that leave the failure domain, which are added to `remote_ms` in pools where a
+    /// cached token is fetched in less than a quarter of the time in which it is read; 0 turns them off.
+    pub crossing_weight: f64,
     /// How strongly the failure rate of a server increases its predicted time: a server that fails
     /// half of its requests counts as several times slower.
     pub failure_weight: f64,
     /// Weight of the time to fetch cached parts from another engine, relative to waiting: a transfer
     /// occupies the links, but no engine has to compute for it.
     pub fetch_weight: f64,
+    /// Weight of the costs of copies of prompt parts, in pools where a cached token is fetched in less than a quarter of
+    /// the time in which it is read. `fetch_weight` has no effect there unless this is 0, which turns the costs off.
+    pub copy_weight: f64,
     /// The fewest tokens that are fetched from another engine. Fewer are prefilled again, because
     /// setting up a transfer takes some ms.
     pub min_fetch_tokens: u32,
@@ -61,8 +67,10 @@
             reading_weight: 3.0,
             home_weight: 0.0,
             remote_ms: 3.0,
+            crossing_weight: 1.0,
             failure_weight: 6.0,
             fetch_weight: 0.5,
+            copy_weight: 1.0,
             min_fetch_tokens: 200,
         }
     }
@@ -99,8 +107,10 @@
             ("reading_weight", self.reading_weight),
             ("home_weight", self.home_weight),
             ("remote_ms", self.remote_ms),
+            ("crossing_weight", self.crossing_weight),
             ("failure_weight", self.failure_weight),
             ("fetch_weight", self.fetch_weight),
+            ("copy_weight", self.copy_weight),
         ];
         for (name, value) in positive {
             if !value.is_finite() || value <= 0.0 {
