fleet, platform: Keep orders to drain a failure domain in the log

Operators order that nothing more is sent to the servers of a failure domain, and the operator API answered such an order with 404. The replicated state holds the list of drained domains beside the document, entries of the log are either documents or orders, and an order is acknowledged when its entry is durable on a majority and applied.

A build of the earlier layout cannot read the new entries.

--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,8 +1,9 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 28] = [
+pub const ALL: [&str; 36] = [
     "ask_placed",
+    "ask_refused_drained",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
@@ -22,9 +23,16 @@
     "document_not_leader",
     "document_stored",
     "document_unknown",
+    "drained_changed",
     "kept_read",
     "kept_read_failed",
     "leader_changed",
+    "order_acknowledged",
+    "order_disk_full",
+    "order_expired",
+    "order_invalid",
+    "order_not_leader",
+    "order_unknown",
     "part_quarantined",
     "peer_refused",
     "read_answered",
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,8 @@
 //! The hosts of a fleet are not listed anywhere. The core hosts, which have disks, hold the fleet's state. Each of
 //! them
 //!
-//! - runs a replica of the log of documents ([`replica`]), whose members follow the hosts that exist ([`members`]);
+//! - runs a replica of the log of documents and of orders about failure domains ([`replica`], [`drain`]), whose
+//!   members follow the hosts that exist ([`members`]);
 //! - knows the backend servers ([`directory`]); one core host reads their list for all;
 //! - tells entry hosts to which servers requests go, which document is in force and which core hosts there are
 //!   ([`core_host`]).
@@ -13,6 +14,9 @@
 pub mod core_host;
 pub mod counter;
 pub mod directory;
+pub mod drain;
+pub mod entry;
+mod legacy;
 pub mod members;
 pub mod message;
 pub mod peers;
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,4 +1,4 @@
-//! The thread that runs this host's replica of the log of documents.
+//! The thread that runs this host's replica of the log of documents and of orders about failure domains.
 //!
 //! It is a thread and not a task because writing to the disk blocks. All waiting inputs are handled together, so that
 //! one fsync covers them.
@@ -24,6 +24,8 @@
 use slog::{Logger, error, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::drain::{List, Order};
+use crate::entry::Entry;
 use crate::members::{View, wanted_voters};
 use crate::message::{Acknowledgement, Introduction};
 use crate::storage::Storage;
@@ -49,6 +51,10 @@
 /// is soon free again on a small disk.
 const SEGMENT_BYTES: u64 = 1 << 20;
 
+/// An order that has waited longer than this in this host, for example because the host was frozen, is not appended to
+/// the log, in ms. Its author has given up and may have ordered the opposite at another host since.
+pub const MAX_ORDER_WAIT_MS: u64 = 2_500;
+
 /// An input to the thread.
 pub enum Input {
     /// Messages from another replica.
@@ -65,6 +71,15 @@
         /// Receives what became of the document.
         reply: oneshot::Sender<Outcome>,
     },
+    /// Appends an order about a failure domain to the log.
+    Order {
+        /// The order.
+        order: Order,
+        /// When this host received it.
+        received: Time,
+        /// Receives what became of the order.
+        reply: oneshot::Sender<Outcome>,
+    },
     /// Reads the newest document: at least the one that was acknowledged last.
     Read {
         /// Receives the newest document, or `None` if it is not known which one that is.
@@ -86,16 +101,18 @@
     Leave,
 }
 
-/// What became of a document that was to be appended to the log.
+/// What became of a document or an order that was to be appended to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The document was applied, with this reply of the state machine.
+    /// It is durable on a majority and was applied, with this reply of the state machine.
     Applied(Reply),
-    /// The document was not appended: this replica does not lead, or could not append it.
+    /// It was not appended: this replica does not lead, or could not append it.
     NotLeader,
-    /// The document was not appended and will not be, because the disk of this host is full.
+    /// It was not appended and will not be, because the disk of this host is full.
     DiskFull,
-    /// It is not known whether the document has taken or will take effect.
+    /// It was not appended and will not be, because it has waited for longer than [`MAX_ORDER_WAIT_MS`].
+    Expired,
+    /// It is not known whether it has taken or will take effect.
     Unknown,
 }
 
@@ -104,6 +121,8 @@
 pub struct Current {
     /// The document in force, or `None` before the first one.
     pub newest: Option<Arc<Stored>>,
+    /// The drained failure domains.
+    pub drained: Arc<List>,
 }
 
 /// The state of the replica that other tasks can see.
@@ -158,6 +177,7 @@
     inputs: queue::Sender<Input>,
     state: watch::Receiver<State>,
     newest: watch::Receiver<Option<Arc<Stored>>>,
+    drained: watch::Receiver<Arc<List>>,
 }
 
 impl Handle {
@@ -174,6 +194,18 @@
         result.await.unwrap_or(Outcome::Unknown)
     }
 
+    /// Appends an order that this host received at `received` to the log and waits until it is durable on a majority and
+    /// applied, or known not to be appended.
+    pub async fn order(&self, order: Order, received: Time) -> Outcome {
+        let (reply, result) = oneshot::channel();
+        self.send(Input::Order {
+            order,
+            received,
+            reply,
+        });
+        result.await.unwrap_or(Outcome::Unknown)
+    }
+
     /// Reads the newest document. Returns `None` if this replica does not lead or cannot confirm that it still does.
     pub async fn read(&self) -> Option<Current> {
         let (reply, result) = oneshot::channel();
@@ -213,6 +245,12 @@
     pub fn follow_newest(&self) -> watch::Receiver<Option<Arc<Stored>>> {
         self.newest.clone()
     }
+
+    /// Follows the newest list of drained failure domains that this host may distribute. It is not older than the newest
+    /// document.
+    pub fn follow_drained(&self) -> watch::Receiver<Arc<List>> {
+        self.drained.clone()
+    }
 }
 
 /// The address of a host, which is its name, or `None` if the name is not an address.
@@ -250,22 +288,19 @@
     );
     let (state_sender, state) = watch::channel(initial);
     let (newest_sender, newest) = watch::channel(None);
+    let (drained_sender, drained) = watch::channel(Arc::default());
+    let senders = Senders {
+        state: state_sender,
+        newest: newest_sender,
+        drained: drained_sender,
+    };
     let start = move || {
         let opened = match replica {
             Some(replica) => Some(replica),
-            None => open_when_possible(&mut storage, &inputs, &shared, &receiver, &state_sender),
+            None => open_when_possible(&mut storage, &inputs, &shared, &receiver, &senders.state),
         };
         if let Some(replica) = opened {
-            Worker::new(
-                storage,
-                replica,
-                inputs,
-                receiver,
-                shared,
-                state_sender,
-                newest_sender,
-            )
-            .run();
+            Worker::new(storage, replica, inputs, receiver, shared, senders).run();
         }
     };
     thread::Builder::new()
@@ -280,9 +315,17 @@
         inputs: input_sender,
         state,
         newest,
+        drained,
     })
 }
 
+/// What the thread publishes.
+struct Senders {
+    state: watch::Sender<State>,
+    newest: watch::Sender<Option<Arc<Stored>>>,
+    drained: watch::Sender<Arc<List>>,
+}
+
 /// State that the closure that applies entries shares with the worker.
 #[derive(Clone, Default)]
 struct Shared {
@@ -308,9 +351,9 @@
     *lock(&shared.store) = Store::default();
     let shared = shared.clone();
     let apply = move |action: Action<'_>| match action {
-        Action::Apply { position, data } => match postcard::from_bytes(data) {
-            Ok(stored) => {
-                let reply = lock(&shared.store).put(stored);
+        Action::Apply { position, data } => match Entry::decode(data) {
+            Ok(entry) => {
+                let reply = lock(&shared.store).apply(entry);
                 lock(&shared.applied).push(Applied { position, reply });
             }
             Err(_) => shared.damaged.store(true, Ordering::Relaxed),
@@ -405,7 +448,9 @@
 fn refuse(input: Input, state: &State) {
     // The callers may have given up.
     match input {
-        Input::Put { reply, .. } => drop(reply.send(Outcome::DiskFull)),
+        Input::Put { reply, .. } | Input::Order { reply, .. } => {
+            let _ = reply.send(Outcome::DiskFull);
+        }
         Input::Read { reply } => drop(reply.send(None)),
         Input::Introduce { reply, .. } => drop(reply.send(Acknowledgement {
             introduction: state.introduction.clone(),
@@ -451,13 +496,13 @@
     }
 }
 
-/// Why a document was not appended.
+/// Why a document or an order was not appended.
 struct Refused {
     outcome: Outcome,
     reason: String,
 }
 
-/// A document that was appended and waits until its entry is applied.
+/// A document or an order that was appended and waits until its entry is applied.
 struct Put {
     position: Position,
     reply: oneshot::Sender<Outcome>,
@@ -486,6 +531,7 @@
     shared: Shared,
     state: watch::Sender<State>,
     newest: watch::Sender<Option<Arc<Stored>>>,
+    drained: watch::Sender<Arc<List>>,
     /// Sorted by the index of the entry, since later entries have higher indices.
     puts: Vec<Put>,
     reads: Vec<Read>,
@@ -517,9 +563,13 @@
         inputs: Inputs,
         receiver: Receiver<Input>,
         shared: Shared,
-        state: watch::Sender<State>,
-        newest: watch::Sender<Option<Arc<Stored>>>,
+        senders: Senders,
     ) -> Worker {
+        let Senders {
+            state,
+            newest,
+            drained,
+        } = senders;
         Worker {
             storage,
             replica,
@@ -528,6 +578,7 @@
             shared,
             state,
             newest,
+            drained,
             puts: Vec::new(),
             reads: Vec::new(),
             next_read: 1 << 32,
@@ -577,7 +628,12 @@
                     self.replica.receive(now, message);
                 }
             }
-            Input::Put { stored, reply } => self.put(&stored, reply, now),
+            Input::Put { stored, reply } => self.put(stored, reply, now),
+            Input::Order {
+                order,
+                received,
+                reply,
+            } => self.order(order, received, reply, now),
             Input::Read { reply } => self.read(reply, now),
             Input::Introduce {
                 introduction,
@@ -610,21 +666,52 @@
         }
     }
 
-    fn put(&mut self, stored: &Stored, reply: oneshot::Sender<Outcome>, now: Time) {
-        let refused = match self.propose(stored, now) {
+    fn put(&mut self, stored: Stored, reply: oneshot::Sender<Outcome>, now: Time) {
+        let version = stored.document.version;
+        if let Some(refused) = self.append(&Entry::Document(stored), reply, now) {
+            info!(self.inputs.log, "document not appended to the log";
+                "version" => version, "reason" => refused);
+        }
+    }
+
+    fn order(&mut self, order: Order, received: Time, reply: oneshot::Sender<Outcome>, now: Time) {
+        let (domain, action) = (Arc::clone(&order.domain), order.action);
+        let waited_ms = now.since(received);
+        let refused = if waited_ms > MAX_ORDER_WAIT_MS || reply.is_closed() {
+            // The caller may have given up.
+            let _ = reply.send(Outcome::Expired);
+            Some("the order has waited for too long, or its author has given up".to_owned())
+        } else {
+            self.append(&Entry::Order(order), reply, now)
+        };
+        if let Some(refused) = refused {
+            info!(self.inputs.log, "order not appended to the log"; "domain" => &*domain,
+                "action" => ?action, "waited_ms" => waited_ms, "reason" => refused);
+        }
+    }
+
+    /// Appends an entry to the log, and answers when it is applied. If it cannot be appended, answers at once and returns
+    /// the reason.
+    fn append(
+        &mut self,
+        entry: &Entry,
+        reply: oneshot::Sender<Outcome>,
+        now: Time,
+    ) -> Option<String> {
+        match self.propose(entry, now) {
             Ok(position) => {
                 self.puts.push(Put { position, reply });
-                return;
+                None
             }
-            Err(refused) => refused,
-        };
-        info!(self.inputs.log, "document not appended to the log";
-            "version" => stored.document.version, "reason" => refused.reason);
-        // The caller may have given up; it will retry.
-        let _ = reply.send(refused.outcome);
+            Err(refused) => {
+                // The caller may have given up; it will retry.
+                let _ = reply.send(refused.outcome);
+                Some(refused.reason)
+            }
+        }
     }
 
-    fn propose(&mut self, stored: &Stored, now: Time) -> Result<Position, Refused> {
+    fn propose(&mut self, entry: &Entry, now: Time) -> Result<Position, Refused> {
         let not_appended = |reason: String| Refused {
             outcome: Outcome::NotLeader,
             reason,
@@ -632,7 +719,7 @@
         if !self.is_leading {
             return Err(not_appended("this replica does not lead".to_owned()));
         }
-        let data = postcard::to_stdvec(stored).map_err(|e| not_appended(e.to_string()))?;
+        let data = entry.encode().map_err(|e| not_appended(e.to_string()))?;
         self.replica.propose(now, data).map_err(|error| Refused {
             outcome: match error {
                 NodeError::DiskFull => Outcome::DiskFull,
@@ -808,13 +895,15 @@
     fn answer_reads(&mut self, output: &Output) {
         for context in &output.reads {
             if let Some(at) = self.reads.iter().position(|read| read.context == *context) {
-                let newest = lock(&self.shared.store).newest().cloned();
+                let current = {
+                    let store = lock(&self.shared.store);
+                    Current {
+                        newest: store.newest().cloned(),
+                        drained: Arc::clone(store.drained()),
+                    }
+                };
                 // The caller may have given up.
-                let _ = self
-                    .reads
-                    .swap_remove(at)
-                    .reply
-                    .send(Some(Current { newest }));
+                let _ = self.reads.swap_remove(at).reply.send(Some(current));
             }
         }
         self.reads.retain(|read| {
@@ -975,7 +1064,18 @@
         if !self.replica.node().has_caught_up() {
             return;
         }
-        let newest = lock(&self.shared.store).newest().cloned();
+        let (newest, drained) = {
+            let store = lock(&self.shared.store);
+            (store.newest().cloned(), Arc::clone(store.drained()))
+        };
+        // Before the document: a host that serves according to a document must know which domains were drained then.
+        self.drained.send_if_modified(|current| {
+            let is_newer = drained.revision > current.revision;
+            if is_newer {
+                *current = drained;
+            }
+            is_newer
+        });
         self.newest.send_if_modified(|current| {
             let version = |stored: &Option<Arc<Stored>>| {
                 stored.as_ref().map_or(0, |stored| stored.document.version)
--- /dev/null
+++ b/crates/fleet/tests/drain.rs
@@ -0,0 +1,277 @@
+//! Tests of the drained failure domains in the replicated state, and of the layouts of entries and snapshots.
+
+#[path = "support/hosts.rs"]
+mod hosts;
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hosts::{Host, TIMEOUT, document, form_fleet, leader};
+use primrose_base::clock::Time;
+use primrose_fleet::drain::{Action, List, MAX_DOMAINS, MAX_NAMES_BYTES, Order};
+use primrose_fleet::entry::Entry;
+use primrose_fleet::replica::{MAX_ORDER_WAIT_MS, Outcome};
+use primrose_fleet::storage::Storage;
+use primrose_fleet::store::{Reply, Store, Stored};
+use primrose_place::drained::Set;
+use test_case::test_case;
+
+/// The entry of a document with an engine pool and a plain pool, as the build 7b70528 wrote it.
+const OLD_ENTRY: &str = "070101720168012f02018827d804000101046465736b01020102046465736bb6020140b09a1a0180900100000000007cf\
+     54005706c61696e060080800180808002b8179875000101016101016b00027b7d";
+
+fn old_bytes(prefix: &[u8]) -> Vec<u8> {
+    let digits = OLD_ENTRY.as_bytes().chunks(2);
+    let bytes = digits.map(|pair| {
+        let pair = std::str::from_utf8(pair).expect("digits");
+        u8::from_str_radix(pair, 16).expect("a byte")
+    });
+    prefix.iter().copied().chain(bytes).collect()
+}
+
+fn assert_old_content(stored: &Stored) {
+    let document = &stored.document;
+    assert_eq!((document.version, &*stored.source), (7, &b"{}"[..]));
+    let pools = document.pools.iter();
+    let pools: Vec<(&str, u32)> = pools.map(|p| (&*p.name, p.max_connections)).collect();
+    assert_eq!(pools, [("desk", 310), ("plain", 6)]);
+    let engine = document.pools[0].engine.as_ref().expect("an engine");
+    assert_eq!((engine.slots, engine.cache_tokens), (64, 429_360));
+    assert!(document.pools.iter().all(|pool| pool.warmup.is_none()));
+    let accounts = document.accounts.as_ref().expect("accounts");
+    assert_eq!((accounts.len(), &*accounts[0].keys[0]), (1, "k"));
+}
+
+// A fleet that is upgraded must keep its configuration, whether it is in an entry or in a snapshot.
+#[test]
+fn entries_and_snapshots_of_the_first_layout_are_read() {
+    let Ok(Entry::Document(stored)) = Entry::decode(&old_bytes(&[])) else {
+        panic!("the entry is no document");
+    };
+    assert_old_content(&stored);
+    let store = Store::restore(&old_bytes(&[1])).expect("a snapshot");
+    assert_old_content(store.newest().expect("a document"));
+    assert_eq!(**store.drained(), List::default());
+    let empty = Store::restore(&[0]).expect("a snapshot");
+    assert!(empty.newest().is_none());
+    // The same content in the layout of this build.
+    let entry = Entry::Document(stored);
+    let bytes = entry.encode().expect("the entry can be encoded");
+    assert_eq!(Entry::decode(&bytes).expect("an entry"), entry);
+}
+
+// A version of the greatest value begins with as many bytes 0xFF as an old entry can, and must not look like a new one.
+#[test]
+fn old_entry_with_the_greatest_version_is_read() {
+    let mut bytes = vec![0xff; 9];
+    bytes.push(1);
+    bytes.extend(&old_bytes(&[])[1..]);
+    let Ok(Entry::Document(stored)) = Entry::decode(&bytes) else {
+        panic!("the entry is no document");
+    };
+    assert_eq!(stored.document.version, u64::MAX);
+}
+
+// Bytes of a later layout must be refused as a whole, or a host would lose what it does not understand.
+#[test_case(&[0xff; 10]; "nothing after the marker")]
+#[test_case(&[&[0xff; 10][..], &[9, 0, 0, 0]].concat(); "unknown variant or version")]
+fn unknown_layouts_are_refused(bytes: &[u8]) {
+    assert!(Entry::decode(bytes).is_err());
+    assert!(Store::restore(bytes).is_err());
+}
+
+fn order(domain: &str, action: Action, at_ms: u64) -> Order {
+    Order {
+        domain: domain.into(),
+        action,
+        at_ms,
+    }
+}
+
+fn drain(domain: &str) -> Order {
+    order(domain, Action::Drain, 5)
+}
+
+fn release(domain: &str) -> Order {
+    order(domain, Action::Return, 5)
+}
+
+// A repeated order must be acknowledged without a change, or its repetition would hide when the domain was drained, and
+// the state must be the same after a restart from a snapshot.
+#[test]
+fn orders_make_the_list() {
+    let mut store = Store::default();
+    let mut apply = |order| store.apply(Entry::Order(order));
+    assert_eq!(apply(release("west")), Reply::Ordered);
+    assert_eq!(apply(drain("west")), Reply::Ordered);
+    assert_eq!(apply(drain("east")), Reply::Ordered);
+    assert_eq!(apply(order("west", Action::Drain, 9)), Reply::Ordered);
+    assert_eq!(store.put(document(3)), Reply::Stored);
+    let list = Arc::clone(store.drained());
+    let entries = list.domains.iter();
+    let entries: Vec<_> = entries
+        .map(|domain| (&*domain.name, domain.since_ms, domain.order))
+        .collect();
+    assert_eq!(entries, [("east", 5, 2), ("west", 5, 1)]);
+    assert_eq!(list.revision, 2);
+    let snapshot = store.snapshot().expect("the state can be encoded");
+    let mut store = Store::restore(&snapshot).expect("the state can be decoded");
+    assert_eq!(*store.drained(), list);
+    assert_eq!(
+        store.newest().map(|stored| stored.document.version),
+        Some(3)
+    );
+    assert_eq!(store.apply(Entry::Order(release("west"))), Reply::Ordered);
+    let set = store.drained().set();
+    assert_eq!((set.revision, set.contains("west")), (3, false));
+    assert!(set.contains("east"));
+}
+
+// The names are sent in every status. Without a bound, orders would make it too long for a datagram, and no host would
+// hear of anything any more.
+#[test]
+fn list_is_bounded() {
+    let mut list = List::default();
+    for number in 0..MAX_DOMAINS {
+        assert!(list.apply(&drain(&format!("d{number}"))).is_ok());
+    }
+    let full = list.clone();
+    assert!(list.apply(&drain("other")).is_err());
+    assert!(list.apply(&drain("d0")).is_ok(), "a repeated order");
+    assert_eq!(list, full);
+    assert!(list.apply(&release("d0")).is_ok());
+    assert!(list.apply(&drain(&"x".repeat(MAX_NAMES_BYTES))).is_err());
+}
+
+// Statuses arrive from several hosts and out of order. An older list must not revoke a newer order.
+#[test]
+fn older_set_replaces_no_newer_one() {
+    let set = |revision, domains: &[&str]| Set {
+        revision,
+        domains: domains.iter().map(|&name| name.into()).collect(),
+    };
+    let mut held = Set::default();
+    assert!(held.merge(&set(4, &["west", "east"])));
+    assert!(!held.merge(&set(3, &[])) && !held.merge(&set(4, &[])));
+    assert!(held.contains("east") && held.contains("west") && !held.contains("north"));
+    assert!(held.merge(&set(5, &[])));
+    assert!(!held.contains("west"));
+}
+
+fn open(folders: &[tempfile::TempDir]) -> Vec<Host> {
+    hosts::open(folders.iter().map(|folder| Storage::folder(folder.path())))
+}
+
+fn folders() -> Vec<tempfile::TempDir> {
+    let folders = (0..3).map(|_| tempfile::tempdir().expect("a folder can be created"));
+    folders.collect()
+}
+
+/// Copies of the files, which stand for the disks after a kill: the threads of the first replicas still use theirs.
+fn copy(folders: &[tempfile::TempDir]) -> Vec<tempfile::TempDir> {
+    let copied = self::folders();
+    for (from, to) in folders.iter().zip(&copied) {
+        for entry in std::fs::read_dir(from.path()).expect("the folder can be read") {
+            let path = entry.expect("the entry can be read").path();
+            let name = Path::new(path.file_name().expect("a name"));
+            std::fs::copy(&path, to.path().join(name)).expect("the file can be copied");
+        }
+    }
+    copied
+}
+
+/// Waits until the replica publishes that the domain is drained.
+async fn until_published(host: &Host, domain: &str) {
+    let mut drained = host.handle.follow_drained();
+    let is_drained = drained.wait_for(|list| list.contains(domain));
+    let reached = tokio::time::timeout(TIMEOUT, is_drained).await;
+    let _ = reached.expect("the order arrives in time");
+}
+
+// An acknowledged order must hold on all hosts and after a power loss of all of them, whether it is in an entry or, after
+// 40 documents, in a snapshot.
+#[test_case(0; "in an entry")]
+#[test_case(40; "in a snapshot")]
+#[tokio::test]
+async fn acknowledged_order_survives_a_power_loss(documents: u64) {
+    let disks = folders();
+    {
+        let hosts = open(&disks);
+        form_fleet(&hosts);
+        let leader = leader(&hosts).await;
+        let outcome = leader.handle.order(drain("west"), Time::now()).await;
+        assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+        for version in 1..=documents {
+            let outcome = leader.handle.put(document(version)).await;
+            assert_eq!(outcome, Outcome::Applied(Reply::Stored));
+        }
+        for host in &hosts {
+            until_published(host, "west").await;
+        }
+    }
+    let copied = copy(&disks);
+    let hosts = open(&copied);
+    let leader = leader(&hosts).await;
+    let current = leader.handle.read().await.expect("the leader can read");
+    assert!(current.drained.contains("west"));
+    assert_eq!(current.drained.revision, 1);
+    for host in &hosts {
+        until_published(host, "west").await;
+    }
+}
+
+// The leader may be lost at any moment after it has acknowledged an order. The next leader must have the order.
+#[tokio::test]
+async fn acknowledged_order_survives_the_loss_of_the_leader() {
+    let disks = folders();
+    let hosts = open(&disks);
+    form_fleet(&hosts);
+    let old = leader(&hosts).await;
+    let outcome = old.handle.order(drain("west"), Time::now()).await;
+    assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+    {
+        let mut cut_off = old.cut_off.lock().expect("not poisoned");
+        cut_off.push(old.name.clone());
+    }
+    let rest = || hosts.iter().filter(|host| host.name != old.name);
+    let new = async {
+        loop {
+            if let Some(host) = rest().find(|host| host.handle.state().is_leading) {
+                return host;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let new = tokio::time::timeout(TIMEOUT, new).await.expect("a leader");
+    let current = new.handle.read().await.expect("the leader can read");
+    assert!(current.drained.contains("west"));
+    let outcome = new.handle.order(drain("west"), Time::now()).await;
+    assert_eq!(
+        outcome,
+        Outcome::Applied(Reply::Ordered),
+        "a repeated order"
+    );
+    let current = new.handle.read().await.expect("the leader can read");
+    assert_eq!(current.drained.revision, 1);
+    // The lost leader cannot reach a majority and must acknowledge nothing.
+    let outcome = old.handle.order(release("west"), Time::now());
+    let outcome = tokio::time::timeout(TIMEOUT, outcome).await;
+    let outcome = outcome.expect("the old leader steps down");
+    assert!(matches!(outcome, Outcome::Unknown | Outcome::NotLeader));
+}
+
+// A host that was frozen must not carry out an order that its author has given up and may have revoked elsewhere.
+#[tokio::test]
+async fn order_that_waited_too_long_is_not_appended() {
+    let disks = folders();
+    let hosts = open(&disks[..1]);
+    form_fleet(&hosts);
+    let leader = leader(&hosts).await;
+    let received = Time::now();
+    tokio::time::sleep(Duration::from_millis(MAX_ORDER_WAIT_MS + 50)).await;
+    let outcome = leader.handle.order(drain("west"), received).await;
+    assert_eq!(outcome, Outcome::Expired);
+    let current = leader.handle.read().await.expect("the leader can read");
+    assert_eq!(*current.drained, List::default());
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,11 +12,13 @@
 //!   floods by single accounts;
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
+//! - [`drained`] names the failure domains that get no requests, by order of the operators;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
 
 pub mod cache;
 pub mod demand;
+pub mod drained;
 pub mod engine;
 pub mod health;
 pub mod placer;
