place, entry, fleet: Send nothing to servers of drained failure domains

Core hosts state the set of drained domains in statuses and heartbeats, at once when it changes, and every host uses the set with the highest revision. Placers exclude servers of these domains, and refuse with the reason `drained` if a pool has no other usable server. Entry hosts check again before each send; a request that was placed before is placed again without counting as an attempt.

Heartbeats carry the set so that a core host that was started again knows it before its replica has caught up.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -32,7 +32,7 @@
 enum Unanswered {
     /// No connection to the server could be opened, so it has not received the request.
     Unreachable(std::io::Error),
-    /// The server gave notice before the request was sent.
+    /// The server gave notice, or its domain was drained, before the request was sent.
     Blocked(Block),
     /// The connection broke; the server may have received the request.
     Broken(String),
@@ -350,7 +350,7 @@
         };
         let opened = shared.connect(&server).await;
         connection = opened.map_err(Unanswered::Unreachable)?;
-        if let Some(block) = shared.link.notices().block(Time::now(), &server.id) {
+        if let Some(block) = shared.link.notices().block_assigned(Time::now(), &server) {
             return Err(Unanswered::Blocked(block));
         }
     }
--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -1,6 +1,7 @@
 //! Failed attempts to send a request to a backend server.
 
 use hyper::StatusCode;
+use primrose_place::placer::DRAINED_RETRY_AFTER_MS;
 
 use crate::notice::Block;
 use crate::refusal::Refusal;
@@ -46,12 +47,20 @@
 
     /// The assigned server must get no requests, so the request was not sent to it.
     pub(crate) fn blocked(server: &str, block: Block) -> Failure {
-        let (retry_counter, reason) = match block {
-            Block::Leaving => ("retry_server_leaving", "is leaving"),
-            Block::Paused(_) => ("retry_server_paused", "has asked for a pause"),
+        let (retry_counter, code, reason) = match block {
+            Block::Leaving => ("retry_server_leaving", "no_server", "is leaving"),
+            Block::Drained => {
+                let reason = "is in a drained failure domain";
+                ("retry_server_drained", "drained", reason)
+            }
+            Block::Paused(_) => ("retry_server_paused", "no_server", "has asked for a pause"),
         };
         let message = format!("server {server} {reason}");
-        Failure::not_run(retry_counter, "no_server", &message)
+        let mut failure = Failure::not_run(retry_counter, code, &message);
+        if block == Block::Drained {
+            failure.refusal.retry_after_ms = Some(DRAINED_RETRY_AFTER_MS);
+        }
+        failure
     }
 
     pub(crate) fn may_have_run(
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -156,7 +156,8 @@
         let _ = tokio::time::timeout(MAX_START_WAIT, ready).await;
     }
 
-    /// The servers that leave or pause. The link passes on to it each new list of servers.
+    /// The servers that leave, pause or are in drained domains. The link passes on to it each new list of servers and of
+    /// drained domains.
     pub fn notices(&self) -> MutexGuard<'_, Register> {
         lock(&self.notices)
     }
@@ -557,6 +558,12 @@
             warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
                 "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
         }
+        if self.placer.set_drained(&status.drained) {
+            lock(&self.notices).set_drained(&status.drained);
+            self.inputs.meter.count("drained_changed");
+            info!(self.inputs.log, "drained failure domains changed"; "domains" => ?status.drained.domains,
+                "revision" => status.drained.revision);
+        }
         for other in &status.core_hosts {
             self.record_core_host(now, other);
         }
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -1,13 +1,14 @@
-//! Servers that leave or that asked for a pause, as their answers say.
+//! Servers that leave or that asked for a pause, as their answers say, and servers of drained failure domains.
 //!
-//! Neither must get requests from this host. The list of servers shows a departure later than the server itself, and
-//! pauses not at all, so core hosts go on to assign such servers. [`Register`] is therefore consulted before each send. It
+//! None of them must get requests from this host. The list of servers shows a departure later than the server itself, and
+//! pauses not at all, so core hosts go on to assign such servers. A server may also have been assigned before its domain
+//! was drained, or by a core host that has not heard of the order. [`Register`] is therefore consulted before each send. It
 //! is a state machine without input or output.
 
 use std::sync::Arc;
 
 use primrose_base::clock::Time;
-use primrose_place::Server;
+use primrose_place::{Server, drained};
 
 /// The longest pause that is observed, in ms. A server that really wants no requests for more than a day would have
 /// left the list by then, so that a longer time is a fault of the server, which must not make it useless for as long as
@@ -32,6 +33,8 @@
 pub enum Block {
     /// The server leaves.
     Leaving,
+    /// The server's failure domain is drained.
+    Drained,
     /// The server has asked for a pause, which lasts until this time.
     Paused(Time),
 }
@@ -39,10 +42,12 @@
 /// Whether a pool has a server that may get requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
-    /// At least one server has given no notice, or the servers of the pool are not known.
+    /// At least one server may get requests, or the servers of the pool are not known.
     Open,
-    /// All servers leave or pause, and the first pause ends at this time.
+    /// No server may get requests, and the first pause ends at this time.
     Paused(Time),
+    /// All servers that do not leave are in drained failure domains.
+    Drained,
     /// All servers leave.
     Leaving,
 }
@@ -55,6 +60,8 @@
     /// Sorted by server. Invariant: each entry is that of a listed server, or its `absent_since` is set. With each new
     /// list, entries are removed whose server has been absent for [`MIN_ABSENCE_MS`].
     entries: Vec<Entry>,
+    /// The failure domains whose servers get no requests.
+    drained: drained::Set,
 }
 
 /// The notices of one server.
@@ -141,37 +148,59 @@
         }
     }
 
+    /// Takes over which failure domains are drained, unless a newer set is known.
+    pub fn set_drained(&mut self, drained: &drained::Set) {
+        self.drained.merge(drained);
+    }
+
     /// Why the server with the id `server` must get no request, or `None` if it may get one.
     pub fn block(&self, now: Time, server: &str) -> Option<Block> {
-        let at = self.position(server).ok()?;
-        self.entries[at].block(now)
+        let domain = find(&self.listed, server).map(|listed| &*listed.domain);
+        self.block_in(now, server, domain)
+    }
+
+    /// Why an assigned server must get no request, or `None` if it may get one. Unlike [`Register::block`], knows the
+    /// domain of a server that the list of this host does not name yet.
+    pub fn block_assigned(&self, now: Time, server: &Server) -> Option<Block> {
+        self.block_in(now, &server.id, Some(&server.domain))
+    }
+
+    fn block_in(&self, now: Time, server: &str, domain: Option<&str>) -> Option<Block> {
+        let at = self.position(server).ok();
+        let notice = at.and_then(|at| self.entries[at].block(now));
+        let is_drained = domain.is_some_and(|domain| self.drained.contains(domain));
+        match notice {
+            Some(Block::Paused(_)) | None if is_drained => Some(Block::Drained),
+            notice => notice,
+        }
     }
 
     /// The ids of the servers of a pool that must get no request; at most `limit`.
     pub fn blocked(&self, now: Time, pool: &str, limit: usize) -> Vec<Arc<str>> {
-        let entries = self.entries.iter().filter(|entry| {
-            entry.block(now).is_some()
-                && find(&self.listed, &entry.server).is_some_and(|server| &*server.pool == pool)
-        });
-        let ids = entries.map(|entry| Arc::clone(&entry.server));
+        let servers = self.listed.iter();
+        let servers = servers
+            .filter(|server| &*server.pool == pool && self.block_assigned(now, server).is_some());
+        let ids = servers.map(|server| Arc::clone(&server.id));
         ids.take(limit).collect()
     }
 
     /// Whether a pool has a server that may get requests. Servers that are draining count as none.
     pub fn availability(&self, now: Time, pool: &str) -> Availability {
-        if self.entries.is_empty() {
+        if self.entries.is_empty() && self.drained.domains.is_empty() {
             return Availability::Open;
         }
         let servers = self.listed.iter();
         let servers = servers.filter(|server| &*server.pool == pool && !server.draining);
         let mut found = None;
         for server in servers {
-            found = match (self.block(now, &server.id), found) {
+            found = match (self.block_assigned(now, server), found) {
                 (None, _) => return Availability::Open,
                 (Some(Block::Paused(until)), Some(Availability::Paused(first))) => {
                     Some(Availability::Paused(first.min(until)))
                 }
                 (Some(Block::Paused(until)), _) => Some(Availability::Paused(until)),
+                (Some(_), Some(Availability::Paused(first))) => Some(Availability::Paused(first)),
+                (Some(Block::Drained), _) => Some(Availability::Drained),
                 (Some(Block::Leaving), None) => Some(Availability::Leaving),
                 (Some(Block::Leaving), found) => found,
             };
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -21,7 +21,7 @@
 use primrose_observe::Meter;
 use primrose_place::Server;
 use primrose_place::demand::{Demand, Key, Prompt};
-use primrose_place::placer::{Decision, Outcome, Reason};
+use primrose_place::placer::{DRAINED_RETRY_AFTER_MS, Decision, Outcome, Reason};
 use primrose_place::quarantine::BEGINNING_MS;
 use primrose_route::document::Route;
 use primrose_route::table::{Caller, choose_pool};
@@ -72,7 +72,11 @@
 /// replace them are discovered.
 const LEAVING_RETRY_AFTER_MS: u32 = 700;
 
-/// The most servers that a placement request excludes because they leave or pause. More could make it exceed the size
+/// What a caller is told if all usable servers are in drained failure domains.
+const DRAINED_MESSAGE: &str =
+    "all usable backend servers of the pool are in drained failure domains";
+
+/// The most servers that a placement request excludes because they leave, pause or are in drained domains. More could make it exceed the size
 /// of a datagram; servers beyond that are excluded once they are assigned.
 const MAX_EXCLUDED: usize = 16;
 
@@ -503,7 +507,7 @@
     returning: bool,
     /// Ids of the servers that must not be chosen again.
     pub(crate) tried: Vec<Arc<str>>,
-    /// Ids of servers that leave or pause and must not be chosen until that ends.
+    /// Ids of servers that leave, pause or are in drained domains and must not be chosen until that ends.
     excluded: Vec<Arc<str>>,
     /// Number of times that the request was sent to a server.
     pub(crate) sent: u32,
@@ -659,6 +663,7 @@
                     Reason::Quarantined => {
                         "a shared part of the prompt has crashed backend servers"
                     }
+                    Reason::Drained => DRAINED_MESSAGE,
                     _ => "no backend server is expected to answer before the deadline",
                 };
                 Err(self.correct_verdict(Refusal::not_run(reason.code(), retry_after_ms, message)))
@@ -675,7 +680,7 @@
         Err(refuse_for_stop())
     }
 
-    /// Refuses the request if all servers of its pool leave or pause. Also updates the excluded servers.
+    /// Refuses the request if all servers of its pool leave, pause or are in drained domains. Also updates the excluded servers.
     fn check_pool(&mut self) -> Result<(), Refusal> {
         let now = Time::now();
         let notices = self.shared.link.notices();
@@ -690,6 +695,11 @@
                 remaining_pause_ms(now, until),
                 "all backend servers of the pool have asked for a pause",
             ),
+            Availability::Drained => Refusal::not_run(
+                Reason::Drained.code(),
+                DRAINED_RETRY_AFTER_MS,
+                DRAINED_MESSAGE,
+            ),
             Availability::Leaving => Refusal::not_run(
                 "no_server",
                 LEAVING_RETRY_AFTER_MS,
@@ -703,7 +713,7 @@
     pub(crate) fn check_server(&mut self, server: &Server) -> Result<(), Failure> {
         let now = Time::now();
         let notices = self.shared.link.notices();
-        let Some(block) = notices.block(now, &server.id) else {
+        let Some(block) = notices.block_assigned(now, server) else {
             return Ok(());
         };
         let mut excluded = notices.blocked(now, &self.pool, MAX_EXCLUDED);
@@ -721,7 +731,9 @@
         let now = Time::now();
         match self.shared.link.notices().availability(now, &self.pool) {
             Availability::Paused(until) => remaining_pause_ms(now, until),
-            Availability::Open | Availability::Leaving => FULL_RETRY_AFTER_MS,
+            Availability::Open | Availability::Drained | Availability::Leaving => {
+                FULL_RETRY_AFTER_MS
+            }
         }
     }
 
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -11,7 +11,7 @@
 use primrose_observe::Meter;
 use primrose_place::placer::{Decision, Reason};
 use primrose_place::quarantine::Notice;
-use primrose_place::{Demand, Placer, Server, Settings};
+use primrose_place::{Demand, Placer, Server, Settings, drained};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key;
 use slog::{Logger, info, warn};
@@ -21,6 +21,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::directory::{self, Action, Directory, Freshness};
+use crate::drain::List;
 use crate::message::{Heartbeat, Introduction, Packet, Stamp, Status, Update};
 use crate::peers::{self, Links, Published};
 use crate::replica::{self, Input, Outgoing, State};
@@ -126,6 +127,8 @@
     let task = Task {
         state: inputs.replica.follow_state(),
         newest: inputs.replica.follow_newest(),
+        drained_list: inputs.replica.follow_drained(),
+        drained: drained::Set::default(),
         placer: Placer::new(inputs.placer_settings.clone()),
         incarnation: rand::random(),
         socket,
@@ -186,6 +189,9 @@
     links: Links,
     state: watch::Receiver<State>,
     newest: watch::Receiver<Option<Arc<Stored>>>,
+    drained_list: watch::Receiver<Arc<List>>,
+    /// The newest set of drained domains that this host's replica or another core host has stated.
+    drained: drained::Set,
     placer: Placer,
     events: mpsc::Sender<Event>,
     published: watch::Sender<Option<(Arc<Directory>, Time)>>,
@@ -210,6 +216,7 @@
         let socket = Arc::clone(&self.socket);
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         let mut newest = self.newest.clone();
+        let mut drained_list = self.drained_list.clone();
         loop {
             tokio::select! {
                 received = socket.recv_from(&mut buffer) => {
@@ -220,6 +227,7 @@
                 }
                 Some(outgoing) = self.inputs.outgoing.recv() => self.send_log_messages(outgoing),
                 Some(event) = events.recv() => self.handle_event(event),
+                Ok(()) = drained_list.changed() => self.read_drained(),
                 Ok(()) = newest.changed() => self.document_changed(),
                 _ = tick.tick() => self.tick(),
             }
@@ -283,6 +291,7 @@
                 Reason::OverShare => "ask_refused_over_share",
                 Reason::Deadline => "ask_refused_hopeless_deadline",
                 Reason::Quarantined => "ask_refused_quarantined",
+                Reason::Drained => "ask_refused_drained",
             },
         });
         let key = demand.key;
@@ -321,6 +330,7 @@
 
     fn handle_heartbeat(&mut self, heartbeat: &Heartbeat) {
         self.merge_quarantine(&heartbeat.quarantine);
+        self.merge_drained(&heartbeat.drained);
         self.record_core_host(&heartbeat.host, Some(heartbeat.stamp));
         for host in &heartbeat.core_hosts {
             self.record_core_host(host, None);
@@ -332,6 +342,25 @@
         }
     }
 
+    /// Takes over the set of drained domains that this host's replica has published, if it is newer.
+    fn read_drained(&mut self) {
+        let set = self.drained_list.borrow().set();
+        self.merge_drained(&set);
+    }
+
+    /// Takes over a set of drained domains if it is newer, and tells all entry hosts at once. A host that has been started
+    /// again hears of the set from other hosts before its replica has caught up.
+    fn merge_drained(&mut self, set: &drained::Set) {
+        if !self.drained.merge(set) {
+            return;
+        }
+        self.placer.set_drained(set);
+        self.inputs.meter.count("drained_changed");
+        info!(self.inputs.log, "drained failure domains changed"; "domains" => ?set.domains,
+            "revision" => set.revision);
+        self.send_status_to_all();
+    }
+
     /// Adds a core host to the known ones. `heartbeat` is the stamp of its heartbeat if it has sent one, which shows that
     /// it is up.
     fn record_core_host(&mut self, host: &Name, heartbeat: Option<Stamp>) {
@@ -514,6 +543,9 @@
             .borrow()
             .as_ref()
             .map_or(0, |stored| stored.document.version);
+        // After the version: a status must not state a document without the domains that were drained before it.
+        let mut drained = self.drained.clone();
+        drained.merge(&self.drained_list.borrow().set());
         Status {
             host: self.inputs.host.clone(),
             incarnation: self.incarnation,
@@ -526,6 +558,7 @@
             answers,
             entry_hosts: self.entry_hosts.len() as u32,
             quarantine: self.placer.quarantine_notices(Time::now()),
+            drained,
         }
     }
 
@@ -567,6 +600,7 @@
                 stamp: Stamp::now(self.incarnation),
                 answers: peer.last_heartbeat,
                 quarantine: self.placer.quarantine_notices(now),
+                drained: self.drained.clone(),
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -10,6 +10,7 @@
 use primrose_consensus::membership::{Id, Member};
 use primrose_consensus::message::Message;
 use primrose_place::demand::{Demand, Key};
+use primrose_place::drained;
 use primrose_place::placer::{Decision, Outcome};
 use primrose_place::quarantine::Notice;
 use primrose_route::Document;
@@ -28,7 +29,8 @@
         /// not name.
         quarantine: Vec<Notice>,
     },
-    /// The answer of a core host to `Hello`, also sent when the directory or the document changes.
+    /// The answer of a core host to `Hello`, also sent when the directory, the document or the drained domains
+    /// change.
     Status(Status),
     /// An entry host asks to which server a request is to be sent.
     Place(Demand),
@@ -101,6 +103,8 @@
     pub entry_hosts: u32,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
+    /// The newest set of drained failure domains that the sender knows.
+    pub drained: drained::Set,
 }
 
 /// An update on a request that was assigned to a server.
@@ -141,6 +145,8 @@
     pub answers: Option<Stamp>,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
+    /// The newest set of drained failure domains that the sender knows.
+    pub drained: drained::Set,
 }
 
 /// Describes a replica of the log.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -12,6 +12,7 @@
 
 use crate::cache::{self, Cache};
 use crate::demand::{Demand, Key, Prompt};
+use crate::drained;
 use crate::engine::Load;
 use crate::health::Health;
 use crate::quarantine::{self, BEGINNING_MS, Crash, Notice, Suspect};
@@ -34,6 +35,10 @@
 /// until a restarted server is discovered.
 const NO_SERVER_RETRY_AFTER_MS: u32 = 700;
 
+/// The time after which a caller is told to retry if all usable servers are in drained failure domains, in ms. An order
+/// holds for minutes, so that a shorter time would only bring the caller back to be refused again.
+pub const DRAINED_RETRY_AFTER_MS: u32 = 2_000;
+
 /// Time that a request is assumed to occupy a slot of an engine before any was measured, in ms.
 const INITIAL_ENGINE_SLOT_MS: f64 = 1_500.0;
 
@@ -83,6 +88,8 @@
     Deadline,
     /// A part of the prompt crashes servers.
     Quarantined,
+    /// All usable servers of the pool are in drained failure domains.
+    Drained,
 }
 
 impl Reason {
@@ -94,6 +101,7 @@
             Reason::OverShare => "over_share",
             Reason::Deadline => "hopeless_deadline",
             Reason::Quarantined => "quarantined",
+            Reason::Drained => "drained",
         }
     }
 }
@@ -227,6 +235,8 @@
     broken: Vec<Broken>,
     /// When this placer was last asked for a server.
     last_asked: Time,
+    /// The failure domains whose servers get no requests. Other engines may fetch their cached parts.
+    drained: drained::Set,
 }
 
 /// A server that could take a request, with the predicted times of the request on it.
@@ -287,9 +297,15 @@
             quarantine: quarantine::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
+            drained: drained::Set::default(),
         }
     }
 
+    /// Takes over which failure domains are drained, unless a newer set is known. Returns whether it was taken over.
+    pub fn set_drained(&mut self, drained: &drained::Set) -> bool {
+        self.drained.merge(drained)
+    }
+
     /// Sets the document that gives the sizes of the pools and the capacity that accounts share. If
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
@@ -366,11 +382,7 @@
         }
         let parts = parts_of(demand);
         let Some(best) = self.best(now, demand, &parts) else {
-            return Decision::Refuse {
-                reason: Reason::NoServer,
-                retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
-                wait_ms: 0,
-            };
+            return self.refuse_without_server(now, demand);
         };
         let own_part = parts.last().map(|part| part.0);
         let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
@@ -590,14 +602,30 @@
         }
     }
 
+    /// The refusal of a request for which no server is usable.
+    fn refuse_without_server(&self, now: Time, demand: &Demand) -> Decision {
+        // An entry host excludes drained servers that it was assigned by a host that had not heard of the order.
+        let is_only_drained = self.servers.iter().any(|state| {
+            self.drained.contains(&state.server.domain) && is_usable(state, now, demand)
+        });
+        let (reason, retry_after_ms) = if is_only_drained {
+            (Reason::Drained, DRAINED_RETRY_AFTER_MS)
+        } else {
+            (Reason::NoServer, NO_SERVER_RETRY_AFTER_MS)
+        };
+        Decision::Refuse {
+            reason,
+            retry_after_ms,
+            wait_ms: 0,
+        }
+    }
+
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
     fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
         let usable = self.servers.iter().enumerate().filter(|(_, state)| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
+            is_usable(state, now, demand)
                 && !demand.tried.contains(&state.server.id)
-                && !state.health.is_unavailable(now, &demand.domain)
+                && !self.drained.contains(&state.server.domain)
         });
         let cached: Vec<u32> = self
             .servers
@@ -816,6 +844,14 @@
     }
 }
 
+/// Whether a server could take the request if it has not been tried and its failure domain is in service.
+fn is_usable(state: &State, now: Time, demand: &Demand) -> bool {
+    state.server.pool == demand.pool
+        && !state.server.draining
+        && !state.replaced
+        && !state.health.is_unavailable(now, &demand.domain)
+}
+
 /// The cache keys and lengths of the prompt parts; empty for a plain service.
 fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
     demand.prompt.iter().flat_map(cache::part_keys).collect()
