platform, place, entry, fleet: Test the draining of failure domains

The names of drained domains are bounded to 256 bytes: with 384, the longest status of a fleet with eight core hosts had 1,414 bytes and did not fit into a datagram of 1,400.

--- a/crates/entry/tests/notice.rs
+++ b/crates/entry/tests/notice.rs
@@ -1,10 +1,11 @@
-//! Tests of the register of servers that leave or pause, in virtual time.
+//! Tests of the register of servers that leave, pause or are in drained domains, in virtual time.
 
 use std::sync::Arc;
 
 use primrose_base::clock::Time;
 use primrose_entry::notice::{Availability, Block, MAX_PAUSE_MS, MIN_ABSENCE_MS, Notice, Register};
 use primrose_place::Server;
+use primrose_place::drained::Set;
 
 const LEAVING: Notice = Notice {
     is_leaving: true,
@@ -258,3 +259,61 @@
     register.set_servers(at(6_010_000), &[]);
     assert!(register.is_empty(), "{} entries", register.len());
 }
+
+/// A register with a server in each of the domains `north` and `south`, of which these are drained.
+fn drained(domains: &[&str]) -> Register {
+    let south = Server {
+        domain: "south".into(),
+        ..server("b", "desk", false)
+    };
+    let mut register = Register::default();
+    register.set_servers(at(0), &[server("a", "desk", false), south]);
+    register.set_drained(&set(2, domains));
+    register
+}
+
+fn set(revision: u64, domains: &[&str]) -> Set {
+    Set {
+        revision,
+        domains: domains.iter().map(|&name| name.into()).collect(),
+    }
+}
+
+// A server may have been assigned before its domain was drained, or may not be in the list of this host yet. It must get
+// no request, and a set that arrives late must not change that.
+#[test]
+fn server_in_drained_domain_is_blocked() {
+    let mut register = drained(&["south"]);
+    register.set_drained(&set(1, &[]));
+    assert_eq!(register.block(at(0), "a"), None);
+    assert_eq!(register.block(at(0), "b"), Some(Block::Drained));
+    assert_eq!(register.blocked(at(0), "desk", 9), [Arc::from("b")]);
+    let unlisted = Server {
+        domain: "south".into(),
+        ..server("c", "desk", false)
+    };
+    assert_eq!(
+        register.block_assigned(at(0), &unlisted),
+        Some(Block::Drained)
+    );
+    assert_eq!(register.availability(at(0), "desk"), Availability::Open);
+    // A departure is final, and ends a server as planned.
+    record(&mut register, at(0), "b", LEAVING);
+    assert_eq!(register.block(at(0), "b"), Some(Block::Leaving));
+    register.set_drained(&set(3, &[]));
+    assert_eq!(register.block_assigned(at(0), &unlisted), None);
+}
+
+// Callers must be refused at once if no server of the pool may get requests, and told when one can be used again.
+#[test]
+fn pool_in_drained_domains_is_not_available() {
+    let mut register = drained(&["north", "south"]);
+    assert_eq!(register.availability(at(0), "desk"), Availability::Drained);
+    assert_eq!(register.availability(at(0), "other"), Availability::Open);
+    record(&mut register, at(0), "a", LEAVING);
+    assert_eq!(register.availability(at(0), "desk"), Availability::Drained);
+    register.set_drained(&set(3, &["north"]));
+    record(&mut register, at(0), "b", pause(500));
+    let availability = register.availability(at(0), "desk");
+    assert!(matches!(availability, Availability::Paused(until) if until > at(499)));
+}
--- a/crates/fleet/src/drain.rs
+++ b/crates/fleet/src/drain.rs
@@ -9,8 +9,9 @@
 pub const MAX_DOMAINS: usize = 64;
 
 /// The most bytes that the names of all drained domains take, each with one byte for its length. They are sent in every
-/// status, which must fit into a datagram of 1,400 bytes beside the quarantined prompt parts.
-pub const MAX_NAMES_BYTES: usize = 384;
+/// status, which must fit into a datagram of 1,400 bytes beside the quarantined prompt parts: with 384 bytes, the longest
+/// status of a fleet with eight core hosts had 1,414.
+pub const MAX_NAMES_BYTES: usize = 256;
 
 /// What an order does with a domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -9,12 +9,18 @@
 
 use hosts::{Host, TIMEOUT, document, form_fleet, leader};
 use primrose_base::clock::Time;
+use primrose_base::name::Name;
+use primrose_fleet::directory::Freshness;
 use primrose_fleet::drain::{Action, List, MAX_DOMAINS, MAX_NAMES_BYTES, Order};
 use primrose_fleet::entry::Entry;
+use primrose_fleet::message::{Heartbeat, Packet, Stamp, Status};
 use primrose_fleet::replica::{MAX_ORDER_WAIT_MS, Outcome};
 use primrose_fleet::storage::Storage;
 use primrose_fleet::store::{Reply, Store, Stored};
 use primrose_place::drained::Set;
+use primrose_place::quarantine::{Key, MAX_GROUP, MAX_NOTICES, Notice, QUARANTINE_MS};
+use primrose_wire::datagram;
+use primrose_wire::key::Key as FleetKey;
 use test_case::test_case;
 
 /// The entry of a document with an engine pool and a plain pool, as the build 7b70528 wrote it.
@@ -144,6 +150,66 @@
     assert!(list.apply(&drain(&"x".repeat(MAX_NAMES_BYTES))).is_err());
 }
 
+// The longest list must fit into a status beside all quarantined parts, and into a heartbeat, or hosts would hear of
+// neither.
+#[test]
+fn longest_list_fits_into_a_datagram() {
+    let mut list = List::default();
+    while list
+        .apply(&drain(&format!("domain-{}", list.domains.len())))
+        .is_ok()
+    {}
+    let host = |number: u8| Name::new(&format!("127.250.250.{number}")).expect("a valid name");
+    let stamp = Stamp {
+        incarnation: u64::MAX,
+        sent: Time::from_ms(1 << 40),
+    };
+    let freshness = Freshness {
+        fingerprint: u64::MAX,
+        age_ms: 1 << 40,
+    };
+    let notice = Notice {
+        keys: vec![
+            Key {
+                pool: u64::MAX,
+                part: u64::MAX,
+            };
+            MAX_GROUP
+        ],
+        remaining_ms: QUARANTINE_MS,
+    };
+    let core_hosts: Vec<Name> = (100..108).map(host).collect();
+    let quarantine = vec![notice; MAX_NOTICES];
+    let status = Packet::Status(Status {
+        host: host(200),
+        incarnation: u64::MAX,
+        domain: "a-long-name-of-a-domain".into(),
+        core_hosts: core_hosts.clone(),
+        leader: Some(host(200)),
+        term: 1 << 32,
+        version: u64::MAX,
+        directory: Some(freshness),
+        answers: stamp,
+        entry_hosts: 1_000,
+        quarantine: quarantine.clone(),
+        drained: list.set(),
+    });
+    let heartbeat = Packet::Heartbeat(Heartbeat {
+        host: host(200),
+        core_hosts,
+        directory: Some(freshness),
+        stamp,
+        answers: Some(stamp),
+        quarantine,
+        drained: list.set(),
+    });
+    let key = FleetKey::new(&[1; 32]).expect("32 bytes are enough");
+    for packet in [status, heartbeat] {
+        let sealed = datagram::seal(&key, &packet);
+        assert!(sealed.is_ok(), "{:?}", sealed.err());
+    }
+}
+
 // Statuses arrive from several hosts and out of order. An older list must not revoke a newer order.
 #[test]
 fn older_set_replaces_no_newer_one() {
