--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -11,6 +11,7 @@
 use primrose_consensus::message::Message;
 use primrose_place::crossing::Share;
 use primrose_place::demand::{Demand, Key};
+use primrose_place::drained;
 use primrose_place::placer::{Decision, Outcome};
 use primrose_place::quarantine::Notice;
 use primrose_route::Document;
@@ -31,7 +32,8 @@
         /// Capacity of the entry host, in the unit of its fleet; at least 1.
         capacity: u32,
     },
-    /// The answer of a core host to `Hello`, also sent when the directory or the document changes.
+    /// The answer of a core host to `Hello`, also sent when the directory, the document or the drained domains
+    /// change.
     Status(Status),
     /// An entry host asks to which server a request is to be sent.
     Place(Demand),
@@ -111,6 +113,8 @@
     /// The shares of requests that may leave their failure domain while entry hosts decide alone. Empty unless the sender
     /// places requests at present; at most [`primrose_place::crossing::MAX_WAYS`].
     pub crossing: Vec<Share>,
+    /// The newest set of drained failure domains that the sender knows.
+    pub drained: drained::Set,
 }
 
 /// An update on a request that was assigned to a server.
@@ -151,6 +155,8 @@
     pub answers: Option<Stamp>,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
+    /// The newest set of drained failure domains that the sender knows.
+    pub drained: drained::Set,
 }
 
 /// Describes a replica of the log.
--- a/crates/place/src/crossing.rs
+++ b/crates/place/src/crossing.rs
@@ -49,6 +49,10 @@
 /// The most pairs of a pool and a domain for which values are derived. Others have the highest price and the share 0.
 pub const MAX_WAYS: usize = 64;
 
+/// The most bytes that the shares of one status take, by [`Share::encoded_bytes`]. A status travels in one datagram
+/// together with the quarantined parts and the drained domains.
+pub const MAX_SHARES_BYTES: usize = 96;
+
 /// The share of requests that hosts of one domain may send to other domains while they decide alone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -61,6 +65,11 @@
 }
 
 impl Share {
+    /// Upper bound of the size in a message: the names with their lengths, and the share.
+    fn encoded_bytes(&self) -> usize {
+        self.pool.len() + self.home.len() + 7
+    }
+
     /// Whether the request with this key may leave.
     pub fn admits(&self, key: Key) -> bool {
         let hash = FixedState::default().hash_one((key.entry, key.sequence));
@@ -182,15 +191,21 @@
         settings.remote_ms + settings.crossing_weight * (leaving_ms(settings) + falling_ms)
     }
 
-    /// The shares for hosts that decide alone.
+    /// The shares for hosts that decide alone, as many as fit into [`MAX_SHARES_BYTES`]. The hosts of the other domains
+    /// use their own view.
     pub fn shares(&self) -> Vec<Share> {
-        let ways = self.ways.iter();
-        ways.map(|way| Share {
+        let mut bytes = 0;
+        let shares = self.ways.iter().map(|way| Share {
             pool: Arc::clone(&way.pool),
             home: Arc::clone(&way.home),
             per_mille: way.per_mille as u16,
-        })
-        .collect()
+        });
+        shares
+            .take_while(|share| {
+                bytes += share.encoded_bytes();
+                bytes <= MAX_SHARES_BYTES
+            })
+            .collect()
     }
 
     /// Returns the changes since the last call.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,6 +13,7 @@
 use crate::cache::{self, Cache};
 use crate::crossing::{self, Share, View};
 use crate::demand::{Demand, Key, Prompt};
+use crate::drained;
 use crate::engine::Load;
 use crate::health::Health;
 use crate::quarantine::{self, BEGINNING_MS, Crash, Notice, Suspect};
@@ -40,6 +41,10 @@
 /// until a restarted server is discovered.
 const NO_SERVER_RETRY_AFTER_MS: u32 = 700;
 
+/// The time after which a caller is told to retry if all usable servers are in drained failure domains, in ms. An order
+/// holds for minutes, so that a shorter time would only bring the caller back to be refused again.
+pub const DRAINED_RETRY_AFTER_MS: u32 = 2_000;
+
 /// Time that a request is assumed to occupy a slot of an engine before any was measured, in ms.
 const INITIAL_ENGINE_SLOT_MS: f64 = 1_500.0;
 
@@ -89,6 +94,8 @@
     Deadline,
     /// A part of the prompt crashes servers.
     Quarantined,
+    /// All usable servers of the pool are in drained failure domains.
+    Drained,
 }
 
 impl Reason {
@@ -100,6 +107,7 @@
             Reason::OverShare => "over_share",
             Reason::Deadline => "hopeless_deadline",
             Reason::Quarantined => "quarantined",
+            Reason::Drained => "drained",
         }
     }
 }
@@ -250,6 +258,8 @@
     broken: Vec<Broken>,
     /// When this placer was last asked for a server.
     last_asked: Time,
+    /// The failure domains whose servers get no requests. Other engines may fetch their cached parts.
+    drained: drained::Set,
 }
 
 /// A server that could take a request, with the predicted times of the request on it.
@@ -317,9 +327,15 @@
             quarantine: quarantine::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
+            drained: drained::Set::default(),
         }
     }
 
+    /// Takes over which failure domains are drained, unless a newer set is known. Returns whether it was taken over.
+    pub fn set_drained(&mut self, drained: &drained::Set) -> bool {
+        self.drained.merge(drained)
+    }
+
     /// Sets the document that gives the sizes of the pools and the capacity that accounts share. If
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
@@ -428,11 +444,7 @@
         let parts = parts_of(demand);
         let holder = self.best_holder(now, demand, &parts);
         let Some(mut best) = holder.or_else(|| self.best(now, demand, &parts)) else {
-            return Decision::Refuse {
-                reason: Reason::NoServer,
-                retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
-                wait_ms: 0,
-            };
+            return self.refuse_without_server(now, demand);
         };
         let own_part = parts.last().map(|part| part.0);
         let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
@@ -542,7 +554,7 @@
                 };
                 let mut sum = 0.0;
                 for &(state, backlog) in &backlogs {
-                    if !state.is_usable(now, pool, home) {
+                    if !self.is_open(state, now, pool, home) {
                         continue;
                     }
                     if state.server.domain == *home {
@@ -565,7 +577,7 @@
             || !self.servers.iter().any(|state| {
                 state.server.domain == demand.domain
                     && !demand.tried.contains(&state.server.id)
-                    && state.is_usable(now, &demand.pool, &demand.domain)
+                    && self.is_open(state, now, &demand.pool, &demand.domain)
             })
     }
 
@@ -783,6 +795,25 @@
         }
     }
 
+    /// The refusal of a request for which no server is usable.
+    fn refuse_without_server(&self, now: Time, demand: &Demand) -> Decision {
+        // An entry host excludes drained servers that it was assigned by a host that had not heard of the order.
+        let is_only_drained = self.servers.iter().any(|state| {
+            self.drained.contains(&state.server.domain)
+                && state.is_usable(now, &demand.pool, &demand.domain)
+        });
+        let (reason, retry_after_ms) = if is_only_drained {
+            (Reason::Drained, DRAINED_RETRY_AFTER_MS)
+        } else {
+            (Reason::NoServer, NO_SERVER_RETRY_AFTER_MS)
+        };
+        Decision::Refuse {
+            reason,
+            retry_after_ms,
+            wait_ms: 0,
+        }
+    }
+
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
     fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
         let usable = self.usable(now, demand);
@@ -824,6 +855,11 @@
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Whether hosts of `domain` may send requests for `pool` to the server, and its own domain is not drained.
+    fn is_open(&self, state: &State, now: Time, pool: &str, domain: &str) -> bool {
+        state.is_usable(now, pool, domain) && !self.drained.contains(&state.server.domain)
+    }
+
     /// The servers that may get a request, with their indices.
     fn usable<'a>(
         &'a self,
@@ -832,7 +868,7 @@
     ) -> impl Iterator<Item = (usize, &'a State)> {
         let may_leave = self.may_leave(now, demand);
         self.servers.iter().enumerate().filter(move |(_, state)| {
-            state.is_usable(now, &demand.pool, &demand.domain)
+            self.is_open(state, now, &demand.pool, &demand.domain)
                 && !demand.tried.contains(&state.server.id)
                 && (may_leave || state.server.domain == demand.domain)
         })
@@ -1068,6 +1104,8 @@
     }
 }
 
+/// Whether a server could take the request if it has not been tried and its failure domain is in service.
+
 /// The cache keys and lengths of the prompt parts; empty for a plain service.
 fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
     demand.prompt.iter().flat_map(cache::part_keys).collect()
