place: Compute evictions only for the engines with the lowest scores

What a copy evicts was computed for every engine, by sorting its entries.

All tests of primrose-place pass.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -792,9 +792,34 @@
             .map(|state| state.cache.cached_tokens(parts))
             .collect();
         let source = self.source(now, demand, parts);
-        usable
+        let mut candidates: Vec<Candidate> = usable
             .map(|(at, _)| self.candidate(now, demand, parts, at, cached[at], source))
-            .min_by(|a, b| a.score.total_cmp(&b.score))
+            .collect();
+        candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
+        // What a copy evicts takes long to find, and can only increase a score.
+        let mut best: Option<Candidate> = None;
+        for mut candidate in candidates {
+            if best.is_some_and(|best| best.score <= candidate.score) {
+                break;
+            }
+            candidate.score += self.eviction_ms(demand, candidate.server, cached[candidate.server]);
+            if best.is_none_or(|best| candidate.score < best.score) {
+                best = Some(candidate);
+            }
+        }
+        best
+    }
+
+    /// Cost of what the request evicts from the engine with the index `at`, whether its parts are fetched or read.
+    fn eviction_ms(&self, demand: &Demand, at: usize, cached_tokens: u32) -> f64 {
+        let (Some(price), Some(prompt)) = (self.price(&demand.pool), &demand.prompt) else {
+            return 0.0;
+        };
+        let state = &self.servers[at];
+        let outputs = u64::from(prompt.output_tokens).saturating_mul(state.load.len() as u64);
+        let capacity = self.cache_tokens(&demand.pool).saturating_sub(outputs);
+        let new = prompt.input_tokens.saturating_sub(cached_tokens);
+        price.eviction_ms(state.cache.evicted_tokens(new, capacity))
     }
 
     /// Returns the usable engine with the lowest score among those that have the shared parts of the prompt and are
@@ -886,13 +911,6 @@
         // know of each other send the same parts to the same servers.
         let affinity = affinity(parts, &state.server.id);
         let price = self.price(&demand.pool);
-        // The copy of the parts evicts others, whether it is fetched or read.
-        let eviction_ms = price.map_or(0.0, |price| {
-            let outputs = u64::from(prompt.output_tokens).saturating_mul(state.load.len() as u64);
-            let capacity = self.cache_tokens(&demand.pool).saturating_sub(outputs);
-            let new = prompt.input_tokens.saturating_sub(cached_tokens);
-            price.eviction_ms(state.cache.evicted_tokens(new, capacity))
-        });
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
             let prefill = speed.prefill(prompt.input_tokens, cached_tokens);
             let own_ms = state.load.prefill_ms(&prefill, &speed);
@@ -904,7 +922,7 @@
                 Some(price) => {
                     let fetched = fetch.map_or(0, |fetch| fetch.tokens);
                     let late_ms = price.late_ms(start + own_ms + first_ms, demand, settings);
-                    price.transfer_ms(fetched) + eviction_ms + late_ms
+                    price.transfer_ms(fetched) + late_ms
                 }
                 None => settings.fetch_weight * arrival,
             };
