--- a/crates/place/tests/crossing.rs
+++ b/crates/place/tests/crossing.rs
@@ -150,6 +150,16 @@
     assert_eq!(shares.iter().find(|s| &*s.home == "east"), Some(&share(0)));
 }
 
+// A placer that is not asked for servers does not know the backlogs. If it told its shares, they would replace those of
+// the placer in charge.
+#[test]
+fn idle_placer_tells_no_shares() {
+    let mut placer = placer();
+    place(&mut placer, 1_000, &from_east(1, 1, 500));
+    assert_eq!(placer.crossing_shares(Time::from_ms(1_900)).len(), 3);
+    assert!(placer.crossing_shares(Time::from_ms(2_000)).is_empty());
+}
+
 // 60 hosts that decide alone do not know of each other. If each sent its requests to the servers that look free to it,
 // all would send them away at once, and to the same servers.
 #[test]
