place, fleet, entry: Limit the requests to servers that warm up, and the memory that engines need

A server that has just started crashes if it gets more than a few requests in a second, and an engine if its requests need more memory than it has. Neither was considered: a domain that returned got the whole backlog at once.

For pools with a warm-up, place::warmup now knows which servers are or may be cold and counts placements in a window; place::memory counts the tokens that the requests of an engine hold. Only the core host that leads the log places on servers that are not warm, and placements there expire. Other pools are served as before.

--- a/crates/entry/src/assignment.rs
+++ b/crates/entry/src/assignment.rs
@@ -62,6 +62,7 @@
     /// Reports that the connection to the server broke, and finds out whether the server has ended if the request may be
     /// the reason.
     pub(crate) fn end_broken(mut self) {
+        self.report_broken();
         let has_gone_on = self
             .first_event
             .is_some_and(|first_event| Time::now().since(first_event) >= BEGINNING_MS);
@@ -71,6 +72,19 @@
         self.close(Outcome::Answered { failed: true });
     }
 
+    /// Reports that the server was silent for too long.
+    pub(crate) fn end_silent(self) {
+        self.report_broken();
+        self.end(Outcome::Answered { failed: true });
+    }
+
+    /// Reports that the server may restart, unless it has said that it leaves.
+    fn report_broken(&self) {
+        if !self.is_leaving() {
+            self.link.report(Update::Broken(self.server.id.clone()));
+        }
+    }
+
     /// Whether the server has said that it leaves: it then ends as planned.
     fn is_leaving(&self) -> bool {
         let notices = self.link.notices();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -34,6 +34,8 @@
     Unreachable(std::io::Error),
     /// The server gave notice before the request was sent.
     Blocked(Block),
+    /// The placement became too old before the request was sent.
+    Stale,
     /// The connection broke; the server may have received the request.
     Broken(String),
 }
@@ -53,7 +55,7 @@
         drop(self.exchange);
         // The idle connections to it may be dead too.
         shared.close_idle(&self.server.id);
-        self.assignment.end(Outcome::Answered { failed: true });
+        self.assignment.end_silent();
     }
 }
 
@@ -223,6 +225,9 @@
                 }
             },
         };
+        if self.is_stale() {
+            return Step::NotSent(Failure::stale(&server.id));
+        }
         // The stop may have begun while the server was assigned or connected.
         if let Err(refusal) = self.check_stop() {
             return Step::Refused(refusal);
@@ -236,6 +241,7 @@
             server.clone(),
             connection,
             request,
+            self.send_by,
         );
         Step::Sent(Attempt {
             server,
@@ -270,6 +276,13 @@
                 assignment.end(Outcome::Cancelled);
                 return Err(Failure::blocked(&server.id, block));
             }
+            Err(Unanswered::Stale) => {
+                self.sent -= 1;
+                // The server may be chosen again.
+                self.tried.retain(|tried| *tried != server.id);
+                assignment.end(Outcome::Cancelled);
+                return Err(Failure::stale(&server.id));
+            }
             Err(Unanswered::Broken(error)) => {
                 assignment.end_broken();
                 let message = format!(
@@ -334,15 +347,19 @@
 }
 
 /// Sends a request and waits for the head of the answer. If the server has closed an idle connection before the request
-/// was sent, it is sent on a new one.
+/// was sent, it is sent on a new one. Nothing is sent after `send_by`.
 async fn exchange(
     shared: Arc<Shared>,
     server: Server,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    send_by: Option<Time>,
 ) -> Exchange {
     let mut request = request;
     loop {
+        if send_by.is_some_and(|until| Time::now() > until) {
+            return Err(Unanswered::Stale);
+        }
         request = match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(upstream::Error::Broken(error)) => return Err(Unanswered::Broken(error)),
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 82] = [
+pub const ALL: [&str; 85] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -32,6 +32,7 @@
     "datagram_refused",
     "directory_fetched",
     "document_fetched",
+    "engine_memory",
     "gave_up_attempts",
     "gave_up_budget",
     "gave_up_deadline",
@@ -58,6 +59,7 @@
     "resume_refused",
     "retry_answer_broken",
     "retry_not_sent",
+    "retry_placement_stale",
     "retry_server_failed",
     "retry_server_full",
     "retry_server_gone",
@@ -84,6 +86,7 @@
     "unknown_key",
     "unknown_route",
     "unreachable",
+    "warming",
 ];
 
 /// The names of all latency histograms of an entry host, in ms.
--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -54,6 +54,12 @@
         Failure::not_run(retry_counter, "no_server", &message)
     }
 
+    /// The placement is too old for the assigned server, so the request was not sent to it.
+    pub(crate) fn stale(server: &str) -> Failure {
+        let message = format!("the placement on server {server} is too old");
+        Failure::not_run("retry_placement_stale", "no_server", &message)
+    }
+
     pub(crate) fn may_have_run(
         retry_counter: &'static str,
         code: &'static str,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -467,13 +467,19 @@
                     self.active.remove(at);
                 }
             }
+            Update::Broken(server) => {
+                if !self.placer.has_warmup(server) {
+                    return;
+                }
+                self.placer.record_broken(now, server);
+            }
             // This host knows only its own requests, so it does not decide which of them was the reason.
             Update::Crashed(server) => {
                 self.inputs.meter.count("server_crashed");
                 info!(self.inputs.log, "backend server has crashed"; "server" => &**server);
             }
         }
-        let is_urgent = matches!(update, Update::Crashed(_));
+        let is_urgent = matches!(update, Update::Crashed(_) | Update::Broken(_));
         self.updates.push(update);
         if is_urgent || self.updates.len() >= MAX_UPDATES {
             self.flush_updates();
@@ -577,7 +583,10 @@
             let asked = status.answers.sent_by(self.incarnation);
             match directory::compare(asked, self.directory, freshness) {
                 Action::Keep => {}
-                Action::Renew(read) => self.directory = Some((freshness.fingerprint, read)),
+                Action::Renew(read) => {
+                    self.directory = Some((freshness.fingerprint, read));
+                    self.placer.record_list_read(now, read);
+                }
                 Action::Fetch => self.fetch_directory(address),
             }
         }
@@ -694,6 +703,7 @@
                         "servers" => directory.servers().len(), "age_ms" => Time::now().since(read));
                     self.directory = Some((directory.fingerprint(), read));
                     self.placer.set_servers(directory.servers());
+                    self.placer.record_list_read(Time::now(), read);
                     lock(&self.notices).set_servers(Time::now(), directory.servers());
                     self.state.send_modify(|state| state.has_directory = true);
                 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -362,6 +362,7 @@
         wait_ms: 0,
         predicted_ms: 0,
         cached_tokens: 0,
+        send_by: None,
         fetch_from: None,
         first_ms: None,
         forwarded: 0,
@@ -519,6 +520,8 @@
     pub(crate) predicted_ms: u32,
     /// Prompt tokens that the server is expected to have cached or to fetch.
     cached_tokens: u32,
+    /// Until when the request may be sent to the assigned server; `None` if there is no limit.
+    pub(crate) send_by: Option<Time>,
     /// The engine from which the server fetches cached parts.
     fetch_from: Option<SocketAddrV4>,
     /// Time from the arrival of the request until the first data was forwarded to the caller, in ms.
@@ -639,7 +642,10 @@
                 wait_ms,
                 cached_tokens,
                 fetch_from,
+                send_within_ms,
             } => {
+                // The placer has decided after `now`, so its count of recent placements covers the time until then.
+                self.send_by = send_within_ms.map(|ms| now.plus_ms(u64::from(ms)));
                 self.fetch_from = fetch_from;
                 self.predicted_ms = predicted_ms;
                 self.wait_ms = wait_ms;
@@ -659,6 +665,8 @@
                     Reason::Quarantined => {
                         "a shared part of the prompt has crashed backend servers"
                     }
+                    Reason::Warming => "the backend servers of the pool warm up",
+                    Reason::Memory => "no backend server has enough free memory",
                     _ => "no backend server is expected to answer before the deadline",
                 };
                 Err(self.correct_verdict(Refusal::not_run(reason.code(), retry_after_ms, message)))
@@ -699,6 +707,11 @@
         Err(self.correct_verdict(refusal))
     }
 
+    /// Whether the placement is too old for the request to be sent.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.send_by.is_some_and(|until| Time::now() > until)
+    }
+
     /// Checks that a server may get a request. If not, it and the other such servers of the pool are excluded.
     pub(crate) fn check_server(&mut self, server: &Server) -> Result<(), Failure> {
         let now = Time::now();
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -11,6 +11,7 @@
 use primrose_observe::Meter;
 use primrose_place::placer::{Decision, Reason};
 use primrose_place::quarantine::Notice;
+use primrose_place::warmup::{self, Bound};
 use primrose_place::{Demand, Placer, Server, Settings};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key;
@@ -93,6 +94,8 @@
     pub is_restarted: bool,
     /// Settings of the placer.
     pub placer_settings: Settings,
+    /// The bound on the requests to a server that warms up.
+    pub warmup_bound: Bound,
     /// Counters; the names are in [`crate::counter`].
     pub meter: Arc<Meter>,
     /// The log of the process.
@@ -274,7 +277,11 @@
     }
 
     fn place(&mut self, source: SocketAddr, demand: &Demand) {
-        let decision = self.placer.place(Time::now(), demand);
+        let now = Time::now();
+        let is_leading = self.state.borrow().is_leading;
+        let bound = is_leading.then_some(self.inputs.warmup_bound);
+        self.placer.set_warmup_bound(now, bound);
+        let decision = self.placer.place(now, demand);
         self.inputs.meter.count(match &decision {
             Decision::Place { .. } => "ask_placed",
             Decision::Refuse { reason, .. } => match reason {
@@ -283,6 +290,8 @@
                 Reason::OverShare => "ask_refused_over_share",
                 Reason::Deadline => "ask_refused_hopeless_deadline",
                 Reason::Quarantined => "ask_refused_quarantined",
+                Reason::Warming => "ask_refused_warming",
+                Reason::Memory => "ask_refused_engine_memory",
             },
         });
         let key = demand.key;
@@ -299,10 +308,26 @@
                 Update::FirstEvent(key) => self.placer.record_first_event(now, key),
                 Update::End { key, outcome } => self.placer.record_end(now, key, outcome),
                 Update::Crashed(server) => self.record_crash(now, &server),
+                Update::Broken(server) => self.placer.record_broken(now, &server),
             }
         }
     }
 
+    /// Logs which servers have begun or ended to warm up.
+    fn log_warmup(&mut self) {
+        for change in self.placer.take_warmup_changes() {
+            let (counter, text) = match change.state {
+                warmup::State::Warm => ("server_warm", "backend server is warm"),
+                warmup::State::Unconfirmed => {
+                    ("server_unconfirmed", "backend server may have become cold")
+                }
+                warmup::State::Cold => ("server_cold", "backend server is cold"),
+            };
+            self.inputs.meter.count(counter);
+            info!(self.inputs.log, "{}", text; "server" => &*change.server);
+        }
+    }
+
     fn record_crash(&mut self, now: Time, server: &str) {
         if let Some(notice) = self.placer.record_crash(now, server) {
             self.inputs.meter.count("part_quarantined");
@@ -370,6 +395,7 @@
             Action::Renew(read) => self.published.send_modify(|published| {
                 if let Some((_, own_read)) = published {
                     *own_read = read;
+                    self.placer.record_list_read(Time::now(), read);
                 }
             }),
             Action::Fetch => self.fetch_directory(host),
@@ -404,8 +430,11 @@
             Event::ServersRead { asked, result } => {
                 self.is_updating_directory = false;
                 match result {
-                    Ok(servers) => {
+                    Ok(mut servers) => {
                         self.inputs.meter.count("directory_read");
+                        if let Some(stored) = &*self.newest.borrow() {
+                            warmup::clear_unused(&stored.document, &mut servers);
+                        }
                         self.publish_if_newer(Arc::new(Directory::new(servers)), asked);
                     }
                     Err(error) => {
@@ -459,6 +488,8 @@
             self.inputs.meter.count("directory_changed");
             self.placer.set_servers(directory.servers());
         }
+        self.placer.record_list_read(Time::now(), read);
+        self.log_warmup();
         self.published.send_replace(Some((directory, read)));
         if !is_same {
             self.read_caches();
@@ -570,6 +601,7 @@
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
+        self.log_warmup();
         self.read_servers_if_due(now);
         self.introduce_if_due(now);
     }
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,13 +1,15 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 28] = [
+pub const ALL: [&str; 33] = [
     "ask_placed",
+    "ask_refused_engine_memory",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
     "ask_refused_overload",
     "ask_refused_quarantined",
+    "ask_refused_warming",
     "datagram_refused",
     "directory_changed",
     "directory_entry_skipped",
@@ -30,4 +32,7 @@
     "read_answered",
     "read_unavailable",
     "replica_replaced",
+    "server_cold",
+    "server_unconfirmed",
+    "server_warm",
 ];
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -124,6 +124,9 @@
     },
     /// The server with this id has ended: a connection to it broke, and it no longer listens.
     Crashed(Arc<str>),
+    /// A connection to the server with this id broke, or the server was silent for too long. It may restart, and be cold
+    /// then. Reported only for pools with a warm-up.
+    Broken(Arc<str>),
 }
 
 /// The state of a core host as sent to the other core hosts.
--- a/crates/fleet/tests/damaged.rs
+++ b/crates/fleet/tests/damaged.rs
@@ -104,6 +104,7 @@
                     Update::Crashed(server) => {
                         placer.record_crash(now, &server);
                     }
+                    Update::Broken(server) => placer.record_broken(now, &server),
                 }
             },
             Ok(Packet::Heartbeat(heartbeat)) => {
--- a/crates/fleet/tests/stale_list.rs
+++ b/crates/fleet/tests/stale_list.rs
@@ -11,6 +11,7 @@
 use primrose_fleet::peers::{self, Links};
 use primrose_fleet::replica::{self, Input};
 use primrose_observe::Meter;
+use primrose_place::warmup::Bound;
 use primrose_place::{Server, Settings};
 use primrose_wire::key::Key;
 use slog::{Discard, Logger, o};
@@ -79,6 +80,10 @@
         read_cached_parts: Arc::new(|_| Box::pin(async { Ok(Vec::new()) })),
         is_restarted: false,
         placer_settings: Settings::default(),
+        warmup_bound: Bound {
+            overshoot: 1.0,
+            slack: 0.0,
+        },
         meter,
         log,
     })
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -48,6 +48,11 @@
         unreachable || now < self.full_until
     }
 
+    /// Whether hosts of `domain` have received no answer since one of them could not connect.
+    pub fn has_backoff(&self, domain: &str) -> bool {
+        self.position(domain).is_ok()
+    }
+
     /// Share of recent requests that failed, from 0 to 1.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,18 +13,22 @@
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
+//! - [`warmup`] limits the requests to servers that have just started or have become cold again;
+//! - [`memory`] keeps engines from holding more requests than fit into their memory;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
 
 pub mod cache;
 pub mod demand;
 pub mod engine;
 pub mod health;
+pub mod memory;
 pub mod placer;
 pub mod quarantine;
 pub mod refusals;
 pub mod server;
 pub mod settings;
 pub mod share;
+pub mod warmup;
 
 pub use demand::Demand;
 pub use placer::Placer;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,11 +14,13 @@
 use crate::demand::{Demand, Key, Prompt};
 use crate::engine::Load;
 use crate::health::Health;
+use crate::memory::{Held, Need};
 use crate::quarantine::{self, BEGINNING_MS, Crash, Notice, Suspect};
 use crate::refusals::Refusals;
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
+use crate::warmup;
 
 /// The smallest part of `excess_limit` that applies to an account far beyond its share, so that
 /// idle servers still serve it.
@@ -83,6 +85,10 @@
     Deadline,
     /// A part of the prompt crashes servers.
     Quarantined,
+    /// All usable servers warm up and have got as many requests as they tolerate.
+    Warming,
+    /// No usable engine has enough free memory.
+    Memory,
 }
 
 impl Reason {
@@ -94,6 +100,8 @@
             Reason::OverShare => "over_share",
             Reason::Deadline => "hopeless_deadline",
             Reason::Quarantined => "quarantined",
+            Reason::Warming => "warming",
+            Reason::Memory => "engine_memory",
         }
     }
 }
@@ -113,6 +121,9 @@
         cached_tokens: u32,
         /// The engine from which the server is to fetch cached parts.
         fetch_from: Option<SocketAddrV4>,
+        /// How long after it was asked for the placement is valid, in ms, or `None` if it has no limit. Afterwards the
+        /// server may have become cold, and the request must be placed again.
+        send_within_ms: Option<u32>,
     },
     /// The request is refused and has not run.
     Refuse {
@@ -155,6 +166,8 @@
     parts: Vec<(u64, u32)>,
     /// The shared parts of the prompt, sorted.
     shared: Vec<quarantine::Key>,
+    /// The memory that the request needs.
+    need: Need,
     /// When the first event arrived.
     first_event: Option<Time>,
     assigned: Time,
@@ -189,6 +202,8 @@
     load: Load,
     cache: Cache,
     health: Health,
+    /// The memory that the assigned requests need.
+    held: Held,
     /// Mean time from the assignment of a request to its end, in ms; 0 before any was measured.
     slot_ms: f64,
     /// Whether another server was found at the address.
@@ -223,6 +238,7 @@
     last_expiry: Time,
     refusals: Refusals,
     quarantine: quarantine::Register,
+    warming: warmup::Register,
     /// In the order of their ends; at most [`MAX_BROKEN`].
     broken: Vec<Broken>,
     /// When this placer was last asked for a server.
@@ -285,6 +301,7 @@
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
             quarantine: quarantine::Register::default(),
+            warming: warmup::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
         }
@@ -294,6 +311,7 @@
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
+        self.list_warming();
     }
 
     /// Replaces the list of servers from service discovery. The load, cache and health of a server
@@ -311,11 +329,13 @@
                     load: std::mem::take(&mut old[at].load),
                     cache: std::mem::take(&mut old[at].cache),
                     health: std::mem::take(&mut old[at].health),
+                    held: std::mem::take(&mut old[at].held),
                     slot_ms: old[at].slot_ms,
                     replaced: old[at].replaced,
                     link_until: old[at].link_until,
                 },
                 None => State {
+                    held: self.held_by(&server.id),
                     server: server.clone(),
                     load: Load::default(),
                     cache: Cache::default(),
@@ -328,6 +348,78 @@
             self.servers.push(state);
         }
         self.servers.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+        self.list_warming();
+    }
+
+    /// Records that the newest list of servers was requested at `read`, on this host's clock. To be called for each list
+    /// that was read, also if the servers are unchanged: a list confirms which servers are warm.
+    pub fn record_list_read(&mut self, now: Time, read: Time) {
+        self.warming.record_list_read(now, read);
+    }
+
+    /// Permits this host to send requests to servers that are not warm, or withdraws the permission. Only the core host
+    /// that leads the log has it.
+    pub fn set_warmup_bound(&mut self, now: Time, bound: Option<warmup::Bound>) {
+        self.warming.set_permission(now, bound);
+    }
+
+    /// Records that the failure domain `domain` was returned to service: its servers may have restarted unseen.
+    pub fn record_domain_returned(&mut self, now: Time, domain: &str) {
+        for state in &mut self.servers {
+            if *state.server.domain == *domain
+                && self.warming.record_returned(now, &state.server.id)
+            {
+                state.cache.clear();
+            }
+        }
+    }
+
+    /// Records that a connection to the server with the id `server` broke, or that the server was silent for too long: it
+    /// may restart under the same id.
+    pub fn record_broken(&mut self, now: Time, server: &str) {
+        if self.warming.record_failure(now, server)
+            && let Ok(at) = self.server_index(server)
+        {
+            self.servers[at].cache.clear();
+        }
+    }
+
+    /// Whether the pool of the server with the id `server` has a warm-up.
+    pub fn has_warmup(&self, server: &str) -> bool {
+        self.server_index(server).is_ok_and(|at| {
+            let pool = &self.servers[at].server.pool;
+            warmup::of(&self.document, pool).is_some()
+        })
+    }
+
+    /// Takes the changes of state of servers with a warm-up since the last call, to be logged.
+    pub fn take_warmup_changes(&mut self) -> Vec<warmup::Change> {
+        self.warming.take_changes()
+    }
+
+    /// The memory that the requests need that are assigned to a server. It may have been missing in a list.
+    fn held_by(&self, server: &str) -> Held {
+        let mut held = Held::default();
+        for assignment in &self.assignments {
+            if *assignment.server == *server {
+                held.add(&assignment.need);
+            }
+        }
+        held
+    }
+
+    /// Records which servers of pools with a warm-up are on the list.
+    fn list_warming(&mut self) {
+        self.warming.begin_list();
+        for state in &mut self.servers {
+            if warmup::of(&self.document, &state.server.pool).is_some()
+                && self.warming.record_listed(&state.server)
+            {
+                state.cache.clear();
+                // The server has started since it failed, and would otherwise get no requests for seconds.
+                state.health = Health::default();
+            }
+        }
     }
 
     /// Records the parts that the server with the id `server` reports as cached, as pairs of the
@@ -366,11 +458,7 @@
         }
         let parts = parts_of(demand);
         let Some(best) = self.best(now, demand, &parts) else {
-            return Decision::Refuse {
-                reason: Reason::NoServer,
-                retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
-                wait_ms: 0,
-            };
+            return self.refuse_without_candidate(now, demand);
         };
         let own_part = parts.last().map(|part| part.0);
         let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
@@ -390,8 +478,11 @@
             self.servers[best.server].link_until = until;
             self.servers[fetch.from].server.address
         });
+        let send_within_ms = warmup::of(&self.document, &demand.pool)
+            .map(|warmup| self.warming.send_within_ms(now, &server.id, warmup));
         self.assign(now, demand, best.server, &parts, best.cached_tokens);
         Decision::Place {
+            send_within_ms,
             fetch_from,
             server,
             predicted_ms: best.total_ms() as u32,
@@ -425,6 +516,7 @@
     /// Records that the server with the id `server` has ended without notice. Returns the notice of a prompt part that is
     /// quarantined because of it.
     pub fn record_crash(&mut self, now: Time, server: &str) -> Option<Notice> {
+        self.record_broken(now, server);
         let at = self.server_index(server).ok()?;
         let crashed = &self.servers[at].server;
         // A server that drains ends as planned, whatever it is doing.
@@ -486,6 +578,8 @@
         self.quarantine
             .record_begun(now, &assignment.server, &assignment.shared);
         let state = &mut self.servers[server];
+        self.warming
+            .record_answer(now, &assignment.server, assignment.assigned);
         state.cache.record_ready(&assignment.parts, capacity);
         state
             .load
@@ -504,6 +598,7 @@
         };
         let state = &mut self.servers[server];
         state.load.remove(key);
+        state.held.remove(&assignment.need);
         if assignment.first_event.is_none() {
             state.cache.remove_unread(&assignment.parts);
         }
@@ -519,10 +614,15 @@
                         1.0
                     };
                     state.slot_ms += weight * (measured - state.slot_ms);
+                    self.warming
+                        .record_answer(now, &assignment.server, assignment.assigned);
                 }
                 state.health.record_answer(&assignment.domain, failed);
             }
             Outcome::Unreachable => {
+                let is_repeated = state.health.has_backoff(&assignment.domain);
+                self.warming
+                    .record_unreachable(now, &assignment.server, is_repeated);
                 state.health.record_unreachable(now, &assignment.domain);
                 state.cache.clear();
             }
@@ -566,7 +666,17 @@
         cached_tokens: u32,
     ) {
         let capacity = self.cache_tokens(&demand.pool);
+        let need = Need::new(demand, parts);
+        if let Ok(known) = self.assignment_index(demand.key)
+            && let Ok(before) = self.server_index(&self.assignments[known].server)
+        {
+            // The request is placed again, because the first answer was lost.
+            let need = &self.assignments[known].need;
+            self.servers[before].held.remove(need);
+        }
         let state = &mut self.servers[at];
+        self.warming.record_send(now, &state.server.id);
+        state.held.add(&need);
         let input = demand
             .prompt
             .as_ref()
@@ -580,6 +690,7 @@
             domain: Arc::clone(&demand.domain),
             parts: parts.to_vec(),
             shared: quarantine::Key::of(demand),
+            need,
             first_event: None,
             assigned: now,
             expires: now.plus_ms(u64::from(demand.remaining_ms) + EXPIRY_MS),
@@ -590,14 +701,56 @@
         }
     }
 
+    /// Whether a server may get the request, without regard to its warm-up and memory.
+    fn is_usable(&self, now: Time, demand: &Demand, state: &State) -> bool {
+        state.server.pool == demand.pool
+            && !state.server.draining
+            && !state.replaced
+            && !demand.tried.contains(&state.server.id)
+            && !state.health.is_unavailable(now, &demand.domain)
+    }
+
+    /// The refusal of a request for which there is no candidate. If servers only warm up or have no room, the caller is
+    /// told to retry when the first of them can take a request.
+    fn refuse_without_candidate(&self, now: Time, demand: &Demand) -> Decision {
+        let refuse = |reason, retry_after_ms| Decision::Refuse {
+            reason,
+            retry_after_ms,
+            wait_ms: 0,
+        };
+        let servers = self.servers.iter();
+        let usable = servers.filter(|state| self.is_usable(now, demand, state));
+        let warmup = warmup::of(&self.document, &demand.pool);
+        let delays = usable.filter_map(|state| {
+            let delay_ms = self.warming.delay_ms(now, &state.server.id, warmup?);
+            let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
+            let until_room_ms = (slot_ms / state.load.len().max(1) as f64) as u64;
+            Some((delay_ms, until_room_ms))
+        });
+        match delays.min() {
+            None => refuse(Reason::NoServer, NO_SERVER_RETRY_AFTER_MS),
+            Some((0, until_room_ms)) => {
+                let retry_after_ms =
+                    (until_room_ms as f64).clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end());
+                refuse(Reason::Memory, retry_after_ms as u32)
+            }
+            Some((delay_ms, _)) => {
+                refuse(Reason::Warming, u32::try_from(delay_ms).unwrap_or(u32::MAX))
+            }
+        }
+    }
+
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
     fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+        let warmup = warmup::of(&self.document, &demand.pool);
+        let limits = warmup.map(|warmup| (warmup, Need::new(demand, parts)));
+        let capacity = self.cache_tokens(&demand.pool);
         let usable = self.servers.iter().enumerate().filter(|(_, state)| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
-                && !demand.tried.contains(&state.server.id)
-                && !state.health.is_unavailable(now, &demand.domain)
+            let is_within_limits = limits.as_ref().is_none_or(|(warmup, need)| {
+                self.warming.delay_ms(now, &state.server.id, warmup) == 0
+                    && state.held.has_room(need, capacity)
+            });
+            is_within_limits && self.is_usable(now, demand, state)
         });
         let cached: Vec<u32> = self
             .servers
