--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -278,9 +278,7 @@
 
     fn place(&mut self, source: SocketAddr, demand: &Demand) {
         let now = Time::now();
-        let is_leading = self.state.borrow().is_leading;
-        let bound = is_leading.then_some(self.inputs.warmup_bound);
-        self.placer.set_warmup_bound(now, bound);
+        self.update_warmup_bound(now);
         let decision = self.placer.place(now, demand);
         self.inputs.meter.count(match &decision {
             Decision::Place { .. } => "ask_placed",
@@ -313,6 +311,13 @@
         }
     }
 
+    /// Only the host that leads the log may send to servers that are not warm.
+    fn update_warmup_bound(&mut self, now: Time) {
+        let is_leading = self.state.borrow().is_leading;
+        let bound = is_leading.then_some(self.inputs.warmup_bound);
+        self.placer.set_warmup_bound(now, bound);
+    }
+
     /// Logs which servers have begun or ended to warm up.
     fn log_warmup(&mut self) {
         for change in self.placer.take_warmup_changes() {
@@ -601,6 +606,7 @@
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
+        self.update_warmup_bound(now);
         self.log_warmup();
         self.read_servers_if_due(now);
         self.introduce_if_due(now);
--- a/crates/place/tests/warmup.rs
+++ b/crates/place/tests/warmup.rs
@@ -9,7 +9,7 @@
 use primrose_base::clock::Time;
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::{Decision, Outcome, Placer, Reason};
-use primrose_place::warmup::{Bound, SEND_WITHIN_MS, State, WINDOW_MS};
+use primrose_place::warmup::{self, Bound, SEND_WITHIN_MS, State, WINDOW_MS};
 use primrose_place::{Server, Settings};
 use primrose_route::Document;
 use primrose_route::document::Warmup;
@@ -495,3 +495,48 @@
     let decision = placer.place(Time::from_ms(20_000), &huge);
     assert_eq!(refusal(&decision).map(|r| r.0), Some(Reason::Memory));
 }
+
+// A partition must not limit all servers on its other side for as long as it lasts.
+#[test]
+fn broken_path_limits_a_server_once() {
+    let mut placer = permitted(&engines(1));
+    let mut sequence = 0;
+    let mut end = |placer: &mut Placer, at_ms: u64, domain: &str, outcome| {
+        sequence += 1;
+        let request = Demand {
+            domain: domain.into(),
+            ..demand(sequence, 1, 10, 10)
+        };
+        let now = Time::from_ms(at_ms);
+        assert!(refusal(&placer.place(now, &request)).is_none(), "{at_ms}");
+        placer.record_end(now.plus_ms(10), request.key, outcome);
+    };
+    let answered = Outcome::Answered { failed: false };
+    end(&mut placer, 10_000, "south", Outcome::Unreachable);
+    end(&mut placer, 10_500, "north", answered);
+    placer.record_list_read(Time::from_ms(12_000), Time::from_ms(11_600));
+    end(&mut placer, 12_100, "north", answered);
+    end(&mut placer, 12_200, "south", Outcome::Unreachable);
+    let states: Vec<State> = placer
+        .take_warmup_changes()
+        .iter()
+        .map(|c| c.state)
+        .collect();
+    assert_eq!(states, [State::Unconfirmed, State::Warm]);
+    // A server that answers nobody may have crashed.
+    end(&mut placer, 15_000, "south", Outcome::Unreachable);
+    assert_eq!(placer.take_warmup_changes().len(), 1);
+}
+
+// Lists that differ only in a statement without effect must count as equal, or every start of a server would make all hosts
+// of other deployments fetch the list.
+#[test]
+fn statement_is_removed_where_it_has_no_effect() {
+    let other = Server {
+        pool: "other".into(),
+        ..engine(2)
+    };
+    let mut servers = [cold(engine(1)), cold(other)];
+    warmup::clear_unused(&warming_document(), &mut servers);
+    assert_eq!(servers.map(|server| server.cold), [true, false]);
+}
