Merge the warm-up of servers and the memory of engines

A set of drained domains that no longer names a domain makes its servers unconfirmed for the warm-up.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,11 +1,11 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 88] = [
+pub const ALL: [&str; 91] = [
     "accept_failed",
+    "answer_broken",
     "answer_endless",
     "answer_foreign",
-    "answer_broken",
     "ask_local",
     "ask_repeated",
     "body_too_large",
@@ -34,6 +34,7 @@
     "document_fetched",
     "drained",
     "drained_changed",
+    "engine_memory",
     "gave_up_attempts",
     "gave_up_budget",
     "gave_up_deadline",
@@ -63,6 +64,7 @@
     "resume_refused",
     "retry_answer_broken",
     "retry_not_sent",
+    "retry_placement_stale",
     "retry_server_drained",
     "retry_server_failed",
     "retry_server_full",
@@ -90,6 +92,7 @@
     "unknown_key",
     "unknown_route",
     "unreachable",
+    "warming",
 ];
 
 /// The names of all latency histograms of an entry host, in ms.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -473,13 +473,19 @@
                     self.active.remove(at);
                 }
             }
+            Update::Broken(server) => {
+                if !self.placer.has_warmup(server) {
+                    return;
+                }
+                self.placer.record_broken(now, server);
+            }
             // This host knows only its own requests, so it does not decide which of them was the reason.
             Update::Crashed(server) => {
                 self.inputs.meter.count("server_crashed");
                 info!(self.inputs.log, "backend server has crashed"; "server" => &**server);
             }
         }
-        let is_urgent = matches!(update, Update::Crashed(_));
+        let is_urgent = matches!(update, Update::Crashed(_) | Update::Broken(_));
         self.updates.push(update);
         if is_urgent || self.updates.len() >= MAX_UPDATES {
             self.flush_updates();
@@ -566,7 +572,7 @@
         if !status.crossing.is_empty() {
             self.placer.set_crossing_shares(&status.crossing);
         }
-        if self.placer.set_drained(&status.drained) {
+        if self.placer.set_drained(now, &status.drained) {
             lock(&self.notices).set_drained(&status.drained);
             self.inputs.meter.count("drained_changed");
             info!(self.inputs.log, "drained failure domains changed"; "domains" => ?status.drained.domains,
@@ -592,7 +598,10 @@
             let asked = status.answers.sent_by(self.incarnation);
             match directory::compare(asked, self.directory, freshness) {
                 Action::Keep => {}
-                Action::Renew(read) => self.directory = Some((freshness.fingerprint, read)),
+                Action::Renew(read) => {
+                    self.directory = Some((freshness.fingerprint, read));
+                    self.placer.record_list_read(now, read);
+                }
                 Action::Fetch => self.fetch_directory(address),
             }
         }
@@ -720,6 +729,7 @@
                         "servers" => directory.servers().len(), "age_ms" => Time::now().since(read));
                     self.directory = Some((directory.fingerprint(), read));
                     self.placer.set_servers(directory.servers());
+                    self.placer.record_list_read(Time::now(), read);
                     lock(&self.notices).set_servers(Time::now(), directory.servers());
                     self.state.send_modify(|state| state.has_directory = true);
                 }
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -11,6 +11,7 @@
 use primrose_observe::Meter;
 use primrose_place::placer::{Decision, Reason};
 use primrose_place::quarantine::Notice;
+use primrose_place::warmup::{self, Bound};
 use primrose_place::{Demand, Placer, Server, Settings, drained};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
 use primrose_wire::key::Key;
@@ -94,6 +95,8 @@
     pub is_restarted: bool,
     /// Settings of the placer.
     pub placer_settings: Settings,
+    /// The bound on the requests to a server that warms up.
+    pub warmup_bound: Bound,
     /// Counters; the names are in [`crate::counter`].
     pub meter: Arc<Meter>,
     /// The log of the process.
@@ -290,7 +293,9 @@
     }
 
     fn place(&mut self, source: SocketAddr, demand: &Demand) {
-        let decision = self.placer.place(Time::now(), demand);
+        let now = Time::now();
+        self.update_warmup_bound(now);
+        let decision = self.placer.place(now, demand);
         self.inputs.meter.count(match &decision {
             Decision::Place { .. } => "ask_placed",
             Decision::Refuse { reason, .. } => match reason {
@@ -300,6 +305,8 @@
                 Reason::Deadline => "ask_refused_hopeless_deadline",
                 Reason::Quarantined => "ask_refused_quarantined",
                 Reason::Drained => "ask_refused_drained",
+                Reason::Warming => "ask_refused_warming",
+                Reason::Memory => "ask_refused_engine_memory",
             },
         });
         let key = demand.key;
@@ -336,10 +343,33 @@
                 Update::FirstEvent(key) => self.placer.record_first_event(now, key),
                 Update::End { key, outcome } => self.placer.record_end(now, key, outcome),
                 Update::Crashed(server) => self.record_crash(now, &server),
+                Update::Broken(server) => self.placer.record_broken(now, &server),
             }
         }
     }
 
+    /// Only the host that leads the log may send to servers that are not warm.
+    fn update_warmup_bound(&mut self, now: Time) {
+        let is_leading = self.state.borrow().is_leading;
+        let bound = is_leading.then_some(self.inputs.warmup_bound);
+        self.placer.set_warmup_bound(now, bound);
+    }
+
+    /// Logs which servers have begun or ended to warm up.
+    fn log_warmup(&mut self) {
+        for change in self.placer.take_warmup_changes() {
+            let (counter, text) = match change.state {
+                warmup::State::Warm => ("server_warm", "backend server is warm"),
+                warmup::State::Unconfirmed => {
+                    ("server_unconfirmed", "backend server may have become cold")
+                }
+                warmup::State::Cold => ("server_cold", "backend server is cold"),
+            };
+            self.inputs.meter.count(counter);
+            info!(self.inputs.log, "{}", text; "server" => &*change.server);
+        }
+    }
+
     fn record_crash(&mut self, now: Time, server: &str) {
         if let Some(notice) = self.placer.record_crash(now, server) {
             self.inputs.meter.count("part_quarantined");
@@ -382,7 +412,7 @@
         if !self.drained.merge(set) {
             return;
         }
-        self.placer.set_drained(set);
+        self.placer.set_drained(Time::now(), set);
         self.inputs.meter.count("drained_changed");
         info!(self.inputs.log, "drained failure domains changed"; "domains" => ?set.domains,
             "revision" => set.revision);
@@ -427,6 +457,7 @@
             Action::Renew(read) => self.published.send_modify(|published| {
                 if let Some((_, own_read)) = published {
                     *own_read = read;
+                    self.placer.record_list_read(Time::now(), read);
                 }
             }),
             Action::Fetch => self.fetch_directory(host),
@@ -461,8 +492,11 @@
             Event::ServersRead { asked, result } => {
                 self.is_updating_directory = false;
                 match result {
-                    Ok(servers) => {
+                    Ok(mut servers) => {
                         self.inputs.meter.count("directory_read");
+                        if let Some(stored) = &*self.newest.borrow() {
+                            warmup::clear_unused(&stored.document, &mut servers);
+                        }
                         self.publish_if_newer(Arc::new(Directory::new(servers)), asked);
                     }
                     Err(error) => {
@@ -516,6 +550,8 @@
             self.inputs.meter.count("directory_changed");
             self.placer.set_servers(directory.servers());
         }
+        self.placer.record_list_read(Time::now(), read);
+        self.log_warmup();
         self.published.send_replace(Some((directory, read)));
         if !is_same {
             self.read_caches();
@@ -636,6 +672,8 @@
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
         }
+        self.update_warmup_bound(now);
+        self.log_warmup();
         self.read_servers_if_due(now);
         self.introduce_if_due(now);
     }
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,14 +1,16 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 38] = [
+pub const ALL: [&str; 43] = [
     "ask_placed",
     "ask_refused_drained",
+    "ask_refused_engine_memory",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
     "ask_refused_overload",
     "ask_refused_quarantined",
+    "ask_refused_warming",
     "crossing_closed",
     "crossing_opened",
     "datagram_refused",
@@ -40,4 +42,7 @@
     "read_answered",
     "read_unavailable",
     "replica_replaced",
+    "server_cold",
+    "server_unconfirmed",
+    "server_warm",
 ];
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -17,7 +17,9 @@
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
 //! - [`crossing`] decides when requests may leave the failure domain of their entry host;
 //! - [`speed`] learns figures of whole pools, for pools whose engines all differ from the operators' figures;
-//! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines.
+//! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines;
+//! - [`warmup`] limits the requests to servers that have just started or have become cold again;
+//! - [`memory`] keeps engines from holding more requests than fit into their memory.
 
 pub mod cache;
 pub mod crossing;
@@ -25,6 +27,7 @@
 pub mod drained;
 pub mod engine;
 pub mod health;
+pub mod memory;
 pub mod placer;
 pub mod quarantine;
 pub mod refusals;
@@ -33,6 +36,7 @@
 pub mod share;
 pub mod speed;
 pub mod transfer;
+pub mod warmup;
 
 pub use demand::Demand;
 pub use placer::Placer;
--- a/crates/place/tests/drained.rs
+++ b/crates/place/tests/drained.rs
@@ -48,8 +48,8 @@
 fn drained_domain_gets_no_requests() {
     let now = Time::from_ms(1_000);
     let mut placer = placer();
-    assert!(placer.set_drained(&set(3, &["west"])));
-    assert!(!placer.set_drained(&set(2, &[])));
+    assert!(placer.set_drained(Time::ZERO, &set(3, &["west"])));
+    assert!(!placer.set_drained(Time::ZERO, &set(2, &[])));
     for sequence in 0..200 {
         match placer.place(now, &support::demand(sequence, 0, 500, 10)) {
             Decision::Place { server, .. } => assert_eq!(&*server.domain, "east"),
@@ -57,7 +57,7 @@
             Decision::Refuse { reason, .. } => assert_ne!(reason, Reason::Drained),
         }
     }
-    assert!(placer.set_drained(&set(4, &[])));
+    assert!(placer.set_drained(Time::ZERO, &set(4, &[])));
     assert_eq!(
         &*domain_of(placer.place(now, &support::demand(300, 0, 500, 10))),
         "west"
@@ -70,7 +70,7 @@
 fn pool_in_drained_domains_refuses() {
     let now = Time::from_ms(1_000);
     let mut placer = placer();
-    placer.set_drained(&set(1, &["east", "west"]));
+    placer.set_drained(Time::ZERO, &set(1, &["east", "west"]));
     let mut demand = support::demand(1, 0, 500, 10);
     let refusal = Decision::Refuse {
         reason: Reason::Drained,
@@ -80,10 +80,10 @@
     assert_eq!(placer.place(now, &demand), refusal);
     demand.tried = (1..=3).map(|number| support::engine(number).id).collect();
     assert_eq!(placer.place(now, &demand), refusal);
-    placer.set_drained(&set(2, &[]));
+    placer.set_drained(Time::ZERO, &set(2, &[]));
     let decision = placer.place(now, &demand);
     assert_eq!(reason_of(&decision), Some(Reason::NoServer));
-    placer.set_drained(&set(3, &["west", "east"]));
+    placer.set_drained(Time::ZERO, &set(3, &["west", "east"]));
     let leaving = (1..=3).map(|number| Server {
         draining: true,
         domain: "west".into(),
@@ -101,10 +101,10 @@
 fn running_requests_and_cached_parts_outlive_the_order() {
     let mut placer = placer();
     let now = Time::from_ms(1_000);
-    placer.set_drained(&set(1, &["east"]));
+    placer.set_drained(Time::ZERO, &set(1, &["east"]));
     let first = support::demand(1, 7, 20_000, 10);
     assert_eq!(&*domain_of(placer.place(now, &first)), "west");
-    placer.set_drained(&set(2, &["west"]));
+    placer.set_drained(Time::ZERO, &set(2, &["west"]));
     assert_eq!(placer.assigned(), 1);
     let now = now.plus_ms(2_000);
     placer.record_first_event(now, first.key);
