place: Make the costs of transfers and of leaving a domain settings

The costs were constants derived from one operator's prices. They are now settings in tokens that an engine reads for the same money, with defaults near the former values (16.7 tokens per MB, 385 tokens). A late answer costs the time of the objective in place of the price of 25,000 tokens.

--- a/crates/place/src/crossing.rs
+++ b/crates/place/src/crossing.rs
@@ -19,9 +19,6 @@
 /// How often the values are derived, in ms. Predicted waits change little in less time.
 pub const INTERVAL_MS: u64 = 100;
 
-/// Cost of a request that leaves its domain, in tokens read: 0.03 against 0.078 per 1,000 tokens.
-const LEAVING_TOKENS: f64 = 0.03 / 0.078e-3;
-
 /// The part of the price that falls with the backlog, as a share of the objective. In the replay, 0.05 gave the highest
 /// worth of 0, 0.02, 0.05, 0.1 and 0.2; higher prices keep requests at home that are then too late.
 const FULL_PRICE: f64 = 0.05;
@@ -273,5 +270,5 @@
 
 /// Cost of a request that leaves its domain, in the unit of the placer's score.
 fn leaving_ms(settings: &Settings) -> f64 {
-    LEAVING_TOKENS * settings.reading_weight / settings.speed.tokens_per_ms
+    settings.leaving_tokens * settings.reading_weight / settings.speed.tokens_per_ms
 }
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -49,6 +49,12 @@
     /// Weight of the costs of copies of prompt parts, in pools where a cached token is fetched in less than a quarter of
     /// the time in which it is read. `fetch_weight` has no effect there unless this is 0, which turns the costs off.
     pub copy_weight: f64,
+    /// What the operators pay for the transfer of 1 MB of prompt memory between engines, in tokens that an engine reads for
+    /// the same money.
+    pub transfer_tokens_per_mb: f64,
+    /// What the operators pay for a request that leaves its failure domain, in tokens that an engine reads for the same
+    /// money.
+    pub leaving_tokens: f64,
     /// The fewest tokens that are fetched from another engine. Fewer are prefilled again, because
     /// setting up a transfer takes some ms.
     pub min_fetch_tokens: u32,
@@ -71,6 +77,8 @@
             failure_weight: 6.0,
             fetch_weight: 0.5,
             copy_weight: 1.0,
+            transfer_tokens_per_mb: 16.7,
+            leaving_tokens: 385.0,
             min_fetch_tokens: 200,
         }
     }
@@ -111,6 +119,8 @@
             ("failure_weight", self.failure_weight),
             ("fetch_weight", self.fetch_weight),
             ("copy_weight", self.copy_weight),
+            ("transfer_tokens_per_mb", self.transfer_tokens_per_mb),
+            ("leaving_tokens", self.leaving_tokens),
         ];
         for (name, value) in positive {
             if !value.is_finite() || value <= 0.0 {
--- a/crates/place/src/transfer.rs
+++ b/crates/place/src/transfer.rs
@@ -12,15 +12,6 @@
 use crate::engine::Speed;
 use crate::settings::Settings;
 
-/// Price of the transfer of one byte, in the unit of the worth of requests: 1.3 per GB.
-const TRANSFER_PRICE: f64 = 1.3e-9;
-
-/// Price of reading one shared token again, in the unit of the worth of requests: 0.078 per 1,000 tokens.
-const READING_PRICE: f64 = 0.078e-3;
-
-/// What is lost if a large request is answered after its objective: 0.7 of a worth of 2.8.
-const LATE_PRICE: f64 = 0.7 * 2.8;
-
 /// How many tokens are read again for each token of a part used more than once that a copy evicts: on one day 14.6 M
 /// tokens were read again and 35.6 M tokens transferred.
 const EVICTION_WEIGHT: f64 = 0.4;
@@ -48,7 +39,7 @@
 pub struct Price {
     /// Cost of reading one token; above 0.
     token_ms: f64,
-    /// Cost of transferring one token relative to reading it.
+    /// Cost of transferring one token relative to reading it, as the operators set it.
     transfer: f64,
 }
 
@@ -60,7 +51,7 @@
         let is_on = settings.copy_weight > 0.0 && is_cheap(engine, &settings.speed);
         is_on.then(|| Price {
             token_ms: settings.copy_weight * settings.reading_weight / settings.speed.tokens_per_ms,
-            transfer: token_bytes as f64 * TRANSFER_PRICE / READING_PRICE,
+            transfer: token_bytes as f64 / 1e6 * settings.transfer_tokens_per_mb,
         })
     }
 
@@ -74,13 +65,14 @@
         tokens as f64 * EVICTION_WEIGHT * self.token_ms
     }
 
-    /// Cost of an answer `total_ms` from now, which is 0 if it is in time.
+    /// Cost of an answer `total_ms` from now, which is 0 if it is in time: a caller whose answer is late has lost the time
+    /// of the objective.
     pub fn late_ms(&self, total_ms: f64, demand: &Demand, settings: &Settings) -> f64 {
         if f64::from(demand.waited_ms) + total_ms <= settings.limit * objective_ms(demand, settings)
         {
             return 0.0;
         }
-        LATE_PRICE / READING_PRICE * self.token_ms
+        settings.copy_weight * f64::from(demand.objective_ms)
     }
 }
 
