place: Count the memory of requests only in pools with a warm-up

Every assignment copied the parts of its prompt once more, also where nothing reads them. The limits of a server are now checked after the cheaper tests.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -7,7 +7,7 @@
 use foldhash::quality::FixedState;
 use primrose_base::clock::Time;
 use primrose_route::Document;
-use primrose_route::document::Engine;
+use primrose_route::document::{Engine, Warmup};
 use serde::{Deserialize, Serialize};
 
 use crate::cache::{self, Cache};
@@ -166,7 +166,7 @@
     parts: Vec<(u64, u32)>,
     /// The shared parts of the prompt, sorted.
     shared: Vec<quarantine::Key>,
-    /// The memory that the request needs.
+    /// The memory that the request needs; nothing if its pool has no warm-up.
     need: Need,
     /// When the first event arrived.
     first_event: Option<Time>,
@@ -666,7 +666,12 @@
         cached_tokens: u32,
     ) {
         let capacity = self.cache_tokens(&demand.pool);
-        let need = Need::new(demand, parts);
+        let has_limits = warmup::of(&self.document, &demand.pool).is_some();
+        let need = if has_limits {
+            Need::new(demand, parts)
+        } else {
+            Need::default()
+        };
         if let Ok(known) = self.assignment_index(demand.key)
             && let Ok(before) = self.server_index(&self.assignments[known].server)
         {
@@ -746,11 +751,11 @@
         let limits = warmup.map(|warmup| (warmup, Need::new(demand, parts)));
         let capacity = self.cache_tokens(&demand.pool);
         let usable = self.servers.iter().enumerate().filter(|(_, state)| {
-            let is_within_limits = limits.as_ref().is_none_or(|(warmup, need)| {
+            let is_within_limits = |(warmup, need): &(&Warmup, Need)| {
                 self.warming.delay_ms(now, &state.server.id, warmup) == 0
                     && state.held.has_room(need, capacity)
-            });
-            is_within_limits && self.is_usable(now, demand, state)
+            };
+            self.is_usable(now, demand, state) && limits.as_ref().is_none_or(is_within_limits)
         });
         let cached: Vec<u32> = self
             .servers
