entry: Bound what waits for slow readers, and disconnect the slowest first

Several hundred callers that read at 1 KB/s fill the send queues of their connections, which the kernel lets grow to several MiB each: 781 MiB in a run with 300 of them.

While the part for overloaded hosts is on, the module slow bounds the kernel's buffers of new connections to callers and servers, adds up every 250 ms what waits for callers, and resets the slowest readers if the sum exceeds a quarter of the memory (counter closed_slow_reader).

--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -16,6 +16,7 @@
 
 use crate::framing::Tracker;
 use crate::idle::{self, Activity, Timeouts};
+use crate::slow::Flow;
 
 /// The reason for the end of a connection on which a request was answered before its body was read.
 const BODY_UNREAD: &str = "closed_body_unread";
@@ -128,6 +129,8 @@
 #[derive(Clone)]
 pub(crate) struct Record {
     state: Arc<Mutex<State>>,
+    /// What waits for the caller.
+    pub(crate) flow: Arc<Flow>,
     timeouts: idle::Source,
 }
 
@@ -154,7 +157,11 @@
             has_write_error: false,
             has_ended: false,
         }));
-        Record { state, timeouts }
+        Record {
+            state,
+            flow: Arc::default(),
+            timeouts,
+        }
     }
 
     /// The limits in force.
@@ -202,7 +209,8 @@
     }
 
     /// Records that bytes of an answer were written. A connection is idle only after the last of them.
-    pub(crate) fn record_written(&self) {
+    pub(crate) fn record_written(&self, bytes: usize) {
+        self.flow.record_written(bytes);
         let mut state = self.lock();
         if state.stage == Stage::Idle {
             state.since = Time::now();
@@ -222,6 +230,7 @@
         if request.body().is_end_stream() {
             exchange.set_body_read();
         }
+        self.flow.record_request();
         let mut state = self.lock();
         state.begin(Stage::Handling);
         state.requests += 1;
@@ -379,7 +388,7 @@
             is_shutdown: cause == Cause::Shutdown,
             is_expired: cause == Cause::Expired,
         };
-        let reason = self.record.lock().reason(&end);
+        let reason = self.reason(&end);
         if let Some(log) = self.log.take() {
             self.write(&log, &end, reason);
         }
@@ -390,6 +399,14 @@
         }
     }
 
+    /// Name of the counter for the end of the connection.
+    fn reason(&self, end: &End) -> &'static str {
+        if self.record.flow.is_cut() {
+            return "closed_slow_reader";
+        }
+        self.record.lock().reason(end)
+    }
+
     fn write(&self, log: &Log, end: &End, reason: &'static str) {
         let state = self.record.lock();
         log.meter.count(reason);
@@ -434,7 +451,7 @@
                 is_shutdown: false,
                 is_expired: false,
             };
-            let reason = self.record.lock().reason(&end);
+            let reason = self.reason(&end);
             self.write(&log, &end, reason);
         }
     }
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 83] = [
+pub const ALL: [&str; 84] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -24,6 +24,7 @@
     "closed_partial_head",
     "closed_protocol",
     "closed_shutdown",
+    "closed_slow_reader",
     "closed_write_error",
     "connection_opened",
     "connection_reused",
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -29,6 +29,7 @@
 use crate::idle::{self, Activity};
 use crate::overload::{self, Detector};
 use crate::pressure::{Intake, Next};
+use crate::slow;
 use crate::tracked::{Answer, Socket};
 
 /// The largest head of a request that the listener accepts, in bytes.
@@ -91,6 +92,8 @@
     pub overload: Detector,
     /// Where the ends of connections are counted and logged, or `None` if they are not.
     pub closings: Option<closing::Log>,
+    /// Bounds what waits for slow readers, or `None` if it is not bounded.
+    pub readers: Option<slow::Register>,
 }
 
 /// Listens on `address` and answers each request with `handle`.
@@ -337,6 +340,12 @@
             Ok::<_, Infallible>(response.map(|body| Answer::new(body, record)))
         }
     });
+    if let Some(readers) = &limits.readers {
+        if readers.is_on() {
+            slow::bound_buffers(&stream);
+        }
+        readers.add(&stream, &record.flow);
+    }
     let socket = Socket::new(stream, record.clone());
     let mut connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -177,7 +177,8 @@
     ///
     /// Returns the error of the socket, or a timeout.
     pub(crate) async fn connect(&self, server: &Server) -> io::Result<Connection> {
-        let connection = self.pool.open(server).await?;
+        let is_bounded = self.overload.thresholds().is_some();
+        let connection = self.pool.open(server, is_bounded).await?;
         self.meter.count("connection_opened");
         Ok(connection)
     }
--- a/crates/entry/src/tracked.rs
+++ b/crates/entry/src/tracked.rs
@@ -38,7 +38,7 @@
     /// Records the result of a write.
     fn check(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &result {
-            Poll::Ready(Ok(_)) => self.record.record_written(),
+            Poll::Ready(Ok(bytes)) => self.record.record_written(*bytes),
             Poll::Ready(Err(_)) => self.record.record_write_error(),
             Poll::Pending => {}
         }
@@ -99,6 +99,12 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.record.flow.set_socket(None);
+    }
+}
+
 /// The body of an answer, which records its end. hyper drops it when it has taken all of it.
 pub(crate) struct Answer {
     body: Body,
@@ -107,12 +113,15 @@
 
 impl Answer {
     pub(crate) fn new(body: Body, record: Record) -> Answer {
+        let is_full = matches!(body, Body::Full(_));
+        record.flow.set_forwarding(!is_full);
         Answer { body, record }
     }
 }
 
 impl Drop for Answer {
     fn drop(&mut self) {
+        self.record.flow.set_forwarding(false);
         self.record.record_answer_end();
     }
 }
@@ -127,8 +136,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         let answer = self.get_mut();
         let frame = Pin::new(&mut answer.body).poll_frame(context);
-        if let Poll::Ready(Some(Err(_))) = &frame {
-            answer.record.record_interrupted();
+        match &frame {
+            Poll::Ready(Some(Err(_))) => answer.record.record_interrupted(),
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                answer.record.flow.record_pulled(bytes);
+            }
+            Poll::Ready(None) | Poll::Pending => {}
         }
         frame
     }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -21,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::slow;
+
 /// Timeout for opening a connection: failure domains are a few ms apart, and a server that is starting accepts
 /// connections at once.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -131,15 +133,18 @@
         connection
     }
 
-    /// Opens a connection to the server.
+    /// Opens a connection to the server. `is_bounded` tells whether the kernel's buffers are bounded.
     ///
     /// # Errors
     ///
     /// Returns the error of the socket, `TimedOut` if the server does not accept within [`CONNECT_TIMEOUT`].
-    pub(crate) async fn open(&self, server: &Server) -> io::Result<Connection> {
+    pub(crate) async fn open(&self, server: &Server, is_bounded: bool) -> io::Result<Connection> {
         let address = SocketAddr::V4(server.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
+        if is_bounded {
+            slow::bound_buffers(&stream);
+        }
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         let probes = TcpKeepalive::new()
--- a/crates/entry/tests/closing.rs
+++ b/crates/entry/tests/closing.rs
@@ -58,6 +58,7 @@
                 log: logger(&log, "host"),
                 table,
             }),
+            readers: None,
         };
         let (phase, receiver) = watch::channel(Phase::Serving);
         let address = "127.0.0.1:0".parse().expect("the address is valid");
--- a/crates/entry/tests/parts.rs
+++ b/crates/entry/tests/parts.rs
@@ -356,6 +356,7 @@
         max_connections,
         overload,
         closings: None,
+        readers: None,
     };
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("the address is valid");
--- a/crates/entry/tests/pressure.rs
+++ b/crates/entry/tests/pressure.rs
@@ -195,6 +195,7 @@
         max_connections: 100,
         overload: overload.clone(),
         closings: None,
+        readers: None,
     };
     let (_phase, phases) = watch::channel(Phase::Serving);
     let address = "127.0.0.1:0".parse().expect("the address is valid");
--- a/crates/entry/tests/review.rs
+++ b/crates/entry/tests/review.rs
@@ -29,6 +29,7 @@
         max_connections: 100,
         overload: Detector::default(),
         closings: None,
+        readers: None,
     };
     let (sender, phases) = watch::channel(phase);
     let address = "127.0.0.1:0".parse().expect("the address is valid");
