--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 91] = [
+pub const ALL: [&str; 92] = [
     "accept_failed",
     "answer_broken",
     "answer_endless",
@@ -24,6 +24,7 @@
     "closed_partial_head",
     "closed_protocol",
     "closed_shutdown",
+    "closed_slow_reader",
     "closed_write_error",
     "connection_opened",
     "connection_reused",
