--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -327,6 +327,31 @@
     assert!(matches!(outcome, Outcome::Unknown | Outcome::NotLeader));
 }
 
+// A core host that takes the place of another one, or that lost its disk, gets a snapshot and not the entry of the order.
+#[tokio::test]
+async fn new_core_host_gets_the_list() {
+    let mut disks = folders();
+    disks.push(tempfile::tempdir().expect("a folder can be created"));
+    let hosts = open(&disks);
+    form_fleet(&hosts[..3]);
+    let leader = leader(&hosts[..3]).await;
+    let outcome = leader.handle.order(drain("west"), Time::now()).await;
+    assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+    for version in 1..=40 {
+        let outcome = leader.handle.put(document(version)).await;
+        assert_eq!(outcome, Outcome::Applied(Reply::Stored));
+    }
+    let newcomer = &hosts[3].handle;
+    assert_eq!(**newcomer.follow_drained().borrow(), List::default());
+    let introduction = newcomer.state().introduction;
+    leader
+        .handle
+        .introduce(introduction)
+        .await
+        .expect("an answer");
+    until_published(&hosts[3], "west").await;
+}
+
 // A host that was frozen must not carry out an order that its author has given up and may have revoked elsewhere.
 #[tokio::test]
 async fn order_that_waited_too_long_is_not_appended() {
