place: Let requests wait for spare engine time

Cause: a request that cannot be placed within its limit is refused on arrival, although a trough of the load often follows before its deadline. A caller that comes back, late already, is placed on engines with up to two objectives of work, which delays requests that could be in time.

Change: place::waiting holds a bounded queue and decides between placing, waiting and refusing. Decision::Wait tells the entry host when to ask again with the same key. The setting `waiting` turns this on; it is off by default.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,6 +12,7 @@
 //!   floods by single accounts;
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
+//! - [`waiting`] lets requests wait for spare engine time that cannot be served at once, if that is on;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them.
 
@@ -25,6 +26,7 @@
 pub mod server;
 pub mod settings;
 pub mod share;
+pub mod waiting;
 
 pub use demand::Demand;
 pub use placer::Placer;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
+use crate::waiting::{Answer, Ask, Queue};
 
 /// The smallest part of `excess_limit` that applies to an account far beyond its share, so that
 /// idle servers still serve it.
@@ -30,6 +31,13 @@
 /// The shortest and longest time after which a refused caller is told to retry, in ms.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 300.0..=2_500.0;
 
+/// Callers honour a time until the retry of up to a third of their remaining time. Some is left for the way to the caller.
+const HONOURED_PART: f64 = 0.3;
+
+/// Range over which retries are spread, in ms. In replays, 0 to 2,200 ms made no difference in worth beyond the noise;
+/// this spreads a burst without keeping callers away for longer than the shortest objective.
+const RETRY_SPREAD_MS: f64 = 300.0;
+
 /// The time after which a caller is told to retry if no server is usable, in ms: about the time
 /// until a restarted server is discovered.
 const NO_SERVER_RETRY_AFTER_MS: u32 = 700;
@@ -66,6 +74,10 @@
 /// The most such requests that are remembered.
 const MAX_BROKEN: usize = 1_024;
 
+/// Requests wait only in pools with a route whose timeout is at least this many objectives. With a shorter timeout, the
+/// next trough of the load comes too late.
+const MIN_TIMEOUT_OBJECTIVES: u64 = 5;
+
 /// A placer that was asked for a server within this time knows all requests, in ms. Another one may have missed
 /// reports, and does not decide which part has crashed a server.
 const IN_CHARGE_MS: u64 = 1_000;
@@ -123,6 +135,11 @@
         /// The wait on the best server, in ms; 0 if no server is usable.
         wait_ms: u32,
     },
+    /// The request waits at its entry host, which asks again with the same key.
+    Wait {
+        /// Time until the entry host asks again, in ms.
+        again_ms: u32,
+    },
 }
 
 /// How a request ended at its server.
@@ -222,6 +239,8 @@
     /// When expired assignments were last removed.
     last_expiry: Time,
     refusals: Refusals,
+    /// Empty unless the settings turn waiting on.
+    queue: Queue,
     quarantine: quarantine::Register,
     /// In the order of their ends; at most [`MAX_BROKEN`].
     broken: Vec<Broken>,
@@ -284,6 +303,7 @@
             document: Arc::default(),
             last_expiry: Time::ZERO,
             refusals: Refusals::default(),
+            queue: Queue::default(),
             quarantine: quarantine::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
@@ -351,21 +371,39 @@
         self.assignments.len()
     }
 
-    /// Chooses a server and assigns the request to it, or refuses the request.
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether the request with this key waits.
+    pub fn is_waiting(&self, key: Key) -> bool {
+        self.queue.has_returned(key).is_some()
+    }
+
+    /// Chooses a server and assigns the request to it, lets it wait, or refuses it.
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
         self.expire(now);
         self.last_asked = now;
         if let Some(refusal) = self.quarantined(now, demand) {
+            self.queue.remove(demand.key);
             return refusal;
         }
         let cost = demand.prompt.as_ref().map(Prompt::weighted_tokens);
+        let waited = self.queue.has_returned(demand.key);
+        if self.waiting_capacity(demand).is_some() {
+            // The answer to an earlier request for a placement was lost, so the request was not sent.
+            self.record_end(now, demand.key, Outcome::Cancelled);
+        }
         if let (Some(account), Some(cost)) = (&demand.account, cost)
             && demand.tried.is_empty()
+            && waited.is_none()
         {
             self.shares.record_requested(now, account, cost);
         }
         let parts = parts_of(demand);
         let Some(best) = self.best(now, demand, &parts) else {
+            self.queue.remove(demand.key);
             return Decision::Refuse {
                 reason: Reason::NoServer,
                 retry_after_ms: NO_SERVER_RETRY_AFTER_MS,
@@ -373,9 +411,15 @@
             };
         };
         let own_part = parts.last().map(|part| part.0);
-        let has_returned = own_part.is_some_and(|key| self.refusals.take(now, key));
-        if let Some(refusal) = self.refusal(now, demand, &best, has_returned) {
-            if let (Some(key), false) = (own_part, has_returned) {
+        let has_returned = match waited {
+            Some(has_returned) => has_returned,
+            None => own_part.is_some_and(|key| self.refusals.take(now, key)),
+        };
+        let refusal = self.refusal(now, demand, &best, has_returned);
+        let refusal = self.wait_or(refusal, now, demand, &best, has_returned);
+        if let Some(refusal) = refusal {
+            let is_final = !matches!(refusal, Decision::Wait { .. });
+            if let (Some(key), false, true) = (own_part, has_returned, is_final) {
                 self.refusals.record(now, key);
             }
             return refusal;
@@ -788,12 +832,91 @@
         (best.wait_ms > max_wait).then(|| refuse(reason, best.wait_ms, best.wait_ms - max_wait))
     }
 
+    /// Replaces the decision `refusal` of [`Placer::refusal`] for a request that can wait, or that is late and must
+    /// not be placed where it delays others.
+    fn wait_or(
+        &mut self,
+        refusal: Option<Decision>,
+        now: Time,
+        demand: &Demand,
+        best: &Candidate,
+        has_returned: bool,
+    ) -> Option<Decision> {
+        let capacity = self.waiting_capacity(demand);
+        let (Some(capacity), Some(account)) = (capacity, &demand.account) else {
+            return refusal;
+        };
+        let usable = self.servers.iter().filter(|state| {
+            state.server.pool == demand.pool
+                && !state.server.draining
+                && !state.replaced
+                && !state.health.is_unavailable(now, &demand.domain)
+        });
+        let speed = &self.settings.speed;
+        let waits: Vec<f64> = usable.map(|state| state.load.wait_ms(now, speed)).collect();
+        self.queue.observe(now, &demand.pool, &waits);
+        let objective_ms = f64::from(demand.objective_ms);
+        let is_late = demand.returning
+            || has_returned
+            || f64::from(demand.waited_ms) + best.total_ms() > objective_ms;
+        let reason = match refusal {
+            None if !is_late => None,
+            None => Some(Reason::Overload),
+            Some(Decision::Refuse { reason, .. }) => Some(reason),
+            Some(Decision::Place { .. } | Decision::Wait { .. }) => return refusal,
+        };
+        let Some(reason) = reason.filter(|reason| *reason != Reason::Deadline) else {
+            self.queue.remove(demand.key);
+            return refusal;
+        };
+        let ask = Ask {
+            key: demand.key,
+            pool: Arc::clone(&demand.pool),
+            excess: self
+                .shares
+                .excess(now, account, capacity)
+                .guaranteed
+                .max(1.0),
+            is_late,
+            has_returned,
+            objective_ms,
+            remaining_ms: f64::from(demand.remaining_ms),
+            wait_ms: best.wait_ms,
+            own_ms: best.own_ms,
+            first_ms: best.first_ms,
+        };
+        match self.queue.decide(now, &ask, &waits) {
+            Answer::Place => None,
+            Answer::Wait { again_ms } => Some(Decision::Wait { again_ms }),
+            Answer::Refuse => Some(spread_refusal(reason, best.wait_ms, demand)),
+        }
+    }
+
+    /// The capacity that accounts share, in weighted tokens per second, if the request may wait: waiting is on, and a
+    /// route to the pool has a timeout of several objectives.
+    fn waiting_capacity(&self, demand: &Demand) -> Option<f64> {
+        if !self.settings.waiting || demand.prompt.is_none() {
+            return None;
+        }
+        let mut routes = self.document.routes.iter();
+        let is_patient = routes.any(|route| {
+            route.timeout_ms >= MIN_TIMEOUT_OBJECTIVES * route.objective_ms
+                && route
+                    .targets
+                    .iter()
+                    .any(|target| target.pool == demand.pool)
+        });
+        let capacity = self.document.limits.tokens_per_s;
+        capacity.filter(|tokens_per_s| is_patient && *tokens_per_s > 0.0)
+    }
+
     /// Removes the assignments of entry hosts that were lost.
     fn expire(&mut self, now: Time) {
         if now.since(self.last_expiry) < EXPIRY_INTERVAL_MS {
             return;
         }
         self.last_expiry = now;
+        self.queue.expire(now);
         let expired: Vec<Key> = self
             .assignments
             .iter()
@@ -833,6 +956,14 @@
     }
 }
 
+/// Returns a refusal that spreads the retries of callers who are refused at the same time.
+fn spread_refusal(reason: Reason, wait_ms: f64, demand: &Demand) -> Decision {
+    let longest_ms = f64::from(demand.remaining_ms) * HONOURED_PART;
+    let span_ms = (longest_ms - RETRY_AFTER_MS.start()).clamp(0.0, RETRY_SPREAD_MS);
+    let draw = FixedState::default().hash_one(demand.key) % 1_024;
+    refuse(reason, wait_ms, span_ms * draw as f64 / 1_024.0)
+}
+
 /// Time until a slot is free, in ms: while all slots are in use, one becomes free every
 /// `slot_ms / slots`.
 fn slot_wait_ms(state: &State, slot_ms: f64) -> f64 {
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -46,6 +46,8 @@
     /// The fewest tokens that are fetched from another engine. Fewer are prefilled again, because
     /// setting up a transfer takes some ms.
     pub min_fetch_tokens: u32,
+    /// Whether requests may wait for spare engine time instead of being refused on arrival.
+    pub waiting: bool,
 }
 
 impl Default for Settings {
@@ -64,6 +66,7 @@
             failure_weight: 6.0,
             fetch_weight: 0.5,
             min_fetch_tokens: 200,
+            waiting: false,
         }
     }
 }
--- a/crates/place/tests/engine.rs
+++ b/crates/place/tests/engine.rs
@@ -106,6 +106,7 @@
     let predicted = |decision| match decision {
         Decision::Place { predicted_ms, .. } => predicted_ms,
         Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        Decision::Wait { .. } => panic!("waits"),
     };
     let cold = predicted(placer.place(now, &demand(1, 7, 13_300, 1_000)));
     let later = now.plus_ms(1_000);
@@ -137,6 +138,7 @@
         match decision {
             Decision::Place { cached_tokens, .. } => cached_tokens,
             Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+            Decision::Wait { .. } => panic!("waits"),
         }
     };
     for sequence in 1..=40 {
--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -311,6 +311,7 @@
         match placer.place(now, &request) {
             Decision::Place { cached_tokens, .. } => (request.key, cached_tokens),
             Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+            Decision::Wait { .. } => panic!("waits"),
         }
     };
     let (dropped, _) = cached(&mut placer, 1);
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -79,6 +79,7 @@
     let refused = (100..400).find_map(|sequence| match placer.place(now, &plain(sequence)) {
         Decision::Place { .. } => None,
         Decision::Refuse { reason, .. } => Some((sequence - 100, reason)),
+        Decision::Wait { .. } => panic!("waits"),
     });
     let (placed, reason) = refused.expect("a refusal");
     assert_eq!(reason, Reason::Overload);
--- a/crates/place/tests/support/load.rs
+++ b/crates/place/tests/support/load.rs
@@ -75,6 +75,7 @@
                 tally.refused += 1;
                 return Some(retry_after_ms);
             }
+            Decision::Wait { .. } => panic!("waiting is off"),
         };
         let speed = Speed::default();
         let input = demand
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/support/mod.rs
@@ -95,5 +95,6 @@
     match decision {
         Decision::Place { server, .. } => server.id,
         Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        Decision::Wait { .. } => panic!("waits"),
     }
 }
