entry, fleet: Ask again for requests that wait

Cause: the placer can answer with Decision::Wait.

Change: an entry host keeps the request and asks again with the same key until it is placed, refused or ended; it never waits while it decides alone. Core hosts count requests that begin to wait, are placed, refused or expire.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 82] = [
+pub const ALL: [&str; 83] = [
     "accept_failed",
     "answer_endless",
     "answer_foreign",
@@ -84,6 +84,7 @@
     "unknown_key",
     "unknown_route",
     "unreachable",
+    "wait_ended",
 ];
 
 /// The names of all latency histograms of an entry host, in ms.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,5 +41,6 @@
 mod stream;
 mod tracked;
 mod upstream;
+pub mod waiting;
 
 pub use protocol::Protocol;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -204,7 +204,11 @@
         incarnation,
         schedule,
         links: peers::links(inputs.key.clone()),
-        placer: Placer::new(inputs.placer_settings.clone()),
+        placer: Placer::new(Settings {
+            // A host that decides alone knows only its own requests, so it cannot predict when one could be placed.
+            waiting: false,
+            ..inputs.placer_settings.clone()
+        }),
         notices: Arc::clone(&notices),
         socket,
         events,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -51,6 +51,7 @@
 use crate::stop::{self, Limit, Plan};
 use crate::stream;
 use crate::upstream::{Connection, Pool};
+use crate::waiting;
 
 /// Failed connections after which a request is refused: each of them may take the whole connection timeout.
 const MAX_UNREACHABLE: u32 = 3;
@@ -630,9 +631,27 @@
             returning: self.returning,
             tried: [&self.tried[..], &self.excluded].concat(),
         });
-        let decision = self.shared.link.place(&demand).await;
-        self.shared.meter.record("placing", Time::now().since(now));
-        match decision {
+        let (link, limit) = (&self.shared.link, &self.limit);
+        let placed = waiting::place(
+            &demand,
+            |demand| async move { link.place(&demand).await },
+            || limit.admits().then(|| limit.remaining_ms()),
+            || limit.passed(),
+        )
+        .await;
+        let placing_ms = Time::now().since(now).saturating_sub(placed.waited_ms);
+        self.shared.meter.record("placing", placing_ms);
+        if placed.waited_ms > 0 {
+            info!(self.shared.log, "request waited for a server"; "id" => &*self.metadata.attempt,
+                "waited_ms" => placed.waited_ms, "asks" => placed.asks);
+        }
+        match placed.decision {
+            // The request has ended while it waited.
+            Decision::Wait { .. } => {
+                self.shared.meter.count("wait_ended");
+                self.check_stop()?;
+                Err(self.timed_out())
+            }
             Decision::Place {
                 server,
                 predicted_ms,
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -274,9 +274,12 @@
     }
 
     fn place(&mut self, source: SocketAddr, demand: &Demand) {
+        let (waited, before) = (self.placer.is_waiting(demand.key), self.placer.waiting());
         let decision = self.placer.place(Time::now(), demand);
+        self.count_waits(&decision, waited, before);
         self.inputs.meter.count(match &decision {
             Decision::Place { .. } => "ask_placed",
+            Decision::Wait { .. } => "ask_waiting",
             Decision::Refuse { reason, .. } => match reason {
                 Reason::NoServer => "ask_refused_no_server",
                 Reason::Overload => "ask_refused_overload",
@@ -289,6 +292,25 @@
         self.send(source, &Packet::Decision { key, decision });
     }
 
+    /// Counts requests that began or ceased to wait. `waited` tells whether the request waited before the decision and
+    /// `before` how many requests did.
+    fn count_waits(&self, decision: &Decision, waited: bool, before: usize) {
+        let change = match decision {
+            Decision::Wait { .. } => (!waited).then_some("wait_begun"),
+            Decision::Place { .. } => waited.then_some("wait_placed"),
+            Decision::Refuse { .. } => waited.then_some("wait_refused"),
+        };
+        if let Some(name) = change {
+            self.inputs.meter.count(name);
+        }
+        let waits = matches!(decision, Decision::Wait { .. });
+        let others = before.saturating_sub(usize::from(waited));
+        let remaining = self.placer.waiting().saturating_sub(usize::from(waits));
+        for _ in remaining..others {
+            self.inputs.meter.count("wait_expired");
+        }
+    }
+
     fn record_updates(&mut self, updates: Vec<Update>) {
         let now = Time::now();
         for update in updates {
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,13 +1,14 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 28] = [
+pub const ALL: [&str; 33] = [
     "ask_placed",
     "ask_refused_hopeless_deadline",
     "ask_refused_no_server",
     "ask_refused_over_share",
     "ask_refused_overload",
     "ask_refused_quarantined",
+    "ask_waiting",
     "datagram_refused",
     "directory_changed",
     "directory_entry_skipped",
@@ -30,4 +31,8 @@
     "read_answered",
     "read_unavailable",
     "replica_replaced",
+    "wait_begun",
+    "wait_expired",
+    "wait_placed",
+    "wait_refused",
 ];
