--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 92] = [
+pub const ALL: [&str; 93] = [
     "accept_failed",
     "answer_broken",
     "answer_endless",
@@ -93,6 +93,7 @@
     "unknown_key",
     "unknown_route",
     "unreachable",
+    "wait_ended",
     "warming",
 ];
 
--- a/crates/entry/tests/capacity.rs
+++ b/crates/entry/tests/capacity.rs
@@ -33,6 +33,8 @@
         smallest_capacity,
         largest_capacity,
         quarantine: Vec::new(),
+        crossing: Vec::new(),
+        drained: Default::default(),
     }
 }
 
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 43] = [
+pub const ALL: [&str; 48] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -11,6 +11,7 @@
     "ask_refused_overload",
     "ask_refused_quarantined",
     "ask_refused_warming",
+    "ask_waiting",
     "crossing_closed",
     "crossing_opened",
     "datagram_refused",
@@ -45,4 +46,8 @@
     "server_cold",
     "server_unconfirmed",
     "server_warm",
+    "wait_begun",
+    "wait_expired",
+    "wait_placed",
+    "wait_refused",
 ];
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`refusals`] recognises requests that come back after a refusal, so that in a flood those that
 //!   can still be on time go first;
 //! - [`drained`] names the failure domains that get no requests, by order of the operators;
+//! - [`waiting`] lets requests wait for spare engine time that cannot be served at once, if that is on;
 //! - [`health`] keeps requests away from servers that fail, even if their health checks pass;
 //! - [`quarantine`] finds prompt parts that crash servers, and refuses requests with them;
 //! - [`crossing`] decides when requests may leave the failure domain of their entry host;
@@ -36,6 +37,7 @@
 pub mod share;
 pub mod speed;
 pub mod transfer;
+pub mod waiting;
 pub mod warmup;
 
 pub use demand::Demand;
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -58,6 +58,8 @@
     /// The fewest tokens that are fetched from another engine. Fewer are prefilled again, because
     /// setting up a transfer takes some ms.
     pub min_fetch_tokens: u32,
+    /// Whether requests may wait for spare engine time instead of being refused on arrival.
+    pub waiting: bool,
 }
 
 impl Default for Settings {
@@ -80,6 +82,7 @@
             transfer_tokens_per_mb: 16.7,
             leaving_tokens: 385.0,
             min_fetch_tokens: 200,
+            waiting: false,
         }
     }
 }
--- a/crates/place/tests/crossing.rs
+++ b/crates/place/tests/crossing.rs
@@ -70,6 +70,7 @@
     match placer.place(Time::from_ms(now_ms), demand) {
         Decision::Place { server, .. } => server,
         Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
 
--- a/crates/place/tests/drained.rs
+++ b/crates/place/tests/drained.rs
@@ -32,6 +32,7 @@
     match decision {
         Decision::Place { server, .. } => server.domain,
         Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
 
@@ -39,6 +40,7 @@
     match decision {
         Decision::Place { .. } => None,
         Decision::Refuse { reason, .. } => Some(*reason),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
 
@@ -55,6 +57,7 @@
             Decision::Place { server, .. } => assert_eq!(&*server.domain, "east"),
             // The only server in service is loaded, which is no consequence of the order.
             Decision::Refuse { reason, .. } => assert_ne!(reason, Reason::Drained),
+            Decision::Wait { .. } => panic!("waits although waiting is off"),
         }
     }
     assert!(placer.set_drained(Time::ZERO, &set(4, &[])));
@@ -119,5 +122,6 @@
             assert!(fetch_from.is_some(), "the part is read again");
         }
         refused @ Decision::Refuse { .. } => panic!("{refused:?}"),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -47,6 +47,7 @@
     match placer.place(Time::from_ms(at * 1_000), &demand(at, at, 0, tokens)) {
         Decision::Place { predicted_ms, .. } => predicted_ms,
         Decision::Refuse { reason, .. } => panic!("refused: {reason:?}"),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
 
--- a/crates/place/tests/warmup.rs
+++ b/crates/place/tests/warmup.rs
@@ -57,6 +57,7 @@
             retry_after_ms,
             ..
         } => Some((reason, retry_after_ms)),
+        Decision::Wait { .. } => panic!("waits although waiting is off"),
     }
 }
 
@@ -484,6 +485,7 @@
                     placer.record_end(now, ended.key, Outcome::Answered { failed: false });
                 }
             }
+            Decision::Wait { .. } => panic!("waits although waiting is off"),
         }
     }
     assert!(
