place: Compare timeouts and objectives without overflow

Cause: the objective of a route can be any number, so that its multiple can exceed the type.

Change: the product saturates.

Tests: cargo test -p primrose-place passes; clippy passes.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -900,7 +900,7 @@
         }
         let mut routes = self.document.routes.iter();
         let is_patient = routes.any(|route| {
-            route.timeout_ms >= MIN_TIMEOUT_OBJECTIVES * route.objective_ms
+            route.timeout_ms >= MIN_TIMEOUT_OBJECTIVES.saturating_mul(route.objective_ms)
                 && route
                     .targets
                     .iter()
