place: Release the load of a request that is placed again under its key

Cause: if the answer of the placer is lost, the entry host asks again under the same key after 40 ms. If the second answer named another server, the first one kept the request in its load for good, since the assignment was overwritten. After 300 such requests on three servers of six slots, every further request was refused as overload with no request running.

The first server now releases the request. The new test of plain pools failed before (refused: Overload) and passes.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -933,9 +933,11 @@
         if let Ok(known) = self.assignment_index(demand.key)
             && let Ok(before) = self.server_index(&self.assignments[known].server)
         {
-            // The request is placed again, because the first answer was lost.
+            // The request is placed again, because the first answer was lost. Otherwise its load would stay on the first
+            // server for good.
             let need = &self.assignments[known].need;
             self.servers[before].held.remove(need);
+            self.servers[before].load.remove(demand.key);
         }
         let state = &mut self.servers[at];
         self.warming.record_send(now, &state.server.id);
@@ -1400,8 +1402,6 @@
     }
 }
 
-/// Whether a server could take the request if it has not been tried and its failure domain is in service.
-
 /// The cache keys and lengths of the prompt parts; empty for a plain service.
 fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
     demand.prompt.iter().flat_map(cache::part_keys).collect()
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -87,6 +87,31 @@
     assert!((60..=120).contains(&placed), "{placed} requests placed");
 }
 
+// If the answer of the placer is lost, the entry host asks again under the same key, and the second answer may name
+// another server. The first server must not count the request for ever, or the pool looks full without any request.
+#[test]
+fn a_repeated_question_leaves_no_load_behind() {
+    let mut placer = placer();
+    let now = measure_slot_time(&mut placer);
+    for sequence in 100..400 {
+        let request = plain(sequence);
+        let first = support::server_of(placer.place(now, &request));
+        let repeated = Demand {
+            tried: vec![first],
+            ..request.clone()
+        };
+        support::server_of(placer.place(now, &repeated));
+        placer.record_end(now, request.key, Outcome::Answered { failed: false });
+    }
+    assert_eq!(placer.assigned(), 0);
+    for sequence in 400..406 {
+        match placer.place(now, &plain(sequence)) {
+            Decision::Place { wait_ms, .. } => assert_eq!(wait_ms, 0),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
 // A server that fails at once looks fast. It must not attract the requests that other servers would
 // answer, even while no measurements exist, as after a restart of the placer.
 #[test]
