--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -270,7 +270,7 @@
         while leader(hosts).await.handle.put(document(version)).await != stored {}
     };
     let acknowledged = tokio::time::timeout(TIMEOUT, stored).await;
-    let _ = acknowledged.expect("the document is acknowledged in time");
+    acknowledged.expect("the document is acknowledged in time");
 }
 
 // An acknowledged order must hold on all hosts and after a power loss of all of them, whether it is in an entry or, after
