place: Limit no server that only resets a connection or is slow

Cause: each broken connection and each silence made a server with a warm-up unconfirmed: it got 6 requests in 1.3 s for about 2 s and its cached parts were forgotten. Servers that reset single answers or stall go through this all the time, and under overload it feeds itself (found by review).

An answer to a request that was placed before the event shows that the server has not restarted, since a restart ends all its requests; it ends the doubt. The cached parts are kept until the server cannot be reached or is listed as cold. The code 'drained' is now only given if no server of the pool is in service.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -463,13 +463,9 @@
     }
 
     /// Records that a connection to the server with the id `server` broke, or that the server was silent for too long: it
-    /// may restart under the same id.
+    /// may restart under the same id. Its cached parts are forgotten once it cannot be reached, or the list calls it cold.
     pub fn record_broken(&mut self, now: Time, server: &str) {
-        if self.warming.record_failure(now, server)
-            && let Ok(at) = self.server_index(server)
-        {
-            self.servers[at].cache.clear();
-        }
+        self.warming.record_broken(now, server);
     }
 
     /// Whether the pool of the server with the id `server` has a warm-up.
@@ -985,15 +981,17 @@
             let until_room_ms = (slot_ms / state.load.len().max(1) as f64) as u64;
             Some((delay_ms, until_room_ms))
         });
-        // An entry host excludes drained servers that it was assigned by a host that had not heard of the order.
-        let has_drained = || {
-            self.servers.iter().any(|state| {
-                self.drained.contains(&state.server.domain)
-                    && state.is_usable(now, &demand.pool, &demand.domain)
-            })
+        // Servers in service that are full, unreachable or were tried are no consequence of an order.
+        let are_drained = || {
+            let in_pool = self.servers.iter().filter(|state| {
+                state.server.pool == demand.pool && !state.server.draining && !state.replaced
+            });
+            let mut in_pool = in_pool.peekable();
+            in_pool.peek().is_some()
+                && in_pool.all(|state| self.drained.contains(&state.server.domain))
         };
         match delays.min() {
-            None if has_drained() => refuse(Reason::Drained, DRAINED_RETRY_AFTER_MS),
+            None if are_drained() => refuse(Reason::Drained, DRAINED_RETRY_AFTER_MS),
             None => refuse(Reason::NoServer, NO_SERVER_RETRY_AFTER_MS),
             Some((0, until_room_ms)) => {
                 let retry_after_ms =
--- a/crates/place/src/warmup.rs
+++ b/crates/place/src/warmup.rs
@@ -47,6 +47,10 @@
 /// A server that answered a request within this time, in ms, is up.
 const RECENT_ANSWER_MS: u64 = 1_000;
 
+/// Answers that arrive later than this after a connection broke, in ms, were sent after it: reports of answers take some
+/// tens of ms.
+const REPORT_DELAY_MS: u64 = 100;
+
 /// The time after which a caller is told to retry if this host may not send to servers that are not warm, in ms: about the
 /// time until a core host may, or until the next list.
 const NOT_PERMITTED_RETRY_MS: u64 = 1_000;
@@ -105,6 +109,8 @@
     since: Time,
     /// Whether the event was a failure, after which the server may be down for a while.
     has_failed: bool,
+    /// Whether an answer to a request that was placed before the event shows that the server has not restarted.
+    is_refutable: bool,
     /// When the server first answered a request that was placed after `since`.
     answered: Option<Time>,
 }
@@ -249,9 +255,15 @@
         });
     }
 
-    /// Records that a server failed, and may restart under the same id. Returns whether it is known.
-    pub fn record_failure(&mut self, now: Time, server: &str) -> bool {
-        self.doubt(now, server, true)
+    /// Records that a connection to a server broke, or that the server was silent for too long. It may restart under the
+    /// same id, unless it goes on to answer earlier requests: a server that is slow or resets single connections does.
+    pub fn record_broken(&mut self, now: Time, server: &str) {
+        let at = self.position(server);
+        let is_doubted = at.is_ok_and(|at| self.entries[at].doubt.is_some());
+        // A doubt that exists already is not prolonged, or one slow server would be in doubt as long as it is slow.
+        if !is_doubted {
+            self.doubt(now, server, true, true);
+        }
     }
 
     /// Records that a host could not connect to a server. `is_repeated` tells whether hosts of the same failure domain have
@@ -265,15 +277,15 @@
         if is_repeated && answers {
             return false;
         }
-        self.doubt(now, server, true)
+        self.doubt(now, server, true, false)
     }
 
     /// Records that the failure domain of a server was returned to service. Returns whether the server is known.
     pub fn record_returned(&mut self, now: Time, server: &str) -> bool {
-        self.doubt(now, server, false)
+        self.doubt(now, server, false, false)
     }
 
-    fn doubt(&mut self, now: Time, server: &str, has_failed: bool) -> bool {
+    fn doubt(&mut self, now: Time, server: &str, has_failed: bool, is_refutable: bool) -> bool {
         let Ok(at) = self.position(server) else {
             return false;
         };
@@ -282,6 +294,7 @@
         self.entries[at].doubt = Some(Doubt {
             since: now,
             has_failed: has_failed || had_failed,
+            is_refutable,
             answered: None,
         });
         self.note_change(at, before);
@@ -293,13 +306,17 @@
         let Ok(at) = self.position(server) else {
             return;
         };
+        let before = self.entries[at].state();
         let entry = &mut self.entries[at];
         entry.last_answer = Some(now);
-        if let Some(doubt) = &mut entry.doubt
-            && placed > doubt.since
-        {
-            doubt.answered.get_or_insert(now);
+        if let Some(doubt) = &mut entry.doubt {
+            if placed > doubt.since {
+                doubt.answered.get_or_insert(now);
+            } else if doubt.is_refutable && now.since(doubt.since) >= REPORT_DELAY_MS {
+                entry.doubt = None;
+            }
         }
+        self.note_change(at, before);
     }
 
     /// Counts a placement on a server, by this host or another one. Placements on a warm server count too, because it may
--- a/crates/place/tests/warmup.rs
+++ b/crates/place/tests/warmup.rs
@@ -542,3 +542,29 @@
     warmup::clear_unused(&warming_document(), &mut servers);
     assert_eq!(servers.map(|server| server.cold), [true, false]);
 }
+
+// A server that resets single connections, or is slow, goes on to answer its other requests. If each of these faults
+// limited it, the requests that it could serve would be refused, and its cached parts would be read again elsewhere.
+#[test]
+fn server_that_goes_on_to_answer_has_not_restarted() {
+    let mut placer = permitted(&engines(1));
+    let key = |sequence| Key { entry: 1, sequence };
+    assert!(refusal(&place(&mut placer, 9_900, 1)).is_none());
+    placer.record_broken(Time::from_ms(10_000), "engine-01");
+    let last_state = |placer: &mut Placer| placer.take_warmup_changes().pop().map(|c| c.state);
+    assert_eq!(last_state(&mut placer), Some(State::Unconfirmed));
+    let mut restarted = placer.clone();
+    // The report of an answer that was sent before the event takes some time.
+    placer.record_first_event(Time::from_ms(10_050), key(1));
+    assert_eq!(last_state(&mut placer), None);
+    placer.record_end(
+        Time::from_ms(10_150),
+        key(1),
+        Outcome::Answered { failed: false },
+    );
+    assert_eq!(last_state(&mut placer), Some(State::Warm));
+    // An answer to a later request does not show that the server is the same one.
+    assert!(refusal(&place(&mut restarted, 10_100, 2)).is_none());
+    restarted.record_first_event(Time::from_ms(10_200), key(2));
+    assert_eq!(last_state(&mut restarted), None);
+}
