place, entry: Serve accounts beyond their share from idle engines, refuse floods with an answer

Failing engines are no preferred holders now, and expected failures have a cost. - Accounts beyond their share were refused on the engine that has their parts while others were idle (52 of 60). The engine that would answer first is tried before they are refused. - Streams whose readers take everything were disconnected before slow ones. Only readers with more than their even part of the limit are, now. - A cold domain kept requests of hosts that decide alone at home.

Tests of place and entry pass.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -55,7 +55,10 @@
 /// HTTP request extension that marks the first request of a connection. The overload check was made for this request
 /// when the connection was accepted.
 #[derive(Clone, Copy, Debug)]
-pub struct FirstRequest;
+pub struct FirstRequest {
+    /// Whether the check found that the request is to be refused.
+    pub is_shed: bool,
+}
 
 /// A handle to a running listener.
 #[derive(Clone, Debug)]
@@ -124,11 +127,12 @@
         connections,
     };
     let (shared_admission, closing) = (admission.clone(), phase.clone());
-    let start_serving = move |stream: TcpStream| {
+    let start_serving = move |stream: TcpStream, is_shed: bool| {
         last_accepted.store(Time::now().as_ms(), Ordering::Relaxed);
         let open = OpenConnection::new(&shared_admission.connections);
         let served = serve(
             stream,
+            is_shed,
             shared_admission.clone(),
             phase.clone(),
             handle.clone(),
@@ -152,7 +156,7 @@
     address: SocketAddr,
     mut closing: watch::Receiver<Phase>,
     admission: Admission,
-    start_serving: impl Fn(TcpStream),
+    start_serving: impl Fn(TcpStream, bool),
 ) {
     let mut intake = Intake::default();
     loop {
@@ -164,14 +168,14 @@
         };
         intake.begin(Time::now(), admission.limits.overload.thresholds());
         match accepted {
-            // Callers whose connection is closed unread retry at another host.
-            Ok((stream, _)) if admission.rejects(&intake) => {
-                drop(stream);
-                intake.record(true);
-            }
             Ok((stream, _)) => {
-                start_serving(stream);
-                intake.record(false);
+                let entrance = admission.entrance(&intake);
+                intake.record(entrance != Entrance::Served);
+                match entrance {
+                    Entrance::Served => start_serving(stream, false),
+                    Entrance::Refused => start_serving(stream, true),
+                    Entrance::Closed => drop(stream),
+                }
             }
             // For example, no file descriptors are left.
             Err(_) => {
@@ -186,15 +190,15 @@
                     is_empty = true;
                     break;
                 };
-                let is_rejected = admission.rejects(&intake);
-                intake.record(is_rejected);
-                if is_rejected {
+                let entrance = admission.entrance(&intake);
+                intake.record(entrance != Entrance::Served);
+                if entrance == Entrance::Closed {
                     drop(socket);
-                } else {
-                    match TcpStream::from_std(socket.into()) {
-                        Ok(stream) => start_serving(stream),
-                        Err(_) => admission.limits.overload.count("accept_failed"),
-                    }
+                    continue;
+                }
+                match TcpStream::from_std(socket.into()) {
+                    Ok(stream) => start_serving(stream, entrance == Entrance::Refused),
+                    Err(_) => admission.limits.overload.count("accept_failed"),
                 }
             }
             let next = intake.end(is_empty);
@@ -254,6 +258,16 @@
     }
 }
 
+/// What happens to a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entrance {
+    Served,
+    /// Its first request gets a refusal, after which callers go to another host.
+    Refused,
+    /// It is closed without reading from it, which costs least. Callers connect again at once, mostly to this host.
+    Closed,
+}
+
 /// Decides which connections are admitted, and which stay open after an answer.
 #[derive(Clone)]
 struct Admission {
@@ -266,10 +280,16 @@
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Whether a new connection is to be closed without reading from it.
-    fn rejects(&self, intake: &Intake) -> bool {
-        self.open() >= self.limits.max_connections
-            || self.limits.overload.rejects_connection(intake)
+    fn entrance(&self, intake: &Intake) -> Entrance {
+        if self.open() >= self.limits.max_connections {
+            Entrance::Closed
+        } else if !self.limits.overload.rejects_connection(intake) {
+            Entrance::Served
+        } else if intake.may_refuse() {
+            Entrance::Refused
+        } else {
+            Entrance::Closed
+        }
     }
 
     /// Whether answers close their connections because more than half of the allowed connections are open.
@@ -303,6 +323,7 @@
 
 async fn serve<F, R>(
     stream: TcpStream,
+    is_shed: bool,
     admission: Admission,
     phase: watch::Receiver<Phase>,
     handle: F,
@@ -320,7 +341,7 @@
     let is_first = AtomicBool::new(true);
     let service = service_fn(|mut request: Request<Incoming>| {
         if is_first.swap(false, Ordering::Relaxed) {
-            request.extensions_mut().insert(FirstRequest);
+            request.extensions_mut().insert(FirstRequest { is_shed });
         }
         let exchange = record.record_request(&request);
         request.extensions_mut().insert(exchange);
--- a/crates/entry/src/pressure.rs
+++ b/crates/entry/src/pressure.rs
@@ -31,9 +31,16 @@
 /// The most of the objective that the delay by one request adds to the thresholds.
 const MAX_REQUEST_FRACTION: f64 = 0.1;
 
-/// How long the host stays "not ready" after its last overload, in ms: below the interval of the platform's checks
-/// (1 s), so that a single short overload fails one check, while two failed checks keep callers away.
-const NOT_READY_MS: u64 = 900;
+/// How long the host is "not ready" after an overload, in ms: long enough to fail two of the platform's checks, which
+/// come once a second. The platform sends callers to other hosts from then on.
+const NOT_READY_MS: u64 = 2_500;
+
+/// The longest time for which the host is "not ready" after an overload, in ms.
+const MAX_NOT_READY_MS: u64 = 20_000;
+
+/// If the host is overloaded again within this time after it was ready, in ms, it stays away twice as long: the callers
+/// that overload it come back as soon as it is ready, and the host cannot see whether they still would.
+const RELAPSE_MS: u64 = 4_000;
 
 /// The most connections that the accept loop takes in one pass before other tasks run. At about 15 µs of processor time
 /// for each that is rejected, a pass takes about 10 ms on a host with 0.09 of a core.
@@ -144,8 +151,10 @@
     /// Number of requests that should have been refused so far, less the number that were, in thousandths of a
     /// request; below 1,000 between calls.
     shed_debt: u64,
-    /// When the host was last overloaded.
-    overloaded: Option<Time>,
+    /// Until when the host is "not ready"; [`Time::ZERO`] before the first overload.
+    not_ready_until: Time,
+    /// The length of the latest such time, in ms.
+    not_ready_ms: u64,
 }
 
 impl Gate {
@@ -167,9 +176,16 @@
     /// Records the mean scheduling delay in ms.
     pub fn record_delay(&mut self, now: Time, delay_ms: u64) {
         self.delay_ms = delay_ms;
-        if self.is_overloaded() {
-            self.overloaded = Some(now);
+        if !self.is_overloaded() || now < self.not_ready_until {
+            return;
         }
+        let is_relapse = self.not_ready_ms > 0 && now.since(self.not_ready_until) < RELAPSE_MS;
+        self.not_ready_ms = if is_relapse {
+            (self.not_ready_ms * 2).min(MAX_NOT_READY_MS)
+        } else {
+            NOT_READY_MS
+        };
+        self.not_ready_until = now.plus_ms(self.not_ready_ms);
     }
 
     /// Whether a request or connection that has just arrived is refused. The fraction for which this returns true grows
@@ -195,13 +211,11 @@
         self.delay_ms as f64 > self.thresholds().overloaded_ms
     }
 
-    /// Whether the platform may send callers to the host. With the part on, it may not for [`NOT_READY_MS`] after an
-    /// overload, since the delay varies faster than the platform checks.
+    /// Whether the platform may send callers to the host. With the part on, it may not for some seconds after an overload,
+    /// since the delay varies faster than the platform checks.
     pub fn is_ready(&self, now: Time) -> bool {
-        let was_overloaded = self
-            .overloaded
-            .is_some_and(|at| self.is_on() && now.since(at) < NOT_READY_MS);
-        !was_overloaded && !self.is_overloaded()
+        let is_away = self.is_on() && now < self.not_ready_until;
+        !is_away && !self.is_overloaded()
     }
 }
 
@@ -257,6 +271,12 @@
         self.admitted >= thresholds.max_admitted || self.stalled.is_some_and(is_stale)
     }
 
+    /// Whether a connection that is not served gets a refusal. While the queue of connections is out of control, it is
+    /// closed instead, like all such connections while the part is off.
+    pub fn may_refuse(&self) -> bool {
+        self.thresholds.is_some() && self.stalled.is_none()
+    }
+
     /// Records that a connection was taken from the queue.
     pub fn record(&mut self, is_rejected: bool) {
         if is_rejected {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -274,9 +274,9 @@
     metadata: Result<Metadata, Malformed>,
     started: Time,
 ) -> Result<Job, Refusal> {
-    // The first request of a connection is exempt: it was decided when the connection was accepted.
-    let is_first = head.extensions.get::<listener::FirstRequest>().is_some();
-    if !is_first && shared.overload.sheds_request() {
+    // The first request of a connection was decided when the connection was accepted.
+    let first = head.extensions.get::<listener::FirstRequest>();
+    if first.map_or_else(|| shared.overload.sheds_request(), |first| first.is_shed) {
         let message = "this host is overloaded";
         return Err(Refusal::not_run(
             "host_behind",
--- a/crates/entry/src/slow.rs
+++ b/crates/entry/src/slow.rs
@@ -116,6 +116,10 @@
             (reader.speed.unwrap_or(ASSUMED_SPEED), u64::MAX - waiting)
         });
         let mut cut = Vec::new();
+        // Readers with less than their even part of the limit are not disconnected: they are callers of streams that read
+        // everything, and disconnecting them frees little. The rest is within the limit without the others.
+        let count = order.len() as u64;
+        order.retain(|(_, waiting)| waiting.saturating_mul(count) > self.limit);
         for (reader, waiting) in order {
             if total <= self.limit {
                 break;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -386,7 +386,7 @@
         self.speeds.set_document(document, &self.settings.speed);
         self.crossing.retain(|pool| self.speeds.is_on(pool));
         for state in &mut self.servers {
-            if self.speeds.is_on(&state.server.pool) {
+            if self.settings.learn_speed && self.speeds.is_on(&state.server.pool) {
                 state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
             }
         }
@@ -509,7 +509,7 @@
     /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
     fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
         let mut load = Load::default();
-        if self.speeds.is_on(pool) {
+        if self.settings.learn_speed && self.speeds.is_on(pool) {
             load.set_min_slowdown(speed::MIN_SLOWDOWN);
             let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
             let measured = of_pool.filter_map(|&(_, slowdown)| slowdown).collect();
@@ -592,6 +592,22 @@
             best = other;
             refusal = self.refusal(now, demand, &best, has_returned);
         }
+        // Copies have a price, but idle engines serve accounts beyond their share whatever a copy costs.
+        let is_over_share = matches!(
+            refusal,
+            Some(Decision::Refuse {
+                reason: Reason::OverShare,
+                ..
+            })
+        );
+        if is_over_share
+            && self.price(&demand.pool).is_some()
+            && let Some(soonest) = self.soonest(now, demand, &parts)
+            && self.refusal(now, demand, &soonest, has_returned).is_none()
+        {
+            best = soonest;
+            refusal = None;
+        }
         let refusal = self.wait_or(refusal, now, demand, &best, has_returned);
         if let Some(refusal) = refusal {
             let is_final = !matches!(refusal, Decision::Wait { .. });
@@ -713,11 +729,15 @@
     /// Whether the request may be sent to another domain. Without a usable server at home it may, whatever the share.
     fn may_leave(&self, now: Time, demand: &Demand) -> bool {
         let share = self.share_alone(demand);
+        let warmup = warmup::of(&self.document, &demand.pool);
         share.is_none_or(|share| share.admits(demand.key))
             || !self.servers.iter().any(|state| {
                 state.server.domain == demand.domain
                     && !demand.tried.contains(&state.server.id)
                     && self.is_open(state, now, &demand.pool, &demand.domain)
+                    && warmup.is_none_or(|warmup| {
+                        self.warming.delay_ms(now, &state.server.id, warmup) == 0
+                    })
             })
     }
 
@@ -834,7 +854,9 @@
         state.cache.record_ready(&assignment.parts, capacity);
         let pool = &state.server.pool;
         let speed = self.speeds.speed(pool, &self.settings.speed);
-        if let Some(first_ms) = state.load.record_first_event(now, key, &speed) {
+        if let Some(first_ms) = state.load.record_first_event(now, key, &speed)
+            && self.settings.learn_speed
+        {
             self.speeds
                 .record_first(pool, first_ms, &self.settings.speed);
         }
@@ -1054,22 +1076,27 @@
             .collect();
         let most = cached.iter().map(|&(_, tokens)| tokens).max()?;
         let missing = self.settings.min_fetch_tokens;
-        let is_home = |at: usize| self.servers[at].server.domain == demand.domain;
         let holds = |tokens: u32| tokens >= missing && tokens.saturating_add(missing) > most;
-        // If no engine at home has the parts, short ones are rather read there than used in another domain.
-        let reads_at_home = most >= missing
-            && self.settings.crossing_weight > 0.0
-            && !cached
-                .iter()
-                .any(|&(at, tokens)| is_home(at) && holds(tokens));
+        let is_sound =
+            |at: usize| self.servers[at].health.failure_rate() < transfer::MAX_HOLDER_FAILURE_RATE;
         cached
             .into_iter()
-            .filter(|&(at, tokens)| holds(tokens) || (reads_at_home && is_home(at)))
+            .filter(|&(at, tokens)| holds(tokens) && is_sound(at))
             .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, None))
             .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
+    /// Returns the usable server that is predicted to answer first, whatever it costs.
+    fn soonest(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+        let source = self.source(now, demand, parts);
+        let usable = self.usable(now, demand, parts).map(|(at, state)| {
+            let cached = state.cache.cached_tokens(parts);
+            self.candidate(now, demand, parts, at, cached, source)
+        });
+        usable.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()))
+    }
+
     /// Whether hosts of `domain` may send requests for `pool` to the server, and its own domain is not drained.
     fn is_open(&self, state: &State, now: Time, pool: &str, domain: &str) -> bool {
         state.is_usable(now, pool, domain) && !self.drained.contains(&state.server.domain)
@@ -1161,7 +1188,10 @@
                 }
                 None => settings.fetch_weight * arrival,
             };
-            let cost = start + settings.reading_weight * own_ms + copy_ms;
+            let failure_ms = price.map_or(0.0, |price| {
+                price.failure_ms(state.health.failure_rate(), demand)
+            });
+            let cost = start + settings.reading_weight * own_ms + copy_ms + failure_ms;
             Candidate {
                 server: at,
                 wait_ms: start,
--- a/crates/place/src/transfer.rs
+++ b/crates/place/src/transfer.rs
@@ -16,9 +16,9 @@
 /// tokens were read again and 35.6 M tokens transferred.
 const EVICTION_WEIGHT: f64 = 0.4;
 
-/// The engines that have the parts of a prompt are preferred while they are predicted to answer within this share of
-/// the objective. The rest is a margin for errors of the prediction.
-const HOLDER_LIMIT: f64 = 0.6;
+/// An engine that fails this share of its requests has no preference as the one that has the parts: an engine that fails
+/// at once always looks idle, and would get all requests for its parts.
+pub const MAX_HOLDER_FAILURE_RATE: f64 = 0.15;
 
 /// Costs apply if fetching a cached token takes less than this share of the time in which it is read. With slower
 /// links, the time that a transfer takes is its main cost.
@@ -76,10 +76,17 @@
     }
 }
 
+impl Price {
+    /// Cost of the requests that an engine is expected to fail: the caller has lost the time of the objective.
+    pub fn failure_ms(&self, failure_rate: f64, demand: &Demand) -> f64 {
+        failure_rate * f64::from(demand.objective_ms)
+    }
+}
+
 /// Whether an engine that has the parts of the prompt and would answer `total_ms` from now is to get the request, even
 /// if another engine would answer earlier with a copy.
 pub fn is_soon_enough(total_ms: f64, demand: &Demand, settings: &Settings) -> bool {
-    f64::from(demand.waited_ms) + total_ms <= HOLDER_LIMIT * objective_ms(demand, settings)
+    f64::from(demand.waited_ms) + total_ms <= settings.holder_limit * objective_ms(demand, settings)
 }
 
 /// The objective of a request in ms. A caller that was refused before is late already.
