entry: Turn the overload part on by the contract alone

The part is on where the settings name the contract 'pressure'. Hosts still report their capacities. Tests of entry pass.

--- a/crates/entry/src/pressure.rs
+++ b/crates/entry/src/pressure.rs
@@ -1,21 +1,18 @@
 //! What an overloaded host does with its callers. Performs no input or output.
 //!
 //! Load pattern: the platform distributes callers by a hash, so that a host with a tenth of a processor core gets up to
-//! 3,000 new connections per second while others are idle. Callers repeat a request at another host if their connection
-//! was accepted and closed unread, but not if the listener was closed.
+//! 3,000 new connections per second while others are idle. Callers connect again if their connection was closed unread,
+//! and retry after a refusal, but give up if the listener was closed.
 //!
-//! The host does, in this order: it serves what it can, refuses requests on kept connections, closes new connections
-//! unread, and closes its listener only if it cannot even do that. The part is on in fleets with hosts of unequal size
-//! ([`is_on`]); elsewhere the thresholds are fixed and the listener closes after a few rejected connections.
+//! The host does, in this order: it serves what it can, refuses requests with an answer, closes new connections unread,
+//! and closes its listener only if it cannot even do that. The part is on where the platform says that callers and servers
+//! may read slowly; elsewhere the thresholds are fixed and the listener closes after a few rejected connections.
 
 use primrose_base::clock::Time;
 
 /// Capacity of a host with one processor core, 1,024 MiB of memory and 1,024 file descriptors.
 pub const REFERENCE_CAPACITY: u32 = 1_000;
 
-/// The part is on from this ratio between the largest and the smallest capacity of the hosts.
-const UNEQUAL_FACTOR: u32 = 2;
-
 /// The objective to which the fixed thresholds apply, in ms.
 const REFERENCE_OBJECTIVE_MS: f64 = 100.0;
 
@@ -90,12 +87,6 @@
     }
 }
 
-/// Whether the hosts of a fleet differ so much in capacity that the small ones need this part. A capacity of 0 is
-/// unknown.
-pub fn is_on(smallest: u32, largest: u32) -> bool {
-    smallest > 0 && largest >= smallest.saturating_mul(UNEQUAL_FACTOR)
-}
-
 /// Mean scheduling delays from which an overloaded host reacts. A request waits several times to be scheduled between
 /// its arrival and its answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -5,14 +5,26 @@
 use std::sync::Arc;
 
 use primrose_base::clock::Time;
+use primrose_place::Settings;
 use primrose_place::placer::{Decision, Outcome, Placer};
 use primrose_route::Document;
-use support::{demand, document, engines, placer};
+use support::{demand, document, engines};
 use test_case::test_case;
 
 /// Length of prompts whose prefill says little about the speed of an engine, in tokens.
 const SHORT: u32 = 100;
 
+/// A placer that learns the figures of pools with fast links.
+fn placer(count: u32) -> Placer {
+    let mut placer = Placer::new(Settings {
+        learn_speed: true,
+        ..Settings::default()
+    });
+    placer.set_servers(&engines(count));
+    placer.set_document(&document(None));
+    placer
+}
+
 /// A document whose engines fetch cached tokens quickly, which turns the learnt figures on.
 fn fast_document() -> Arc<Document> {
     let mut document = (*document(None)).clone();
