--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,9 +7,10 @@
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
 //! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
 //! connections to backend servers. `crash` finds out whether a server has ended when a connection breaks. [`notice`]
-//! keeps requests away from servers that leave or pause. [`overload`] detects that the host is overloaded, and [`pressure`] decides what it refuses then. [`slow`] bounds what waits for slow readers. [`idle`] ends connections of callers, [`framing`] tells whether a
-//! further request has arrived, and `stop` is the planned stop of the host. The platform supplies the header names as a
-//! [`Protocol`].
+//! keeps requests away from servers that leave, pause or are drained. [`overload`] detects that the host is overloaded,
+//! [`pressure`] decides what it refuses then, and [`slow`] bounds what waits for slow readers. [`idle`] ends connections of
+//! callers, [`framing`] tells whether a further request has arrived, and `stop` is the planned stop of the host. The
+//! platform supplies the header names as a [`Protocol`].
 
 mod assignment;
 mod attempt;
--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -19,7 +19,7 @@
 /// first events.
 const FIRST_RANGE: std::ops::RangeInclusive<f64> = 0.3..=3.0;
 
-/// The smallest slowdown of an engine of a pool with learnt figures: customer M has engines that take 0.49 of the default
+/// The smallest slowdown of an engine of a pool with learnt figures. Some pools have engines that take 0.49 of the default
 /// time.
 pub const MIN_SLOWDOWN: f64 = 0.3;
 
--- a/crates/place/tests/transfer.rs
+++ b/crates/place/tests/transfer.rs
@@ -209,7 +209,7 @@
     (*state >> 33) as f64 / (1_u64 << 31) as f64
 }
 
-/// Replays the requests of customer K at a third of its size: of the requests, 35 % share one of 128 parts of about 13,300
+/// Replays the requests of a fleet with 20 engines: of the requests, 35 % share one of 128 parts of about 13,300
 /// tokens, 23 % one of 34 parts of about 6,300 tokens, with unequal popularity, and the rest are short.
 fn replay(settings: Settings, per_s: f64, seconds: u64, own: f64) -> Sums {
     let mut fleet = Fleet::new(20, settings);
