--- a/crates/place/src/crossing.rs
+++ b/crates/place/src/crossing.rs
@@ -19,8 +19,8 @@
 /// How often the values are derived, in ms. Predicted waits change little in less time.
 pub const INTERVAL_MS: u64 = 100;
 
-/// The part of the price that falls with the backlog, as a share of the objective. In the replay, 0.05 gave the highest
-/// worth of 0, 0.02, 0.05, 0.1 and 0.2; higher prices keep requests at home that are then too late.
+/// The part of the price that falls with the backlog, as a share of the objective. Higher prices keep requests at home that
+/// are then too late.
 const FULL_PRICE: f64 = 0.05;
 
 /// Backlog up to which a domain serves its own requests, as a share of the objective.
