place, entry, platform: Use one piece of code for the same check, correct stale comments

The queue of waiting requests asks State::is_usable in place of a copy of it, the tests of two modules share one document, and Price has one impl block. No change of behaviour.

--- a/crates/entry/src/pressure.rs
+++ b/crates/entry/src/pressure.rs
@@ -217,8 +217,7 @@
     Wait,
     /// Lets other tasks run and continues.
     Yield,
-    /// Opens the listener anew, so that the kernel resets all pending connections at once. Their callers repeat the
-    /// requests at other hosts.
+    /// Opens the listener anew, so that the kernel resets all pending connections at once. Their callers connect again.
     Renew,
     /// Closes the listener for a while, so that the kernel refuses connections.
     Close,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -77,8 +77,8 @@
 const DRAINED_MESSAGE: &str =
     "all usable backend servers of the pool are in drained failure domains";
 
-/// The most servers that a placement request excludes because they leave, pause or are in drained domains. More could make it exceed the size
-/// of a datagram; servers beyond that are excluded once they are assigned.
+/// The most servers that a placement request excludes because they leave, pause or are in drained domains. More could
+/// make it exceed the size of a datagram; servers beyond that are excluded once they are assigned.
 const MAX_EXCLUDED: usize = 16;
 
 /// Parameters of [`Shared`].
@@ -714,7 +714,8 @@
         Err(refuse_for_stop())
     }
 
-    /// Refuses the request if all servers of its pool leave, pause or are in drained domains. Also updates the excluded servers.
+    /// Refuses the request if all servers of its pool leave, pause or are in drained domains. Also updates the excluded
+    /// servers.
     fn check_pool(&mut self) -> Result<(), Refusal> {
         let now = Time::now();
         let notices = self.shared.link.notices();
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1337,12 +1337,10 @@
         let (Some(capacity), Some(account)) = (capacity, &demand.account) else {
             return refusal;
         };
-        let usable = self.servers.iter().filter(|state| {
-            state.server.pool == demand.pool
-                && !state.server.draining
-                && !state.replaced
-                && !state.health.is_unavailable(now, &demand.domain)
-        });
+        let usable = self
+            .servers
+            .iter()
+            .filter(|state| state.is_usable(now, &demand.pool, &demand.domain));
         let speed = &self.settings.speed;
         let waits: Vec<f64> = usable.map(|state| state.load.wait_ms(now, speed)).collect();
         self.queue.observe(now, &demand.pool, &waits);
--- a/crates/place/src/transfer.rs
+++ b/crates/place/src/transfer.rs
@@ -81,9 +81,7 @@
         }
         settings.copy_weight * f64::from(demand.objective_ms)
     }
-}
 
-impl Price {
     /// Cost of the requests that an engine is expected to fail: the caller has lost the time of the objective.
     pub fn failure_ms(&self, failure_rate: f64, demand: &Demand) -> f64 {
         failure_rate * f64::from(demand.objective_ms)
--- a/crates/place/tests/crossing.rs
+++ b/crates/place/tests/crossing.rs
@@ -9,23 +9,11 @@
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::{Decision, Outcome, Placer};
 use primrose_place::{Server, Settings};
-use primrose_route::Document;
-use support::{POOL, document, engine};
+use support::{POOL, document, engine, fast_document};
 use test_case::test_case;
 
 const DOMAINS: [&str; 3] = ["east", "north", "west"];
 
-/// A document whose engines fetch cached tokens quickly, which turns the part on.
-fn fast_document() -> Arc<Document> {
-    let mut document = (*document(None)).clone();
-    document.pools[0]
-        .engine
-        .as_mut()
-        .expect("an engine")
-        .token_bytes = Some(18_432);
-    Arc::new(document)
-}
-
 /// Four engines in each of three domains.
 fn servers() -> Vec<Server> {
     let server = |number: u32| Server {
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -2,13 +2,10 @@
 
 mod support;
 
-use std::sync::Arc;
-
 use primrose_base::clock::Time;
 use primrose_place::Settings;
 use primrose_place::placer::{Decision, Outcome, Placer};
-use primrose_route::Document;
-use support::{demand, document, engines};
+use support::{demand, document, engines, fast_document};
 use test_case::test_case;
 
 /// Length of prompts whose prefill says little about the speed of an engine, in tokens.
@@ -25,17 +22,6 @@
     placer
 }
 
-/// A document whose engines fetch cached tokens quickly, which turns the learnt figures on.
-fn fast_document() -> Arc<Document> {
-    let mut document = (*document(None)).clone();
-    document.pools[0]
-        .engine
-        .as_mut()
-        .expect("an engine")
-        .token_bytes = Some(18_432);
-    Arc::new(document)
-}
-
 /// Sends `count` requests of `tokens` tokens, one after the other, to engines that take `factor` times the default time
 /// for a prefill and `first_ms` until the first event. Every tenth report of short
 /// prompts is 400 ms late.
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/support/mod.rs
@@ -51,6 +51,17 @@
     Arc::new(document)
 }
 
+/// A document whose engines fetch cached tokens quickly, which turns on what depends on it.
+pub(crate) fn fast_document() -> Arc<Document> {
+    let mut document = (*document(None)).clone();
+    document.pools[0]
+        .engine
+        .as_mut()
+        .expect("an engine")
+        .token_bytes = Some(18_432);
+    Arc::new(document)
+}
+
 pub(crate) fn placer(count: u32) -> Placer {
     let mut placer = Placer::new(Settings::default());
     placer.set_servers(&engines(count));
