--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -370,17 +370,17 @@
         }
     }
 
-    /// Records the end of the connection. Returns whether the caller may still be sending while an answer is on its way
-    /// to it, which would be lost if the connection were closed with unread bytes. `unparsed` is the number of bytes that
-    /// were read but belong to no request whose head was parsed, `unread` the number of those that the process has not
-    /// read.
+    /// Records the end of the connection. Returns a value if the caller may still be sending while an answer is on its
+    /// way to it, which would be lost if the connection were closed with unread bytes. `unparsed` is the number of bytes
+    /// that were read but belong to no request whose head was parsed, `unread` the number of those that the process has
+    /// not read.
     pub(crate) fn end(
         mut self,
         result: hyper::Result<()>,
         cause: Cause,
         unparsed: usize,
         unread: u64,
-    ) -> bool {
+    ) -> Option<Sending> {
         let end = End {
             result: Some(result),
             unparsed,
@@ -389,14 +389,21 @@
             is_expired: cause == Cause::Expired,
         };
         let reason = self.reason(&end);
-        if let Some(log) = self.log.take() {
-            self.write(&log, &end, reason);
+        let log = self.log.take();
+        if let Some(log) = &log {
+            self.write(log, &end, reason);
         }
-        match reason {
+        let is_sending = match reason {
             BODY_UNREAD | PROTOCOL => true,
             ANNOUNCED => unparsed > 0 || unread > 0,
             _ => false,
-        }
+        };
+        is_sending.then(|| Sending {
+            log,
+            record: self.record.clone(),
+            caller: self.caller,
+            is_closed: false,
+        })
     }
 
     /// Name of the counter for the end of the connection.
@@ -457,6 +464,43 @@
     }
 }
 
+/// A caller that may still be sending a request that was answered. Its drop counts and logs a caller that neither has
+/// closed nor has sent the request whole, also when the process ends: such a caller may lose the answer.
+pub(crate) struct Sending {
+    log: Option<Log>,
+    record: Record,
+    caller: Option<SocketAddr>,
+    is_closed: bool,
+}
+
+impl Sending {
+    /// Records whether the caller has closed the connection.
+    pub(crate) fn end(mut self, is_closed: bool) {
+        self.is_closed = is_closed;
+    }
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        let Some(log) = self.log.take().filter(|_| !self.is_closed) else {
+            return;
+        };
+        let state = self.record.lock();
+        if !state.framing.is_within_request() {
+            return;
+        }
+        log.meter.count("sending_cut_off");
+        let facts = state.exchange.as_ref().map(|exchange| &exchange.0);
+        let now = Time::now();
+        info!(log.log, "caller still sent when its connection was closed";
+            "caller" => self.caller.map(|caller| caller.to_string()),
+            "answered_ms_ago" => now.since(state.since),
+            "read_ms_ago" => now.since(state.last_read),
+            "id" => facts.and_then(|facts| facts.attempt.get()).map(|id| &**id),
+            "code" => facts.and_then(|facts| facts.code.get()).copied());
+    }
+}
+
 fn announces_close(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION).iter();
     values.any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 93] = [
+pub const ALL: [&str; 94] = [
     "accept_failed",
     "answer_broken",
     "answer_endless",
@@ -74,6 +74,7 @@
     "retry_server_paused",
     "retry_silent",
     "retry_unreachable",
+    "sending_cut_off",
     "served",
     "server_crashed",
     "server_failed",
--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -45,6 +45,11 @@
         self.begun
     }
 
+    /// Whether the last request has not arrived whole, as far as is known.
+    pub fn is_within_request(&self) -> bool {
+        self.place != Place::Between
+    }
+
     /// Follows the next bytes.
     pub fn read(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -42,7 +42,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// The phase of the shutdown of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Connections are kept open for further requests.
     Serving,
@@ -50,6 +50,8 @@
     Leaving,
     /// Idle connections are closed too, and no new connections are accepted.
     Closing,
+    /// All connections are closed, except those whose callers still send a request that was answered.
+    Ended,
 }
 
 /// HTTP request extension that marks the first request of a connection. The overload check was made for this request
@@ -164,7 +166,7 @@
             accepted = listener.accept() => accepted,
             // Callers whose connections are not accepted any more reach another host at once. A request that is
             // accepted this late might not end before the process does.
-            _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = closing.wait_for(|phase| *phase >= Phase::Closing) => return,
         };
         intake.begin(Time::now(), admission.limits.overload.thresholds());
         match accepted {
@@ -206,7 +208,7 @@
                 break next;
             }
             yield_now().await;
-            if *closing.borrow() == Phase::Closing {
+            if *closing.borrow() >= Phase::Closing {
                 return;
             }
             intake.begin(Time::now(), admission.limits.overload.thresholds());
@@ -225,7 +227,7 @@
         drop(listener);
         listener = tokio::select! {
             listener = reopen(address, delay, &admission.limits.overload) => listener,
-            _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = closing.wait_for(|phase| *phase >= Phase::Closing) => return,
         };
     }
 }
@@ -374,7 +376,10 @@
     // Declared after the connection, so that it is dropped before.
     let guard = Guard::new(limits.closings.clone(), record.clone(), caller);
     let mut closing_phase = phase.clone();
-    let mut closing = pin!(closing_phase.wait_for(|phase| *phase == Phase::Closing));
+    let mut closing = pin!(closing_phase.wait_for(|phase| *phase >= Phase::Closing));
+    let mut ended_phase = phase.clone();
+    let mut ended = pin!(ended_phase.wait_for(|phase| *phase == Phase::Ended));
+    let mut may_end = true;
     let mut is_closing = false;
     let mut timer = pin!(tokio::time::sleep_until(next_check(&record)));
     let mut is_expired = false;
@@ -390,6 +395,13 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
+            reached = &mut ended, if may_end => {
+                if reached.is_ok() {
+                    return;
+                }
+                // Without a sender, the phase does not change any more.
+                may_end = false;
+            }
             () = &mut timer => {
                 let activity = record.activity();
                 let due = record.timeouts().due(activity);
@@ -404,7 +416,7 @@
     };
     let cause = if is_expired {
         Cause::Expired
-    } else if *phase.borrow() == Phase::Closing {
+    } else if *phase.borrow() >= Phase::Closing {
         Cause::Shutdown
     } else {
         Cause::Connection
@@ -416,8 +428,8 @@
         socket.reset_on_drop();
     }
     // After an error the connection is closed, which tells the caller.
-    let is_caller_sending = guard.end(result, cause, parts.read_buf.len(), socket.unread());
-    if is_caller_sending {
-        linger::discard(&mut socket).await;
+    let sending = guard.end(result, cause, parts.read_buf.len(), socket.unread());
+    if let Some(sending) = sending {
+        sending.end(linger::discard(&mut socket).await);
     }
 }
--- a/crates/entry/tests/closing.rs
+++ b/crates/entry/tests/closing.rs
@@ -339,3 +339,72 @@
     let partial = format!("\"partial_head\":{is_partial}");
     assert!(text.contains(&partial), "{text}");
 }
+
+/// A request of which only the first byte of its body has arrived. It is answered at once.
+const UNREAD: &str = "POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{";
+
+// A host that ends must not lose the answer of a caller that reads only once it has sent its body, nor wait for any
+// other connection.
+#[tokio::test]
+async fn last_phase_leaves_only_callers_that_still_send() {
+    let host = Host::open().await;
+    let mut hanging = host.connect().await;
+    let sent = hanging.write_all(b"GET /hang HTTP/1.1\r\nHost: a\r\n\r\n");
+    sent.await.expect("the request is sent");
+    let mut sending = host.connect().await;
+    let sent = sending.write_all(UNREAD.as_bytes()).await;
+    sent.expect("the start of the request is sent");
+    tokio::time::sleep(PAUSE).await;
+    host.phase.send_replace(Phase::Closing);
+    host.phase.send_replace(Phase::Ended);
+    // A reset counts as a close.
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(TIMEOUT, hanging.read_to_end(&mut rest));
+    let _ = ended.await.expect("the connection is closed");
+    tokio::time::sleep(PAUSE).await;
+    assert_eq!(host.handle.connections(), 1);
+    assert_eq!(host.counted(), ["closed_at_stop", "closed_body_unread"]);
+    for _ in 0..4 {
+        let sent = sending.write_all(b"{}").await;
+        sent.expect("the rest of the request is sent");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut answer = String::new();
+    let read = sending.read_to_string(&mut answer).await;
+    read.expect("the answer is read");
+    assert!(answer.ends_with("here"), "{answer}");
+    drop(sending);
+    host.end().await;
+    assert_eq!(host.meter.value("sending_cut_off"), 0);
+}
+
+// A caller that may have lost its answer because the process ended while it sent must be in the log, and one that had
+// sent everything must not.
+#[test_case(&["{"], 1 ; "part of a body")]
+#[test_case(&["{", "{}{}{}{}"], 0 ; "whole body")]
+fn caller_that_still_sends_at_the_end_is_counted(parts: &[&str], expected: u64) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let host = runtime.block_on(async {
+        let host = Host::open().await;
+        let mut stream = host.connect().await;
+        let head = UNREAD.trim_end_matches('{');
+        for part in std::iter::once(&head).chain(parts) {
+            let sent = stream.write_all(part.as_bytes()).await;
+            sent.expect("a part is sent");
+            tokio::time::sleep(PAUSE).await;
+        }
+        std::mem::forget(stream);
+        host
+    });
+    drop(runtime);
+    assert_eq!(host.counted(), ["closed_body_unread"]);
+    assert_eq!(host.meter.value("sending_cut_off"), expected);
+    let text = String::from_utf8(host.log.take()).expect("the log is text");
+    let mut lines = text.lines();
+    let line = lines.find(|line| line.contains("caller still sent when its connection was closed"));
+    assert_eq!(line.is_some(), expected > 0, "{text}");
+    assert!(
+        line.is_none_or(|line| line.contains("\"id\":\"a-1\"")),
+        "{text}"
+    );
+}
--- a/crates/entry/tests/framing.rs
+++ b/crates/entry/tests/framing.rs
@@ -31,6 +31,19 @@
     }
 }
 
+// A caller whose request has arrived whole must not be taken for one that still sends, and the other way round.
+#[test_case(GET, false ; "no body")]
+#[test_case(POST, false ; "body")]
+#[test_case(&GET[..GET.len() - 1], true ; "part of a head")]
+#[test_case(&POST[..POST.len() - 1], true ; "part of a body")]
+#[test_case(CHUNKED, true ; "the end of a chunked body is not known")]
+fn end_of_a_request_is_found(text: &str, is_within: bool) {
+    let mut tracker = Tracker::default();
+    assert!(!tracker.is_within_request());
+    tracker.read(text.as_bytes());
+    assert_eq!(tracker.is_within_request(), is_within);
+}
+
 // A caller chooses the lengths.
 #[test]
 fn largest_length_does_not_overflow() {
--- a/crates/wire/src/linger.rs
+++ b/crates/wire/src/linger.rs
@@ -21,8 +21,8 @@
 const BUFFER_BYTES: usize = 4 << 10;
 
 /// Discards what a caller still sends, after the host has ended its direction of the connection. Returns when the caller
-/// has closed, and after [`MAX_TIME`] or [`MAX_BYTES`] at the latest.
-pub async fn discard<S: AsyncRead + Unpin>(socket: &mut S) {
+/// has closed, and after [`MAX_TIME`] or [`MAX_BYTES`] at the latest. Returns whether the caller has closed.
+pub async fn discard<S: AsyncRead + Unpin>(socket: &mut S) -> bool {
     let deadline = Instant::now() + MAX_TIME;
     let mut buffer = [0; BUFFER_BYTES];
     let mut discarded = 0;
@@ -30,7 +30,9 @@
         // The end of the stream, a reset and the deadline all end the wait.
         match tokio::time::timeout_at(deadline, socket.read(&mut buffer)).await {
             Ok(Ok(count @ 1..)) => discarded += count,
-            _ => return,
+            Ok(Ok(0) | Err(_)) => return true,
+            Err(_) => return false,
         }
     }
+    false
 }
