place: Learn the engine figures of a pool

Predictions used one set of figures, which is wrong for pools with other engines.

A pool whose cached tokens have another size than the new setting speed.token_bytes now learns all five figures with a robust regression over the first events. This replaces learn_speed. Slowdowns are relative to their geometric mean, so that they cannot drift against the figures. Costs of copies and of leaving a domain stay on the settings.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -27,6 +27,9 @@
     /// Time from the end of the prefill to the arrival of the first event, in ms. The engine is
     /// free for other work during this time.
     pub first_ms: f64,
+    /// Size in bytes of a cached token of the engines for which the figures were written. For pools with another size,
+    /// the figures are learnt; see [`crate::speed`].
+    pub token_bytes: u64,
 }
 
 impl Default for Speed {
@@ -38,6 +41,7 @@
             step_ms_per_thousand: 0.0262,
             chunk_tokens: 2_048.0,
             first_ms: 85.0,
+            token_bytes: 131_072,
         }
     }
 }
@@ -47,6 +51,10 @@
 pub struct Prefill {
     /// Time to compute the tokens that are not cached, in ms, without the base time of the steps.
     pub work_ms: f64,
+    /// Tokens that are not cached; at least 1.
+    pub uncached: f64,
+    /// Pairs of tokens whose attention is computed.
+    pub pairs: f64,
     /// Number of steps that the prefill takes.
     pub steps: f64,
     /// Tokens that the request holds in memory while it runs.
@@ -60,6 +68,8 @@
         let pairs = uncached * (f64::from(cached_tokens) + uncached / 2.0);
         Prefill {
             work_ms: uncached / self.tokens_per_ms + pairs * self.ms_per_million_pairs / 1e6,
+            uncached,
+            pairs,
             // Several short prompts can share one step.
             steps: uncached / self.chunk_tokens + 0.25,
             context_tokens: input_tokens,
@@ -82,6 +92,98 @@
 /// little about the speed, because they share steps with others.
 const MIN_OBSERVED_MS: f64 = 25.0;
 
+/// The shortest predicted prefill from which the slowdown is measured in pools with learnt figures, in ms. Engines that are
+/// faster than the settings say rarely need longer.
+const MIN_LEARNT_MS: f64 = 10.0;
+
+/// The predicted prefill from which a measurement has its full weight in pools with learnt figures, in ms: several times
+/// the noise of the reports.
+const FULL_WEIGHT_MS: f64 = 50.0;
+
+/// Weight of one observation of the slowdown in pools with learnt figures.
+const LEARNT_WEIGHT: f64 = 0.2;
+
+/// The largest deviation from the slowdown that counts in pools with learnt figures, as a logarithm. Single samples that
+/// are wrong by hundreds of ms then change the slowdown by at most 6 %.
+const MAX_DEVIATION: f64 = 0.3;
+
+/// A request that is assigned to an engine this long after its last prefill has found the engine free, in ms: twice the
+/// spread of the reports. With a shorter pause, it is not known whether the request waited.
+const MIN_PAUSE_MS: f64 = 15.0;
+
+/// Prefills that follow each other without a pause are measured together up to this predicted duration, in ms. Prompts
+/// share steps, so the end of each depends on the next one.
+const MEASURED_MS: f64 = 200.0;
+
+/// What an engine computes for the prompts of a [`Sample`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Work {
+    /// Tokens that are not cached.
+    pub uncached: f64,
+    /// Pairs of tokens whose attention is computed.
+    pub pairs: f64,
+    /// Number of steps.
+    pub steps: f64,
+    /// Sum over the steps of the context of the requests that generated tokens.
+    pub context_tokens: f64,
+}
+
+impl Work {
+    fn add(&mut self, other: &Work) {
+        self.uncached += other.uncached;
+        self.pairs += other.pairs;
+        self.steps += other.steps;
+        self.context_tokens += other.context_tokens;
+    }
+
+    /// Duration on an engine with the slowdown 1, in ms.
+    fn duration_ms(&self, speed: &Speed) -> f64 {
+        self.uncached / speed.tokens_per_ms
+            + self.pairs * speed.ms_per_million_pairs / 1e6
+            + self.steps * speed.step_ms
+            + self.context_tokens * speed.step_ms_per_thousand / 1_000.0
+    }
+}
+
+/// The measured time of one or several prefills.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// What the engine has computed.
+    pub work: Work,
+    /// The slowdown of the engine before this sample.
+    pub slowdown: f64,
+    /// Whether the engine was free before. `elapsed_ms` then includes the fixed time of the first event.
+    pub was_free: bool,
+    /// Time from the start of the first prefill, in ms.
+    pub elapsed_ms: f64,
+}
+
+/// The latest prefills of an engine without a pause between them.
+#[derive(Clone, Copy, Debug)]
+struct Measurement {
+    work: Work,
+    was_free: bool,
+    /// When the engine was free and got the first request, or when the event before it was reported, in ms.
+    start: f64,
+    /// When the event of the last request was reported, in ms.
+    end: f64,
+}
+
+/// What only pools with learnt figures need for the requests of an engine. All times are without the delay of the reports,
+/// on the placer's clock in ms.
+#[derive(Clone, Debug, Default)]
+struct Observation {
+    /// The measurement that the next request may extend.
+    open: Option<Measurement>,
+    /// When the last first event was reported.
+    reported: f64,
+    /// Work for requests whose first event was reported before that of the oldest one, and when the last was.
+    passed: Work,
+    passed_until: f64,
+    /// Whether the engine has worked for a request that ended without a first event.
+    is_disturbed: bool,
+}
+
 /// The requests that are assigned to one engine.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -97,6 +199,7 @@
     is_measured: bool,
     /// Lower bound of `slowdown`; above 0.
     min_slowdown: f64,
+    observation: Observation,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -104,6 +207,8 @@
     key: Key,
     prefill: Prefill,
     assigned: Time,
+    /// Whether the engine fetches parts of the prompt first, which takes an unknown time.
+    is_fetching: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -121,6 +226,7 @@
             slowdown: 1.0,
             is_measured: false,
             min_slowdown: *SLOWDOWN_RANGE.start(),
+            observation: Observation::default(),
         }
     }
 }
@@ -164,14 +270,22 @@
         self.min_slowdown = min_slowdown;
     }
 
-    /// Duration of a step without the prefill of prompts, in ms.
-    fn step_ms(&self, speed: &Speed) -> f64 {
-        let context: f64 = self
-            .running
+    /// Divides the slowdown by `factor`, because the figures that it is relative to were multiplied by it.
+    pub fn rescale_slowdown(&mut self, factor: f64) {
+        self.slowdown = (self.slowdown / factor).clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
+    }
+
+    /// Context of the requests that generate tokens.
+    fn context_tokens(&self) -> f64 {
+        self.running
             .iter()
             .map(|run| f64::from(run.context_tokens))
-            .sum();
-        speed.step_ms + context * speed.step_ms_per_thousand / 1_000.0
+            .sum()
+    }
+
+    /// Duration of a step without the prefill of prompts, in ms.
+    fn step_ms(&self, speed: &Speed) -> f64 {
+        speed.step_ms + self.context_tokens() * speed.step_ms_per_thousand / 1_000.0
     }
 
     /// Time until the engine has prefilled the prompts of all assigned requests, in ms.
@@ -203,14 +317,24 @@
             key,
             prefill,
             assigned: now,
+            is_fetching: false,
         });
     }
 
+    /// Records that the engine fetches parts of the prompt of an assigned request. Its time is not measured.
+    pub fn record_fetch(&mut self, key: Key) {
+        let mut pending = self.pending.iter_mut();
+        if let Some(pending) = pending.find(|pending| pending.key == key) {
+            pending.is_fetching = true;
+        }
+    }
+
     /// Records the first event of a request, and updates the slowdown if the request was the
-    /// oldest without one. Returns the fixed time of the first event, in ms, if the engine was free and the prefill was
-    /// too short for its speed to matter.
-    pub fn record_first_event(&mut self, now: Time, key: Key, speed: &Speed) -> Option<f64> {
-        let at = self.pending.iter().position(|pending| pending.key == key)?;
+    /// oldest without one.
+    pub fn record_first_event(&mut self, now: Time, key: Key, speed: &Speed) {
+        let Some(at) = self.pending.iter().position(|pending| pending.key == key) else {
+            return;
+        };
         let pending = self.pending.remove(at);
         let end = now.as_ms() as f64 - speed.first_ms - REPORT_DELAY_MS;
         let start = self.prefilled_until.max(pending.assigned.as_ms() as f64);
@@ -221,20 +345,106 @@
             self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
             self.is_measured = true;
         }
-        let assigned = pending.assigned.as_ms() as f64;
-        let is_fixed = at == 0 && expected < MIN_OBSERVED_MS && self.prefilled_until <= assigned;
-        let fixed = now.as_ms() as f64 - assigned - expected - REPORT_DELAY_MS;
         self.prefilled_until = self.prefilled_until.max(end);
         let context_tokens = pending.prefill.context_tokens;
         self.running.push(Running {
             key,
             context_tokens,
         });
-        is_fixed.then_some(fixed)
+    }
+
+    /// Records the first event of a request in a pool with learnt figures. Returns a sample for the figures if a
+    /// measurement is complete, and updates the slowdown from it.
+    pub fn observe_first_event(&mut self, now: Time, key: Key, speed: &Speed) -> Option<Sample> {
+        let at = self.pending.iter().position(|pending| pending.key == key)?;
+        let pending = self.pending.remove(at);
+        let reported = now.as_ms() as f64 - REPORT_DELAY_MS;
+        let prefill = &pending.prefill;
+        let mut work = Work {
+            uncached: prefill.uncached,
+            pairs: prefill.pairs,
+            steps: prefill.steps,
+            context_tokens: prefill.steps * self.context_tokens(),
+        };
+        self.running.push(Running {
+            key,
+            context_tokens: prefill.context_tokens,
+        });
+        let seen = &mut self.observation;
+        if at > 0 {
+            // Reports of prompts that shared a step arrive in any order. They are measured together with the oldest.
+            seen.passed.add(&work);
+            seen.passed_until = seen.passed_until.max(reported);
+            return None;
+        }
+        work.add(&std::mem::take(&mut seen.passed));
+        let end = reported.max(seen.passed_until);
+        let assigned = pending.assigned.as_ms() as f64;
+        let pause_ms = assigned - self.prefilled_until;
+        let is_disturbed = std::mem::take(&mut seen.is_disturbed);
+        let was_free = pause_ms >= MIN_PAUSE_MS;
+        let start = if was_free { assigned } else { seen.reported };
+        let is_behind = pause_ms <= 0.0 && seen.reported > 0.0;
+        let is_known = !is_disturbed && !pending.is_fetching && (was_free || is_behind);
+        let measurement = Measurement {
+            work,
+            was_free,
+            start,
+            end,
+        };
+        let slowdown = self.slowdown;
+        let complete = match &mut seen.open {
+            Some(open)
+                if is_known
+                    && !was_free
+                    && open.work.duration_ms(speed) * slowdown < MEASURED_MS =>
+            {
+                open.work.add(&work);
+                open.end = end;
+                None
+            }
+            open => std::mem::replace(open, is_known.then_some(measurement)),
+        };
+        seen.reported = end;
+        self.prefilled_until = self.prefilled_until.max(end - speed.first_ms);
+        let complete = complete?;
+        let elapsed_ms = complete.end - complete.start;
+        let fixed_ms = if complete.was_free {
+            speed.first_ms
+        } else {
+            0.0
+        };
+        let expected_ms = complete.work.duration_ms(speed) * slowdown;
+        self.observe_slowdown(expected_ms, elapsed_ms - fixed_ms);
+        Some(Sample {
+            work: complete.work,
+            slowdown,
+            was_free: complete.was_free,
+            elapsed_ms,
+        })
+    }
+
+    /// Moves the slowdown toward the ratio of the measured to the expected time of a prefill.
+    fn observe_slowdown(&mut self, expected_ms: f64, measured_ms: f64) {
+        if expected_ms < MIN_LEARNT_MS {
+            return;
+        }
+        let deviation = (measured_ms / expected_ms).max(f64::MIN_POSITIVE).ln();
+        let weight = LEARNT_WEIGHT * (expected_ms / FULL_WEIGHT_MS).min(1.0);
+        let step = weight * deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
+        let slowdown = self.slowdown * step.exp();
+        self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
+        self.is_measured = true;
     }
 
     /// Removes a request that has ended, with or without an answer.
     pub fn remove(&mut self, key: Key) {
+        if self.pending.iter().any(|pending| pending.key == key) {
+            let seen = &mut self.observation;
+            seen.is_disturbed = true;
+            seen.reported = seen.reported.max(seen.passed_until);
+            seen.passed = Work::default();
+        }
         self.pending.retain(|pending| pending.key != key);
         self.running.retain(|run| run.key != key);
     }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -22,7 +22,7 @@
 use crate::server::Server;
 use crate::settings::Settings;
 use crate::share::Meter;
-use crate::speed;
+use crate::speed::{self, Figures};
 use crate::transfer;
 use crate::waiting::{Answer, Ask, Queue};
 use crate::warmup;
@@ -274,6 +274,9 @@
     document: Arc<Document>,
     /// The learnt figures of the pools of `document`.
     speeds: speed::Register,
+    /// The pools of `document` where [`transfer::is_cheap`] holds, sorted. Requests have a price there for leaving their
+    /// domain.
+    cheap: Vec<Arc<str>>,
     crossing: crossing::Register,
     /// When `crossing` was last updated.
     last_crossing: Time,
@@ -352,6 +355,7 @@
             shares: Meter::default(),
             document: Arc::default(),
             speeds: speed::Register::default(),
+            cheap: Vec::new(),
             crossing: crossing::Register::default(),
             last_crossing: Time::ZERO,
             mean_objective_ms: 0.0,
@@ -384,9 +388,14 @@
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
         self.speeds.set_document(document, &self.settings.speed);
-        self.crossing.retain(|pool| self.speeds.is_on(pool));
+        let is_cheap = |engine| transfer::is_cheap(engine, &self.settings.speed);
+        let pools = document.pools.iter();
+        let pools = pools.filter(|pool| pool.engine.as_ref().is_some_and(is_cheap));
+        self.cheap = pools.map(|pool| Arc::clone(&pool.name)).collect();
+        self.cheap.sort_unstable();
+        self.crossing.retain(|pool| is_in(&self.cheap, pool));
         for state in &mut self.servers {
-            if self.settings.learn_speed && self.speeds.is_on(&state.server.pool) {
+            if self.speeds.is_on(&state.server.pool) {
                 state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
             }
         }
@@ -509,7 +518,7 @@
     /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
     fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
         let mut load = Load::default();
-        if self.settings.learn_speed && self.speeds.is_on(pool) {
+        if self.speeds.is_on(pool) {
             load.set_min_slowdown(speed::MIN_SLOWDOWN);
             let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
             let measured = of_pool.filter_map(|&(_, slowdown)| slowdown).collect();
@@ -629,6 +638,9 @@
         let send_within_ms = warmup::of(&self.document, &demand.pool)
             .map(|warmup| self.warming.send_within_ms(now, &server.id, warmup));
         self.assign(now, demand, best.server, &parts, best.cached_tokens);
+        if fetch_from.is_some() {
+            self.servers[best.server].load.record_fetch(demand.key);
+        }
         Decision::Place {
             send_within_ms,
             fetch_from,
@@ -676,7 +688,7 @@
         self.last_crossing = now;
         let document = Arc::clone(&self.document);
         for pool in &document.pools {
-            if self.speeds.is_on(&pool.name) {
+            if self.is_cheap(&pool.name) {
                 let views = self.views(now, &pool.name);
                 self.crossing.update(now, &pool.name, &views);
             }
@@ -743,14 +755,14 @@
 
     /// The share that applies to a request if this placer decides alone.
     fn share_alone(&self, demand: &Demand) -> Option<&Share> {
-        let is_on = self.speeds.is_on(&demand.pool) && self.settings.crossing_weight > 0.0;
+        let is_on = self.is_cheap(&demand.pool) && self.settings.crossing_weight > 0.0;
         let mut shares = self.shares_alone.iter();
         shares.find(|share| is_on && share.pool == demand.pool && share.home == demand.domain)
     }
 
     /// Added to the score of a server of another domain, in ms.
     fn remote_ms(&self, demand: &Demand) -> f64 {
-        if demand.prompt.is_none() || !self.speeds.is_on(&demand.pool) {
+        if demand.prompt.is_none() || !self.is_cheap(&demand.pool) {
             return self.settings.remote_ms;
         }
         // The home domain is busier than this placer knows, so requests that may leave are not kept by a price.
@@ -854,12 +866,55 @@
         state.cache.record_ready(&assignment.parts, capacity);
         let pool = &state.server.pool;
         let speed = self.speeds.speed(pool, &self.settings.speed);
-        if let Some(first_ms) = state.load.record_first_event(now, key, &speed)
-            && self.settings.learn_speed
+        if !self.speeds.is_on(pool) {
+            state.load.record_first_event(now, key, &speed);
+            return;
+        }
+        let settings = &self.settings.speed;
+        if let Some(sample) = state.load.observe_first_event(now, key, &speed)
+            && self.speeds.record(now, pool, &sample, settings)
         {
-            self.speeds
-                .record_first(pool, first_ms, &self.settings.speed);
+            let pool = Arc::clone(pool);
+            self.fit_figures(now, &pool);
+        }
+    }
+
+    /// Fits the figures of a pool to the recorded samples.
+    fn fit_figures(&mut self, now: Time, pool: &Arc<str>) {
+        let in_pool = |state: &&State| state.server.pool == *pool;
+        let loads = self.servers.iter().filter(in_pool);
+        let mean = speed::mean(loads.filter_map(|state| state.load.measured_slowdown()));
+        let factor = self.speeds.fit(now, pool, mean, &self.settings.speed);
+        for state in &mut self.servers {
+            if state.server.pool == *pool {
+                state.load.rescale_slowdown(factor);
+            }
+        }
+    }
+
+    /// The learnt figures for hosts that decide alone. Empty unless this placer was asked for servers recently: another
+    /// one may have missed reports.
+    pub fn figures(&self, now: Time) -> Vec<Figures> {
+        if now.since(self.last_asked) >= IN_CHARGE_MS {
+            return Vec::new();
         }
+        self.speeds.figures()
+    }
+
+    /// Sets the figures that the placer in charge has learnt. From the first call on, this placer learns none from its
+    /// own requests, which share the engines with those of other hosts.
+    pub fn set_figures(&mut self, figures: &[Figures]) {
+        self.speeds.follow(figures, &self.settings.speed);
+    }
+
+    /// Returns the pools whose learnt figures have changed by more than a quarter since the last call.
+    pub fn take_figure_changes(&mut self) -> Vec<speed::Change> {
+        self.speeds.take_changes()
+    }
+
+    /// Whether requests of the pool have a price for leaving their domain.
+    fn is_cheap(&self, pool: &str) -> bool {
+        is_in(&self.cheap, pool)
     }
 
     /// Records the end of a request and removes its assignment.
@@ -964,7 +1019,8 @@
             .prompt
             .as_ref()
             .map_or(0, |prompt| prompt.input_tokens);
-        let prefill = self.settings.speed.prefill(input, cached_tokens);
+        let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
+        let prefill = speed.prefill(input, cached_tokens);
         state.load.assign(now, demand.key, prefill);
         state.cache.touch(parts, capacity);
         let assignment = Assignment {
@@ -1428,6 +1484,10 @@
     }
 }
 
+fn is_in(pools: &[Arc<str>], pool: &str) -> bool {
+    pools.binary_search_by(|known| (**known).cmp(pool)).is_ok()
+}
+
 /// The cache keys and lengths of the prompt parts; empty for a plain service.
 fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
     demand.prompt.iter().flat_map(cache::part_keys).collect()
--- a/crates/place/src/settings.rs
+++ b/crates/place/src/settings.rs
@@ -55,8 +55,6 @@
     /// What the operators pay for a request that leaves its failure domain, in tokens that an engine reads for the same
     /// money.
     pub leaving_tokens: f64,
-    /// Whether the speed figures of pools are learnt, where the costs of copies apply.
-    pub learn_speed: bool,
     /// The engines that have the parts of a prompt are preferred while they are predicted to answer within this share of
     /// the objective.
     pub holder_limit: f64,
@@ -84,7 +82,6 @@
             failure_weight: 6.0,
             fetch_weight: 0.5,
             copy_weight: 1.0,
-            learn_speed: false,
             holder_limit: 0.6,
             transfer_tokens_per_mb: 16.7,
             leaving_tokens: 385.0,
