fleet, entry: Send the learnt figures in Status

An entry host that decides alone sees only its own requests, so it cannot learn the figures of a pool.

The placer in charge sends them in Status, and a host that decides alone uses the newest ones. The longest status had 13 bytes left, too few for 96 bytes of figures, so the keys of quarantined parts are now encoded with 8 bytes for each number instead of up to 10; the test of the longest status passes with both.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -206,15 +206,18 @@
     let incarnation = rand::random();
     let schedule = hello::Schedule::new(Time::now());
     let notices = Arc::default();
+    let mut placer = Placer::new(Settings {
+        // A host that decides alone knows only its own requests, so it cannot predict when one could be placed.
+        waiting: false,
+        ..inputs.placer_settings.clone()
+    });
+    // Nor can it learn figures: the requests of other hosts delay its own. It uses those of the statuses.
+    placer.set_figures(&[]);
     let link = Link {
         incarnation,
         schedule,
         links: peers::links(inputs.key.clone()),
-        placer: Placer::new(Settings {
-            // A host that decides alone knows only its own requests, so it cannot predict when one could be placed.
-            waiting: false,
-            ..inputs.placer_settings.clone()
-        }),
+        placer,
         notices: Arc::clone(&notices),
         socket,
         events,
@@ -576,6 +579,7 @@
         if !status.crossing.is_empty() {
             self.placer.set_crossing_shares(&status.crossing);
         }
+        self.placer.set_figures(&status.figures);
         if self.placer.set_drained(now, &status.drained) {
             lock(&self.notices).set_drained(&status.drained);
             self.inputs.meter.count("drained_changed");
--- a/crates/entry/tests/capacity.rs
+++ b/crates/entry/tests/capacity.rs
@@ -34,6 +34,7 @@
         largest_capacity,
         quarantine: Vec::new(),
         crossing: Vec::new(),
+        figures: Vec::new(),
         drained: Default::default(),
     }
 }
--- a/crates/entry/tests/waiting.rs
+++ b/crates/entry/tests/waiting.rs
@@ -108,6 +108,7 @@
                 largest_capacity: 0,
                 quarantine: Vec::new(),
                 crossing: Vec::new(),
+                figures: Vec::new(),
                 drained: Default::default(),
             }),
             Packet::Place(demand) => {
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -336,6 +336,17 @@
         }
     }
 
+    fn report_figures(&mut self) {
+        for change in self.placer.take_figure_changes() {
+            let speed = &change.speed;
+            self.inputs.meter.count("figures_learnt");
+            info!(self.inputs.log, "engine figures learnt"; "pool" => %change.pool,
+                "tokens_per_ms" => speed.tokens_per_ms, "ms_per_million_pairs" => speed.ms_per_million_pairs,
+                "step_ms" => speed.step_ms, "step_ms_per_thousand" => speed.step_ms_per_thousand,
+                "first_ms" => speed.first_ms);
+        }
+    }
+
     /// Counts requests that began or ceased to wait. `waited` tells whether the request waited before the decision and
     /// `before` how many requests did.
     fn count_waits(&self, decision: &Decision, waited: bool, before: usize) {
@@ -368,6 +379,7 @@
                 Update::Broken(server) => self.placer.record_broken(now, &server),
             }
         }
+        self.report_figures();
     }
 
     /// Only the host that leads the log may send to servers that are not warm.
@@ -648,6 +660,7 @@
             largest_capacity: capacities.max().unwrap_or(0),
             quarantine: self.placer.quarantine_notices(Time::now()),
             crossing: self.placer.crossing_shares(Time::now()),
+            figures: self.placer.figures(Time::now()),
             drained,
         }
     }
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 48] = [
+pub const ALL: [&str; 49] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -29,6 +29,7 @@
     "document_stored",
     "document_unknown",
     "drained_changed",
+    "figures_learnt",
     "kept_read",
     "kept_read_failed",
     "leader_changed",
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -14,6 +14,7 @@
 use primrose_place::drained;
 use primrose_place::placer::{Decision, Outcome};
 use primrose_place::quarantine::Notice;
+use primrose_place::speed::Figures;
 use primrose_route::Document;
 use serde::{Deserialize, Serialize};
 
@@ -82,7 +83,7 @@
 }
 
 /// The state of a core host as sent to entry hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// The core host that sends the status.
     pub host: Name,
@@ -113,6 +114,9 @@
     /// The shares of requests that may leave their failure domain while entry hosts decide alone. Empty unless the sender
     /// places requests at present; at most [`primrose_place::crossing::MAX_WAYS`].
     pub crossing: Vec<Share>,
+    /// The learnt figures of pools, for entry hosts that decide alone. Empty unless the sender places requests at present;
+    /// at most [`primrose_place::speed::MAX_FIGURES_BYTES`] long.
+    pub figures: Vec<Figures>,
     /// The newest set of drained failure domains that the sender knows.
     pub drained: drained::Set,
 }
--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -22,6 +22,7 @@
 use primrose_place::crossing::{MAX_SHARES_BYTES, Share};
 use primrose_place::drained::Set;
 use primrose_place::quarantine::{Key, MAX_GROUP, MAX_NOTICES, Notice, QUARANTINE_MS};
+use primrose_place::speed::{Figures, MAX_FIGURES_BYTES};
 use primrose_wire::datagram;
 use primrose_wire::key::Key as FleetKey;
 use store::store;
@@ -203,6 +204,14 @@
             home: "home".into(),
             per_mille: 1_000,
         }],
+        figures: vec![Figures {
+            pool: "x".repeat(MAX_FIGURES_BYTES - 22).into(),
+            tokens_per_ms: 1.0,
+            ms_per_million_pairs: 1.0,
+            step_ms: 1.0,
+            step_ms_per_thousand: 1.0,
+            first_ms: 1.0,
+        }],
         drained: list.set(),
     });
     let heartbeat = Packet::Heartbeat(Heartbeat {
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -74,8 +74,28 @@
 /// would otherwise prolong it with each exchange.
 const MIN_EXTENSION_MS: u64 = 5_000;
 
+/// The pool and the part of a [`Key`] in a message. A hash takes up to 10 bytes as a number of variable length, and the
+/// keys of a status would leave too little room in a datagram for the other fields.
+type Encoded = [[u8; 8]; 2];
+
+impl From<Encoded> for Key {
+    fn from([pool, part]: Encoded) -> Key {
+        Key {
+            pool: u64::from_le_bytes(pool),
+            part: u64::from_le_bytes(part),
+        }
+    }
+}
+
+impl From<Key> for Encoded {
+    fn from(key: Key) -> Encoded {
+        [key.pool.to_le_bytes(), key.part.to_le_bytes()]
+    }
+}
+
 /// A part of prompts in a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "Encoded", into = "Encoded")]
 pub struct Key {
     /// Hash of the name of the pool.
     pub pool: u64,
