fleet: Test the list of new core hosts as the product introduces them

Cause: new_core_host_gets_the_list looked up the leader once, ordered through it, and introduced the new host once to it, 40 documents later. A host that does not lead does nothing with an introduction and discards it when its role changes, so a change of the leader in between loses it. A core host repeats its introduction every 250 ms to every core host, so the product is not affected.

Change: the test introduces the new host to all hosts every 250 ms, and gives the order at whichever host leads until it is applied. A second case forces the change of the leader and loses the first introduction. The assertions are the same.

--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -16,7 +16,7 @@
 use primrose_fleet::drain::{Action, List, MAX_DOMAINS, MAX_NAMES_BYTES, Order};
 use primrose_fleet::entry::Entry;
 use primrose_fleet::message::{Heartbeat, Packet, Stamp, Status};
-use primrose_fleet::replica::{MAX_ORDER_WAIT_MS, Outcome};
+use primrose_fleet::replica::{Input, MAX_ORDER_WAIT_MS, Outcome};
 use primrose_fleet::storage::Storage;
 use primrose_fleet::store::{Reply, Store, Stored};
 use primrose_place::crossing::{MAX_SHARES_BYTES, Share};
@@ -337,28 +337,78 @@
     assert!(matches!(outcome, Outcome::Unknown | Outcome::NotLeader));
 }
 
-// A core host that takes the place of another one, or that lost its disk, gets a snapshot and not the entry of the order.
+/// Gives the order at whichever host leads, as an operator does: on a busy machine the leader may change.
+async fn give_order(hosts: &[Host], order: Order) {
+    let given = async {
+        loop {
+            let outcome = leader(hosts).await.handle.order(order.clone(), Time::now());
+            match outcome.await {
+                Outcome::Applied(reply) => return reply,
+                Outcome::NotLeader | Outcome::Unknown => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    };
+    let acknowledged = tokio::time::timeout(TIMEOUT, given).await;
+    assert_eq!(acknowledged.expect("an answer in time"), Reply::Ordered);
+}
+
+/// Cuts the leader `old` off until another host leads.
+async fn change_leader(hosts: &[Host], old: &Host) {
+    let cut_off = || old.cut_off.lock().expect("not poisoned");
+    cut_off().push(old.name.clone());
+    let is_changed = async {
+        let others = || hosts.iter().filter(|host| host.name != old.name);
+        while !others().any(|host| host.handle.state().is_leading) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let changed = tokio::time::timeout(TIMEOUT, is_changed).await;
+    changed.expect("another leader");
+    cut_off().clear();
+}
+
+/// Introduces a new core host to all others every 250 ms until it is stopped, as core hosts do.
+async fn introduce(newcomer: &Host, others: &[Host]) {
+    loop {
+        let introduction = newcomer.handle.state().introduction;
+        for other in others {
+            let answer = other.handle.introduce(introduction.clone()).await;
+            if answer.expect("an answer").is_retired && !introduction.is_empty {
+                newcomer.handle.send(Input::Reset);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+// A core host that takes the place of another one, or that lost its disk, gets a snapshot and not the entry of the order. An
+// introduction to a host that does not lead is lost, so the new host must get the list also if the first one is.
+#[test_case(false; "with one leader")]
+#[test_case(true; "after a change of the leader")]
 #[tokio::test]
-async fn new_core_host_gets_the_list() {
+async fn new_core_host_gets_the_list(has_new_leader: bool) {
     let mut disks = folders();
     disks.push(tempfile::tempdir().expect("a folder can be created"));
     let hosts = open(&disks);
     form_fleet(&hosts[..3]);
-    let leader = leader(&hosts[..3]).await;
-    let outcome = leader.handle.order(drain("west"), Time::now()).await;
-    assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+    give_order(&hosts[..3], drain("west")).await;
     for version in 1..=40 {
         store(&hosts[..3], version).await;
     }
-    let newcomer = &hosts[3].handle;
-    assert_eq!(**newcomer.follow_drained().borrow(), List::default());
-    let introduction = newcomer.state().introduction;
-    leader
-        .handle
-        .introduce(introduction)
-        .await
-        .expect("an answer");
-    until_published(&hosts[3], "west").await;
+    let newcomer = &hosts[3];
+    assert_eq!(**newcomer.handle.follow_drained().borrow(), List::default());
+    if has_new_leader {
+        let old = leader(&hosts[..3]).await;
+        change_leader(&hosts[..3], old).await;
+        let introduction = newcomer.handle.state().introduction;
+        let answer = old.handle.introduce(introduction).await;
+        answer.expect("an answer");
+    }
+    tokio::select! {
+        () = introduce(newcomer, &hosts[..3]) => {}
+        () = until_published(newcomer, "west") => {}
+    }
 }
 
 // A host that was frozen must not carry out an order that its author has given up and may have revoked elsewhere.
