place: Send requests to idle plain servers that were never measured

Cause: a plain server without measurements counted as 20 ms. Under a light load, all requests went to servers that were measured as faster, also across the cost of leaving the failure domain (3 ms), so the others were never measured. A placer that starts while a domain is drained has not measured its servers, and sent them nothing after the domain was returned.

Evidence: the scores in a failing run of evacuated_zone_gets_no_requests_ whatever_is_lost, at the entry host, 20 s after the return: both servers of the returned zone had no load, no measurement and a score of 20.0; those of the other zone had 7.3 and 7.7 (3.6 and 4.0 ms measured).

Change: an idle plain server without measurements counts as the fastest measured server of its pool, at most 20 ms. With a request assigned it counts as 20 ms, so a burst does not go to a server that may be slow. With failures, 20 ms times the failure rate is the least, since a server that only fails is never measured. The scores of measured servers and of engines are the same as before, and the bound on servers that warm up applies before the score.

Measured: three new cases in plain.rs fail without the change; without the rule for idle servers the case of the burst fails ([6, 6, 0, 0] instead of [1, 1, 5, 5]), and without that for failures 200 of 200 requests fail. All tests of place pass.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -58,7 +58,7 @@
 const INITIAL_ENGINE_SLOT_MS: f64 = 1_500.0;
 
 /// Time that a request is assumed to occupy a slot of a plain service before any was measured, in
-/// ms.
+/// ms, unless a faster server of the pool was measured.
 const INITIAL_PLAIN_SLOT_MS: f64 = 20.0;
 
 /// Weight of one measurement in the moving average of the slot time.
@@ -261,6 +261,15 @@
     }
 }
 
+/// What the prediction for a server takes from all servers of its pool.
+#[derive(Clone, Copy, Default)]
+struct Peers {
+    /// The engine from which parts of the prompt may be fetched.
+    source: Option<Source>,
+    /// The shortest measured slot time of the plain servers, in ms; `None` for a request to engines.
+    fastest_ms: Option<f64>,
+}
+
 /// Assigns requests to the servers of all pools.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -1034,9 +1043,9 @@
             .iter()
             .map(|state| state.cache.cached_tokens(parts))
             .collect();
-        let source = self.source(now, demand, parts);
+        let peers = self.peers(now, demand, parts);
         let mut candidates: Vec<Candidate> = usable
-            .map(|(at, _)| self.candidate(now, demand, parts, at, cached[at], source))
+            .map(|(at, _)| self.candidate(now, demand, parts, at, cached[at], peers))
             .collect();
         candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
         // What a copy evicts takes long to find, and can only increase a score.
@@ -1082,17 +1091,17 @@
         cached
             .into_iter()
             .filter(|&(at, tokens)| holds(tokens) && is_sound(at))
-            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, None))
+            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, Peers::default()))
             .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
     /// Returns the usable server that is predicted to answer first, whatever it costs.
     fn soonest(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
-        let source = self.source(now, demand, parts);
+        let peers = self.peers(now, demand, parts);
         let usable = self.usable(now, demand, parts).map(|(at, state)| {
             let cached = state.cache.cached_tokens(parts);
-            self.candidate(now, demand, parts, at, cached, source)
+            self.candidate(now, demand, parts, at, cached, peers)
         });
         usable.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()))
     }
@@ -1130,8 +1139,24 @@
         transfer::Price::of(self.engine(pool)?, &self.settings)
     }
 
+    /// What the prediction for each server takes from all servers of the pool.
+    fn peers(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Peers {
+        if demand.prompt.is_some() {
+            return Peers {
+                source: self.source(now, demand, parts),
+                fastest_ms: None,
+            };
+        }
+        let in_pool = |state: &&State| state.server.pool == demand.pool && state.slot_ms > 0.0;
+        let measured = self.servers.iter().filter(in_pool);
+        Peers {
+            source: None,
+            fastest_ms: measured.map(|state| state.slot_ms).min_by(f64::total_cmp),
+        }
+    }
+
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
-    /// of its prompt cached and may fetch more from `source`.
+    /// of its prompt cached and may fetch more from the source of `peers`.
     fn candidate(
         &self,
         now: Time,
@@ -1139,7 +1164,7 @@
         parts: &[(u64, u32)],
         at: usize,
         cached_tokens: u32,
-        source: Option<Source>,
+        peers: Peers,
     ) -> Candidate {
         let state = &self.servers[at];
         let settings = &self.settings;
@@ -1150,7 +1175,7 @@
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
-            let slot_ms = state.slot_ms_or(INITIAL_PLAIN_SLOT_MS);
+            let slot_ms = state.slot_ms_or(unmeasured_slot_ms(state, peers.fastest_ms));
             let wait_ms = slot_wait_ms(state, slot_ms);
             // Even while slots are free, the load counts: spreading requests over the servers keeps
             // the bursts of other hosts apart.
@@ -1203,7 +1228,7 @@
             }
         };
         let without_fetch = candidate(cached_tokens, None);
-        let with_fetch = source.and_then(|source| {
+        let with_fetch = peers.source.and_then(|source| {
             let fetch = self.fetch(now, demand, source, at, cached_tokens)?;
             Some(candidate(source.cached_tokens, Some(fetch)))
         });
@@ -1461,6 +1486,20 @@
     ahead as f64 * slot_ms / slots as f64
 }
 
+/// The assumed slot time of a plain server without measurements, in ms. If it is idle, it counts as the fastest measured
+/// server of its pool; otherwise it would get no request of a light load, and would never be measured. While it has a
+/// request, it counts as the initial value, so that a burst does not go to a server that may be slow. As its requests fail,
+/// it approaches the initial value too, since failures are not measured.
+fn unmeasured_slot_ms(state: &State, fastest_ms: Option<f64>) -> f64 {
+    match fastest_ms {
+        Some(fastest_ms) if state.load.is_empty() => {
+            let failed_ms = state.health.failure_rate() * INITIAL_PLAIN_SLOT_MS;
+            fastest_ms.max(failed_ms).min(INITIAL_PLAIN_SLOT_MS)
+        }
+        _ => INITIAL_PLAIN_SLOT_MS,
+    }
+}
+
 /// A hash of the server and of the last shared part of the prompt, or of the only part; from 0 to
 /// below 1. The server with the lowest value is preferred.
 fn affinity(parts: &[(u64, u32)], server: &str) -> f64 {
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -6,10 +6,12 @@
 
 use primrose_base::clock::Time;
 use primrose_place::demand::Demand;
+use primrose_place::drained::Set;
 use primrose_place::placer::{Decision, Outcome, Placer, Reason};
 use primrose_place::{Server, Settings};
 use primrose_route::Document;
 use primrose_route::document::Pool;
+use test_case::test_case;
 
 const POOL: &str = "desk";
 
@@ -46,6 +48,50 @@
     }
 }
 
+/// A placer with two servers in the domain `north`, from which the requests come, and two in `west`.
+fn placer_of_two_domains() -> Placer {
+    let server = |number: u32| Server {
+        pool: POOL.into(),
+        slots: 6,
+        domain: if number < 3 { "north" } else { "west" }.into(),
+        ..support::engine(number)
+    };
+    let mut placer = placer();
+    placer.set_servers(&(1..=4).map(server).collect::<Vec<_>>());
+    placer
+}
+
+/// Answers 60 requests, two at once, in `answer_ms` each while the domain `north` is drained, and returns that to service.
+/// The first answers take at least 1 ms, since 0 ms are no measurement. Returns the time of the last answer.
+fn return_domain(placer: &mut Placer, answer_ms: u64) -> Time {
+    placer.set_drained(Time::ZERO, &set(1, &["north"]));
+    let mut now = Time::from_ms(1_000);
+    for sequence in (0..60).step_by(2) {
+        // Both servers of the other domain get one.
+        let requests = [plain(sequence), plain(sequence + 1)];
+        for request in &requests {
+            support::server_of(placer.place(now, request));
+        }
+        now = now.plus_ms(if sequence == 0 {
+            answer_ms.max(1)
+        } else {
+            answer_ms
+        });
+        for request in requests {
+            placer.record_end(now, request.key, Outcome::Answered { failed: false });
+        }
+    }
+    placer.set_drained(now, &set(2, &[]));
+    now
+}
+
+fn set(revision: u64, domains: &[&str]) -> Set {
+    Set {
+        revision,
+        domains: domains.iter().map(|&name| name.into()).collect(),
+    }
+}
+
 /// Answers 60 requests in 15 ms each, so that the placer has measured the slot time. Returns the
 /// time of the last answer.
 fn measure_slot_time(placer: &mut Placer) -> Time {
@@ -129,3 +175,58 @@
     }
     assert!(failed <= 15, "{failed} of 100 requests failed");
 }
+
+// A placer that started while a domain was drained has not measured its servers. If they counted as slower than those of
+// the other domains, they would get no request of a light load, and would never be measured.
+#[test]
+fn returned_domain_gets_requests() {
+    let mut placer = placer_of_two_domains();
+    let mut now = return_domain(&mut placer, 2);
+    for sequence in 100..110 {
+        let request = plain(sequence);
+        let Decision::Place { server, .. } = placer.place(now, &request) else {
+            panic!("request {sequence} is not placed");
+        };
+        assert_eq!(&*server.domain, "north", "request {sequence}");
+        now = now.plus_ms(2);
+        placer.record_end(now, request.key, Outcome::Answered { failed: false });
+    }
+}
+
+// A server without measurements may be slow or hang. Until its first answer, it must not get the requests of a burst that
+// measured servers would answer sooner.
+#[test]
+fn unmeasured_server_gets_one_request_of_a_burst() {
+    let mut placer = placer_of_two_domains();
+    let now = return_domain(&mut placer, 2);
+    let mut placed: Vec<Arc<str>> = (100..112)
+        .map(|sequence| support::server_of(placer.place(now, &plain(sequence))))
+        .collect();
+    placed.sort_unstable();
+    let counts = (1..=4).map(|number| {
+        let id = support::engine(number).id;
+        placed.iter().filter(|server| **server == id).count()
+    });
+    assert_eq!(counts.collect::<Vec<_>>(), [1, 1, 5, 5]);
+}
+
+// Servers that fail at once are never measured. They must not attract requests because they count as fast until then, even
+// if the others answer so fast that a multiple of their time is less than the cost of leaving the domain.
+#[test_case(2; "others answer in 2 ms")]
+#[test_case(0; "others answer in less than 1 ms")]
+fn unmeasured_servers_that_fail_are_avoided(answer_ms: u64) {
+    let mut placer = placer_of_two_domains();
+    let mut now = return_domain(&mut placer, answer_ms);
+    let mut failed = 0;
+    for sequence in 100..300 {
+        let request = plain(sequence);
+        let Decision::Place { server, .. } = placer.place(now, &request) else {
+            panic!("request {sequence} is not placed");
+        };
+        let is_broken = &*server.domain == "north";
+        failed += u32::from(is_broken);
+        now = now.plus_ms(if is_broken { 1 } else { answer_ms });
+        placer.record_end(now, request.key, Outcome::Answered { failed: is_broken });
+    }
+    assert!((2..=6).contains(&failed), "{failed} of 200 requests failed");
+}
