place: Explain where a request would go

Operators cannot see why a request was refused or sent to a server. Placer::place is split into begin, record_asked and choose, and Placer::refusal into limit and max_wait_ms, so that the explanation uses the same code. What excludes a server has one function for both (is_excluded).

--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -42,10 +42,18 @@
     /// Whether hosts of the failure domain `domain` should send no requests to the server at
     /// present.
     pub fn is_unavailable(&self, now: Time, domain: &str) -> bool {
-        let unreachable = self
-            .position(domain)
-            .is_ok_and(|at| now < self.backoffs[at].until);
-        unreachable || now < self.full_until
+        self.is_unreachable(now, domain) || self.is_full(now)
+    }
+
+    /// Whether hosts of `domain` wait before they try to connect again.
+    pub fn is_unreachable(&self, now: Time, domain: &str) -> bool {
+        self.position(domain)
+            .is_ok_and(|at| now < self.backoffs[at].until)
+    }
+
+    /// Whether the server refused a request as full a short time ago.
+    pub fn is_full(&self, now: Time) -> bool {
+        now < self.full_until
     }
 
     /// Whether hosts of `domain` have received no answer since one of them could not connect.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,13 +20,15 @@
 //! - [`speed`] learns figures of whole pools, for pools whose engines all differ from the operators' figures;
 //! - [`transfer`] weighs what a copy of prompt parts costs, so that copies do not fill the engines;
 //! - [`warmup`] limits the requests to servers that have just started or have become cold again;
-//! - [`memory`] keeps engines from holding more requests than fit into their memory.
+//! - [`memory`] keeps engines from holding more requests than fit into their memory;
+//! - [`explain`] tells where a request would go and why, without placing it.
 
 pub mod cache;
 pub mod crossing;
 pub mod demand;
 pub mod drained;
 pub mod engine;
+pub mod explain;
 pub mod health;
 pub mod memory;
 pub mod placer;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -15,13 +15,14 @@
 use crate::demand::{Demand, Key, Prompt};
 use crate::drained;
 use crate::engine::Load;
+use crate::explain::{Exclusion, Rule};
 use crate::health::Health;
 use crate::memory::{Held, Need};
 use crate::quarantine::{self, BEGINNING_MS, Crash, Notice, Suspect};
 use crate::refusals::Refusals;
 use crate::server::Server;
 use crate::settings::Settings;
-use crate::share::Meter;
+use crate::share::{Excess, Meter};
 use crate::speed;
 use crate::transfer;
 use crate::waiting::{Answer, Ask, Queue};
@@ -227,10 +228,10 @@
 
 /// A server and what the placer knows about it.
 #[derive(Clone, Debug)]
-struct State {
-    server: Server,
+pub(crate) struct State {
+    pub(crate) server: Server,
     load: Load,
-    cache: Cache,
+    pub(crate) cache: Cache,
     health: Health,
     /// The memory that the assigned requests need.
     held: Held,
@@ -266,7 +267,7 @@
 pub struct Placer {
     settings: Settings,
     /// Sorted by id.
-    servers: Vec<State>,
+    pub(crate) servers: Vec<State>,
     /// Sorted by key.
     assignments: Vec<Assignment>,
     shares: Meter,
@@ -298,25 +299,25 @@
 
 /// A server that could take a request, with the predicted times of the request on it.
 #[derive(Clone, Copy)]
-struct Candidate {
+pub(crate) struct Candidate {
     /// Index of the server.
-    server: usize,
+    pub(crate) server: usize,
     /// Time until the server starts the request, in ms.
-    wait_ms: f64,
+    pub(crate) wait_ms: f64,
     /// Prefill time, or the processing time of a plain service, in ms.
-    own_ms: f64,
+    pub(crate) own_ms: f64,
     /// Fixed time between the end of the prefill and the first event, in ms; 0 for a plain service.
     first_ms: f64,
     /// Prompt tokens that the server has cached or fetches.
-    cached_tokens: u32,
-    fetch: Option<Fetch>,
+    pub(crate) cached_tokens: u32,
+    pub(crate) fetch: Option<Fetch>,
     /// The candidate with the lowest score is chosen.
-    score: f64,
+    pub(crate) score: f64,
 }
 
 impl Candidate {
     /// Time to the first event, or to the whole answer of a plain service, in ms.
-    fn total_ms(&self) -> f64 {
+    pub(crate) fn total_ms(&self) -> f64 {
         self.wait_ms + self.own_ms + self.first_ms
     }
 }
@@ -324,9 +325,9 @@
 /// A transfer of cached parts from another engine, which completes before the server starts the
 /// request.
 #[derive(Clone, Copy)]
-struct Fetch {
+pub(crate) struct Fetch {
     /// Index of the engine that has the parts.
-    from: usize,
+    pub(crate) from: usize,
     /// Time until all parts have arrived, in ms.
     arrival_ms: f64,
     /// Number of tokens that are transferred.
@@ -335,13 +336,44 @@
 
 /// The engine that has the longest cached prefix of a prompt.
 #[derive(Clone, Copy)]
-struct Source {
+pub(crate) struct Source {
     /// Index of the engine.
     server: usize,
     /// Length of the cached prefix.
     cached_tokens: u32,
 }
 
+/// What decides for a whole request which servers are excluded.
+pub(crate) struct Terms<'a> {
+    /// Whether the request may be sent to another domain.
+    may_leave: bool,
+    /// The warm-up and the need for memory, if the pool has a warm-up.
+    limits: Option<(&'a Warmup, Need)>,
+    /// Cache capacity of an engine of the pool, in tokens.
+    capacity: u64,
+}
+
+/// How long a request may wait before its server starts it.
+#[derive(Clone, Copy)]
+pub(crate) struct Limit {
+    /// Which limit of the settings applies.
+    pub(crate) rule: Rule,
+    /// The limit as a multiple of the objective.
+    pub(crate) objectives: f64,
+    /// How far the account is beyond its share; `None` if it has no share.
+    pub(crate) excess: Option<Excess>,
+}
+
+impl Limit {
+    /// Why a request is refused that would wait for longer.
+    fn reason(&self) -> Reason {
+        match self.rule {
+            Rule::Limit | Rule::ReturnLimit => Reason::Overload,
+            Rule::ExcessLimit => Reason::OverShare,
+        }
+    }
+}
+
 impl Placer {
     /// Creates a placer without servers, which refuses every request.
     pub fn new(settings: Settings) -> Placer {
@@ -553,13 +585,24 @@
 
     /// Chooses a server and assigns the request to it, lets it wait, or refuses it.
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
-        self.expire(now);
-        self.last_asked = now;
-        self.update_crossing(now, demand);
+        self.begin(now, demand);
         if let Some(refusal) = self.quarantined(now, demand) {
             self.queue.remove(demand.key);
             return refusal;
         }
+        self.record_asked(now, demand);
+        self.choose(now, demand)
+    }
+
+    /// Updates what changes with the time before a request is placed.
+    pub(crate) fn begin(&mut self, now: Time, demand: &Demand) {
+        self.expire(now);
+        self.last_asked = now;
+        self.update_crossing(now, demand);
+    }
+
+    /// Counts a request for the share of its account.
+    pub(crate) fn record_asked(&mut self, now: Time, demand: &Demand) {
         let cost = demand.prompt.as_ref().map(Prompt::weighted_tokens);
         let waited = self.queue.has_returned(demand.key);
         if self.waiting_capacity(demand).is_some() {
@@ -572,6 +615,12 @@
         {
             self.shares.record_requested(now, account, cost);
         }
+    }
+
+    /// Chooses a server for a request after [`Placer::record_asked`].
+    pub(crate) fn choose(&mut self, now: Time, demand: &Demand) -> Decision {
+        let cost = demand.prompt.as_ref().map(Prompt::weighted_tokens);
+        let waited = self.queue.has_returned(demand.key);
         let parts = parts_of(demand);
         let holder = self.best_holder(now, demand, &parts);
         let Some(mut best) = holder.or_else(|| self.best(now, demand, &parts)) else {
@@ -579,10 +628,10 @@
             return self.refuse_without_candidate(now, demand);
         };
         let own_part = parts.last().map(|part| part.0);
-        let has_returned = match waited {
-            Some(has_returned) => has_returned,
-            None => own_part.is_some_and(|key| self.refusals.take(now, key)),
-        };
+        let has_returned = self.has_returned(now, demand, &parts);
+        if let (Some(key), None) = (own_part, waited) {
+            self.refusals.take(now, key);
+        }
         let mut refusal = self.refusal(now, demand, &best, has_returned);
         // An account beyond its share is refused after a short wait, which another engine may not have.
         if refusal.is_some()
@@ -639,6 +688,15 @@
         }
     }
 
+    /// Whether the request was refused before.
+    pub(crate) fn has_returned(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> bool {
+        let waited = self.queue.has_returned(demand.key);
+        waited.unwrap_or_else(|| {
+            let own_part = parts.last();
+            own_part.is_some_and(|part| self.refusals.contains(now, part.0))
+        })
+    }
+
     /// The shares of requests that hosts that decide alone may send to other domains. Empty unless this placer was asked
     /// for servers recently, because it does not know the backlogs otherwise.
     pub fn crossing_shares(&self, now: Time) -> Vec<Share> {
@@ -749,7 +807,7 @@
     }
 
     /// Added to the score of a server of another domain, in ms.
-    fn remote_ms(&self, demand: &Demand) -> f64 {
+    pub(crate) fn remote_ms(&self, demand: &Demand) -> f64 {
         if demand.prompt.is_none() || !self.speeds.is_on(&demand.pool) {
             return self.settings.remote_ms;
         }
@@ -1027,7 +1085,12 @@
     }
 
     /// Returns the usable server with the lowest score, or `None` if no server is usable.
-    fn best(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+    pub(crate) fn best(
+        &self,
+        now: Time,
+        demand: &Demand,
+        parts: &[(u64, u32)],
+    ) -> Option<Candidate> {
         let usable = self.usable(now, demand, parts);
         let cached: Vec<u32> = self
             .servers
@@ -1054,7 +1117,7 @@
     }
 
     /// Cost of what the request evicts from the engine with the index `at`, whether its parts are fetched or read.
-    fn eviction_ms(&self, demand: &Demand, at: usize, cached_tokens: u32) -> f64 {
+    pub(crate) fn eviction_ms(&self, demand: &Demand, at: usize, cached_tokens: u32) -> f64 {
         let (Some(price), Some(prompt)) = (self.price(&demand.pool), &demand.prompt) else {
             return 0.0;
         };
@@ -1068,7 +1131,12 @@
     /// Returns the usable engine with the lowest score among those that have the shared parts of the prompt and are
     /// predicted to answer well within the objective. Returns `None` if there is none, or if copies of parts have no
     /// price in the pool.
-    fn best_holder(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
+    pub(crate) fn best_holder(
+        &self,
+        now: Time,
+        demand: &Demand,
+        parts: &[(u64, u32)],
+    ) -> Option<Candidate> {
         self.price(&demand.pool)?;
         let cached: Vec<(usize, u32)> = self
             .usable(now, demand, parts)
@@ -1109,22 +1177,51 @@
         demand: &'a Demand,
         parts: &[(u64, u32)],
     ) -> impl Iterator<Item = (usize, &'a State)> {
-        let may_leave = self.may_leave(now, demand);
-        let warmup = warmup::of(&self.document, &demand.pool);
-        let limits = warmup.map(|warmup| (warmup, Need::new(demand, parts)));
-        let capacity = self.cache_tokens(&demand.pool);
+        let terms = self.terms(now, demand, parts);
         self.servers.iter().enumerate().filter(move |(_, state)| {
-            let is_within_limits = |(warmup, need): &(&Warmup, Need)| {
-                self.warming.delay_ms(now, &state.server.id, warmup) == 0
-                    && state.held.has_room(need, capacity)
-            };
-            self.is_open(state, now, &demand.pool, &demand.domain)
-                && !demand.tried.contains(&state.server.id)
-                && (may_leave || state.server.domain == demand.domain)
-                && limits.as_ref().is_none_or(is_within_limits)
+            let mut causes = Exclusion::ALL.iter();
+            *state.server.pool == *demand.pool
+                && !causes.any(|cause| self.is_excluded(now, demand, &terms, state, *cause))
         })
     }
 
+    /// What decides for a whole request which servers are excluded.
+    pub(crate) fn terms(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Terms<'_> {
+        let warmup = warmup::of(&self.document, &demand.pool);
+        Terms {
+            may_leave: self.may_leave(now, demand),
+            limits: warmup.map(|warmup| (warmup, Need::new(demand, parts))),
+            capacity: self.cache_tokens(&demand.pool),
+        }
+    }
+
+    /// Whether `cause` keeps a request from a server of its pool.
+    pub(crate) fn is_excluded(
+        &self,
+        now: Time,
+        demand: &Demand,
+        terms: &Terms<'_>,
+        state: &State,
+        cause: Exclusion,
+    ) -> bool {
+        let limits = terms.limits.as_ref();
+        match cause {
+            Exclusion::Leaving => state.server.draining,
+            Exclusion::Replaced => state.replaced,
+            Exclusion::Unreachable => state.health.is_unreachable(now, &demand.domain),
+            Exclusion::Full => state.health.is_full(now),
+            Exclusion::Drained => self.drained.contains(&state.server.domain),
+            Exclusion::Tried => demand.tried.contains(&state.server.id),
+            Exclusion::Domain => !terms.may_leave && state.server.domain != demand.domain,
+            Exclusion::Warming => limits.is_some_and(|(warmup, _)| {
+                self.warming.delay_ms(now, &state.server.id, warmup) > 0
+            }),
+            Exclusion::Memory => {
+                limits.is_some_and(|(_, need)| !state.held.has_room(need, terms.capacity))
+            }
+        }
+    }
+
     /// The costs of copies between the engines of a pool, or `None` if their time is their cost.
     fn price(&self, pool: &str) -> Option<transfer::Price> {
         transfer::Price::of(self.engine(pool)?, &self.settings)
@@ -1132,7 +1229,7 @@
 
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
     /// of its prompt cached and may fetch more from `source`.
-    fn candidate(
+    pub(crate) fn candidate(
         &self,
         now: Time,
         demand: &Demand,
@@ -1226,7 +1323,12 @@
 
     /// Finds the engine with the longest prefilled prefix of the prompt, preferring one in the failure
     /// domain of the entry host.
-    fn source(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Source> {
+    pub(crate) fn source(
+        &self,
+        now: Time,
+        demand: &Demand,
+        parts: &[(u64, u32)],
+    ) -> Option<Source> {
         self.engine(&demand.pool)?.token_bytes?;
         let sources = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
@@ -1286,12 +1388,26 @@
         best: &Candidate,
         has_returned: bool,
     ) -> Option<Decision> {
-        let waited = f64::from(demand.waited_ms);
-        let objective = f64::from(demand.objective_ms);
         let total = best.total_ms();
         if total > f64::from(demand.remaining_ms) {
             return Some(refuse(Reason::Deadline, best.wait_ms, total));
         }
+        let limit = self.limit(now, demand, has_returned);
+        let max_wait = self.max_wait_ms(demand, best, &limit);
+        (best.wait_ms > max_wait)
+            .then(|| refuse(limit.reason(), best.wait_ms, best.wait_ms - max_wait))
+    }
+
+    /// The longest time that a request may wait on the server of a candidate, in ms.
+    pub(crate) fn max_wait_ms(&self, demand: &Demand, best: &Candidate, limit: &Limit) -> f64 {
+        let waited = f64::from(demand.waited_ms);
+        let objective = f64::from(demand.objective_ms);
+        let own = best.first_ms + best.own_ms.min(self.settings.own_cap * objective);
+        (limit.objectives * objective - waited - own).max(0.0)
+    }
+
+    /// The limit that applies to a request. `has_returned` tells whether it was refused before.
+    pub(crate) fn limit(&mut self, now: Time, demand: &Demand, has_returned: bool) -> Limit {
         let capacity = self.document.limits.tokens_per_s;
         let capacity = capacity.filter(|tokens_per_s| *tokens_per_s > 0.0);
         let excess = match (&demand.account, &demand.prompt, capacity) {
@@ -1301,7 +1417,7 @@
             _ => None,
         };
         let beyond = excess.filter(|excess| excess.guaranteed > 1.0);
-        let (limit, reason) = if let Some(excess) = beyond {
+        let (rule, objectives) = if let Some(excess) = beyond {
             // The limit falls with the excess. Otherwise an account that floods the fleet gets more
             // than one that requests little more than its share.
             let slope = self.settings.excess_slope;
@@ -1312,15 +1428,17 @@
                 1.0
             };
             let limit = self.settings.excess_limit * part * return_part;
-            (limit, Reason::OverShare)
+            (Rule::ExcessLimit, limit)
         } else if demand.returning {
-            (self.settings.return_limit, Reason::Overload)
+            (Rule::ReturnLimit, self.settings.return_limit)
         } else {
-            (self.settings.limit, Reason::Overload)
+            (Rule::Limit, self.settings.limit)
         };
-        let own = best.first_ms + best.own_ms.min(self.settings.own_cap * objective);
-        let max_wait = (limit * objective - waited - own).max(0.0);
-        (best.wait_ms > max_wait).then(|| refuse(reason, best.wait_ms, best.wait_ms - max_wait))
+        Limit {
+            rule,
+            objectives,
+            excess,
+        }
     }
 
     /// Replaces the decision `refusal` of [`Placer::refusal`] for a request that can wait, or that is late and must
@@ -1429,7 +1547,7 @@
 }
 
 /// The cache keys and lengths of the prompt parts; empty for a plain service.
-fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
+pub(crate) fn parts_of(demand: &Demand) -> Vec<(u64, u32)> {
     demand.prompt.iter().flat_map(cache::part_keys).collect()
 }
 
--- a/crates/place/src/refusals.rs
+++ b/crates/place/src/refusals.rs
@@ -43,13 +43,20 @@
         }
     }
 
+    /// Whether the request was refused recently.
+    pub fn contains(&self, now: Time, key: u64) -> bool {
+        let at = self.position(key);
+        at.is_ok_and(|at| now.since(self.entries[at].refused) < MEMORY_MS)
+    }
+
     /// Whether the request was refused recently. Forgets it, so that the next request of the same
     /// session does not count as returning as well.
     pub fn take(&mut self, now: Time, key: u64) -> bool {
-        let Ok(at) = self.position(key) else {
-            return false;
-        };
-        now.since(self.entries.remove(at).refused) < MEMORY_MS
+        let was_refused = self.contains(now, key);
+        if let Ok(at) = self.position(key) {
+            self.entries.remove(at);
+        }
+        was_refused
     }
 
     fn clean_up(&mut self, now: Time) {
