--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -9,6 +9,7 @@
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_observe::Meter;
+use primrose_place::explain::Report;
 use primrose_place::placer::{Decision, Reason};
 use primrose_place::quarantine::Notice;
 use primrose_place::warmup::{self, Bound};
@@ -18,7 +19,7 @@
 use slog::{Logger, info, warn};
 use tarpc::context;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::directory::{self, Action, Directory, Freshness};
@@ -103,12 +104,40 @@
     pub log: Logger,
 }
 
+/// Where a request would go by the placer of this host.
+#[derive(Clone, Debug)]
+pub struct Explanation {
+    /// Version of the document in force.
+    pub version: u64,
+    /// Time since the list of servers was requested, in ms; `None` if this host has no list.
+    pub list_age_ms: Option<u64>,
+    /// What the placer would decide.
+    pub report: Report,
+}
+
+/// Asks the task.
+#[derive(Clone)]
+pub struct Handle {
+    events: mpsc::Sender<Event>,
+}
+
+impl Handle {
+    /// Explains where a request would go. Returns `None` if this host has no document.
+    pub async fn explain(&self, demand: Demand) -> Option<Explanation> {
+        let (reply, explanation) = oneshot::channel();
+        // The task ends only with the process.
+        let event = Event::Explain { demand, reply };
+        self.events.send(event).await.ok()?;
+        explanation.await.ok()?
+    }
+}
+
 /// Binds the UDP and TCP sockets and starts the task.
 ///
 /// # Errors
 ///
 /// Returns the error of a socket, or an error if the host's name is not an address.
-pub async fn bind(inputs: Inputs) -> io::Result<()> {
+pub async fn bind(inputs: Inputs) -> io::Result<Handle> {
     let Some(own) = replica::address_of(&inputs.host) else {
         return Err(io::Error::other("the name of this host is not an address"));
     };
@@ -127,6 +156,9 @@
     .await?;
     let links = peers::links(inputs.key.clone());
     let (events, received) = mpsc::channel(64);
+    let handle = Handle {
+        events: events.clone(),
+    };
     let task = Task {
         state: inputs.replica.follow_state(),
         newest: inputs.replica.follow_newest(),
@@ -148,10 +180,10 @@
         inputs,
     };
     tokio::spawn(task.run(received));
-    Ok(())
+    Ok(handle)
 }
 
-/// The result of work that another task did for this one.
+/// The result of work that another task did for this one, or a question of another task.
 enum Event {
     /// The list of servers, which was asked for at this time, has been read or could not be read.
     ServersRead {
@@ -168,6 +200,11 @@
         server: Arc<str>,
         parts: Result<Vec<(u64, u32)>, ReadError>,
     },
+    /// Asks where a request would go.
+    Explain {
+        demand: Demand,
+        reply: oneshot::Sender<Option<Explanation>>,
+    },
 }
 
 /// An entry host that sends hellos to this host.
@@ -317,6 +354,16 @@
         self.report_crossing();
     }
 
+    fn explain(&self, demand: &Demand) -> Option<Explanation> {
+        let now = Time::now();
+        let version = self.newest.borrow().as_ref()?.document.version;
+        Some(Explanation {
+            version,
+            list_age_ms: self.own_directory().map(|(_, read)| now.since(read)),
+            report: self.placer.explain(now, demand),
+        })
+    }
+
     fn report_crossing(&mut self) {
         for change in self.placer.take_crossing_changes() {
             let (name, text) = if change.is_open {
@@ -536,6 +583,10 @@
                 }
             }
             Event::Introduced => self.is_introducing = false,
+            Event::Explain { demand, reply } => {
+                // The operator may have closed the connection meanwhile.
+                let _ = reply.send(self.explain(&demand));
+            }
             Event::CachedParts { server, parts } => match parts {
                 Ok(parts) => {
                     info!(self.inputs.log, "read which prompt parts an engine has cached"; "server" => &*server,
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 48] = [
+pub const ALL: [&str; 53] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -29,6 +29,11 @@
     "document_stored",
     "document_unknown",
     "drained_changed",
+    "explain_answered",
+    "explain_excess",
+    "explain_invalid",
+    "explain_not_leader",
+    "explain_unavailable",
     "kept_read",
     "kept_read_failed",
     "leader_changed",
