--- a/crates/place/tests/explain.rs
+++ b/crates/place/tests/explain.rs
@@ -12,7 +12,7 @@
 use primrose_place::warmup::Bound;
 use primrose_place::{Server, Settings};
 use primrose_route::Document;
-use primrose_route::document::Warmup;
+use primrose_route::document::{Kind, Route, Target, Warmup};
 use support::{POOL, demand, document, engine, engines, fast_document, placer};
 
 /// Ends a tenth of the requests with a failure of some kind.
@@ -82,6 +82,23 @@
 fn contended(tokens_per_s: f64, document: &Document, settings: Settings) -> Placer {
     let mut document = document.clone();
     document.limits.tokens_per_s = Some(tokens_per_s);
+    // Requests wait only if a route has a timeout of several objectives.
+    document.routes.push(Route {
+        name: "patient".into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        kind: Kind::Idempotent,
+        timeout_ms: 8_000,
+        objective_ms: 600,
+        max_gap_ms: None,
+        priority: 0,
+        targets: vec![Target {
+            pool: POOL.into(),
+            weight: 1,
+        }],
+        max_servers: 1,
+        allows_anonymous: true,
+    });
     let mut placer = Placer::new(settings);
     let mut servers = engines(4);
     servers[3].domain = "south".into();
@@ -90,21 +107,20 @@
     placer
 }
 
-fn waiting() -> Settings {
-    Settings {
-        waiting: true,
-        ..Settings::default()
-    }
-}
-
 // An explanation that differs from the decision misleads operators, and one that changes later decisions does harm.
 #[test]
 fn explanations_equal_decisions_and_change_nothing() {
+    let waiting = Settings {
+        waiting: true,
+        ..Settings::default()
+    };
     let placers = [
         contended(300_000.0, &document(None), Settings::default()),
+        contended(5_000_000.0, &document(None), Settings::default()),
         contended(300_000.0, &fast_document(), Settings::default()),
-        contended(300_000.0, &fast_document(), waiting()),
+        contended(300_000.0, &fast_document(), waiting),
     ];
+    let mut decisions = Vec::new();
     for placer in placers {
         let undisturbed = replay(placer.clone(), |_, _, _| {});
         let mut explained = Vec::new();
@@ -118,13 +134,13 @@
         });
         assert_eq!(undisturbed, disturbed);
         assert_eq!(explained, disturbed);
-        let reasons = [Reason::Overload, Reason::OverShare];
-        let has = |expected: Reason| {
-            let mut refusals = disturbed.iter();
-            refusals.any(|it| matches!(it, Decision::Refuse { reason, .. } if *reason == expected))
-        };
-        assert!(reasons.into_iter().any(has), "the load is too low");
+        decisions.extend(disturbed);
     }
+    let is_refused = |decision: &Decision, expected: Reason| matches!(decision, Decision::Refuse { reason, .. } if *reason == expected);
+    let has = |is_such: &dyn Fn(&Decision) -> bool| decisions.iter().any(is_such);
+    assert!(has(&|it| is_refused(it, Reason::Overload)));
+    assert!(has(&|it| is_refused(it, Reason::OverShare)));
+    assert!(has(&|it| matches!(it, Decision::Wait { .. })));
 }
 
 /// A pool with a warm-up and one server for each exclusion; `engine-01` has none.
@@ -175,22 +191,23 @@
     let now = Time::from_ms(1_000);
     let (placer, asked) = with_exclusions(now);
     let report = placer.explain(now, &asked);
-    let of = |number: u32| {
-        let id = engine(number).id;
+    let expected: [(u32, &[Exclusion]); 9] = [
+        (1, &[]),
+        (2, &[Exclusion::Leaving]),
+        (3, &[Exclusion::Replaced]),
+        // A server that may have restarted also counts as cold.
+        (4, &[Exclusion::Unreachable, Exclusion::Warming]),
+        (5, &[Exclusion::Full]),
+        (6, &[Exclusion::Drained]),
+        (7, &[Exclusion::Tried]),
+        (8, &[Exclusion::Warming]),
+        (9, &[Exclusion::Memory]),
+    ];
+    for (number, exclusions) in expected {
         let mut entries = report.servers.iter();
-        let entry = entries.find(|entry| entry.server == id);
-        entry.expect("the server is listed").exclusions.clone()
-    };
-    assert_eq!(of(1), []);
-    assert_eq!(of(2), [Exclusion::Leaving]);
-    assert_eq!(of(3), [Exclusion::Replaced]);
-    // A server that may have restarted also counts as cold.
-    assert_eq!(of(4), [Exclusion::Unreachable, Exclusion::Warming]);
-    assert_eq!(of(5), [Exclusion::Full]);
-    assert_eq!(of(6), [Exclusion::Drained]);
-    assert_eq!(of(7), [Exclusion::Tried]);
-    assert_eq!(of(8), [Exclusion::Warming]);
-    assert_eq!(of(9), [Exclusion::Memory]);
+        let entry = entries.find(|entry| entry.server == engine(number).id);
+        assert_eq!(entry.expect("the server is listed").exclusions, exclusions);
+    }
     assert_eq!(report.choice, Some(Choice::Score));
     assert_eq!(report.servers[0].server, engine(1).id);
 }
