--- a/crates/place/tests/explain.rs
+++ b/crates/place/tests/explain.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use primrose_base::clock::Time;
-use primrose_place::demand::{Demand, Key, Part};
+use primrose_place::demand::{Demand, Key};
 use primrose_place::drained::Set;
 use primrose_place::explain::{Choice, Exclusion, MAX_SERVERS, Rule};
 use primrose_place::placer::{Decision, Outcome, Placer, Reason};
@@ -37,18 +37,12 @@
     demand.account = Some(format!("account-{}", sequence % 7 % 3).into());
     demand.domain = ["north", "south"][(sequence % 3 / 2) as usize].into();
     demand.returning = sequence.is_multiple_of(11);
-    if demand.returning && sequence > 30 {
-        let own = Part {
-            id: 1_000_000 + sequence - 25,
-            tokens: 300,
-        };
-        *demand
-            .prompt
-            .as_mut()
-            .expect("a prompt")
-            .parts
-            .last_mut()
-            .expect("a part") = own;
+    if let Some(prompt) = demand
+        .prompt
+        .as_mut()
+        .filter(|_| demand.returning && sequence > 30)
+    {
+        prompt.parts[1].id -= 25;
     }
     demand
 }
@@ -136,7 +130,7 @@
         assert_eq!(explained, disturbed);
         decisions.extend(disturbed);
     }
-    let is_refused = |decision: &Decision, expected: Reason| matches!(decision, Decision::Refuse { reason, .. } if *reason == expected);
+    let is_refused = |decision: &Decision, expected| matches!(decision, Decision::Refuse { reason, .. } if *reason == expected);
     let has = |is_such: &dyn Fn(&Decision) -> bool| decisions.iter().any(is_such);
     assert!(has(&|it| is_refused(it, Reason::Overload)));
     assert!(has(&|it| is_refused(it, Reason::OverShare)));
