--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1413,12 +1413,7 @@
 
     /// Finds the engine with the longest prefilled prefix of the prompt, preferring one in the failure
     /// domain of the entry host.
-    fn source(
-        &self,
-        now: Time,
-        demand: &Demand,
-        parts: &[(u64, u32)],
-    ) -> Option<Source> {
+    fn source(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Source> {
         self.engine(&demand.pool)?.token_bytes?;
         let sources = self.servers.iter().enumerate().filter(|(_, state)| {
             state.server.pool == demand.pool
