--- a/crates/place/src/transfer.rs
+++ b/crates/place/src/transfer.rs
@@ -24,16 +24,9 @@
 /// links, the time that a transfer takes is its main cost.
 const MAX_FETCH_SHARE: f64 = 0.25;
 
-/// Costs apply to engines that run at least this many requests at the same time. The requests for a part go to the
-/// engines that have it, and those with fewer slots are full before their prefill is busy.
-const MIN_SLOTS: u32 = 32;
-
-/// Whether an engine of a pool can fetch a cached token in less than a quarter of the time in which it reads one, and has
-/// slots for all requests that share its parts, by the figures of the document.
+/// Whether an engine of a pool can fetch a cached token in less than a quarter of the time in which it reads one, by the
+/// figures of the document and the settings.
 pub fn is_cheap(engine: &Engine, speed: &Speed) -> bool {
-    if engine.slots < MIN_SLOTS {
-        return false;
-    }
     let Some(token_bytes) = engine.token_bytes else {
         return false;
     };
