place: Take less processor time for a placement, refuse floods early

Cause: the core host that places requests has 0.3 of a core.

A refusal in a flood looked for the cached parts on all engines up to three times and for the engine to fetch from twice. Now one scan serves all choices, figures that are the same for all servers are looked up once, a filter tells most engines without a part, and a request is refused early if the shortest wait on any usable engine is beyond its limit (only in pools with costs of copies).

--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -10,11 +10,53 @@
 
 use crate::demand::{Prompt, total_tokens};
 
+/// Number of buckets of a [`Filter`]; a power of two. An engine has some hundred parts cached.
+const BUCKETS: usize = 1_024;
+
+/// Tells quickly that a part is not cached, which is the answer for most engines: every placement looks for the parts of
+/// its prompt on all of them.
+#[derive(Clone, Debug, Default)]
+struct Filter {
+    /// Number of cached parts by the lowest bits of their keys. Empty before the first part. A count that has reached its
+    /// greatest value stays there.
+    counts: Vec<u16>,
+}
+
+impl Filter {
+    fn bucket(key: u64) -> usize {
+        key as usize % BUCKETS
+    }
+
+    /// Whether the part with this key may be cached.
+    fn may_contain(&self, key: u64) -> bool {
+        let count = self.counts.get(Filter::bucket(key));
+        count.is_some_and(|count| *count > 0)
+    }
+
+    fn insert(&mut self, key: u64) {
+        if self.counts.is_empty() {
+            self.counts = vec![0; BUCKETS];
+        }
+        let count = &mut self.counts[Filter::bucket(key)];
+        *count = count.saturating_add(1);
+    }
+
+    fn remove(&mut self, key: u64) {
+        if let Some(count) = self.counts.get_mut(Filter::bucket(key))
+            && *count < u16::MAX
+        {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
 /// The placer's estimate of what one engine has cached.
 #[derive(Clone, Debug, Default)]
 pub struct Cache {
     /// Sorted by key.
     entries: Vec<Entry>,
+    /// The keys of `entries`.
+    filter: Filter,
     /// Sum of the tokens in `entries`.
     tokens: u64,
     /// The `last_use` that was assigned most recently. A counter and not a time, because all parts
@@ -52,13 +94,16 @@
     pub fn cached_tokens(&self, parts: &[(u64, u32)]) -> u32 {
         let cached = parts
             .iter()
-            .take_while(|(key, _)| self.position(*key).is_ok());
+            .take_while(|(key, _)| self.filter.may_contain(*key) && self.position(*key).is_ok());
         total_tokens(cached.map(|&(_, tokens)| tokens))
     }
 
     /// Length of the prefix of a prompt that the engine has prefilled and other engines can fetch, in tokens.
     pub fn ready_tokens(&self, parts: &[(u64, u32)]) -> u32 {
-        let is_ready = |key| self.position(key).is_ok_and(|at| self.entries[at].is_ready);
+        let is_ready = |key| {
+            self.filter.may_contain(key)
+                && self.position(key).is_ok_and(|at| self.entries[at].is_ready)
+        };
         let ready = parts.iter().take_while(|(key, _)| is_ready(*key));
         total_tokens(ready.map(|&(_, tokens)| tokens))
     }
@@ -82,6 +127,7 @@
                 && !self.entries[at].is_ready
             {
                 self.tokens -= u64::from(self.entries.remove(at).tokens);
+                self.filter.remove(*key);
             }
         }
     }
@@ -114,6 +160,7 @@
                         is_reused: false,
                     };
                     self.entries.insert(at, entry);
+                    self.filter.insert(key);
                     self.tokens += u64::from(tokens);
                 }
             }
@@ -147,6 +194,7 @@
     /// Removes all parts, after the engine was lost or restarted.
     pub fn clear(&mut self) {
         self.entries.clear();
+        self.filter = Filter::default();
         self.tokens = 0;
     }
 
@@ -169,7 +217,14 @@
             excess = excess.saturating_sub(u64::from(tokens));
             last_evicted = last_use;
         }
-        self.entries.retain(|entry| entry.last_use > last_evicted);
+        let filter = &mut self.filter;
+        self.entries.retain(|entry| {
+            let is_kept = entry.last_use > last_evicted;
+            if !is_kept {
+                filter.remove(entry.key);
+            }
+            is_kept
+        });
         self.tokens = self
             .entries
             .iter()
--- a/crates/place/src/explain.rs
+++ b/crates/place/src/explain.rs
@@ -257,8 +257,10 @@
     ) -> (Decision, Option<Choice>, Option<Limit>) {
         let has_returned = self.has_returned(now, demand, parts);
         let applied = self.limit(now, demand, has_returned);
-        let holder = self.best_holder(now, demand, parts);
-        let best = self.best(now, demand, parts);
+        let scan = self.scan(now, demand, parts);
+        let holder = self.best_holder(now, demand, parts, &scan);
+        let usable = self.usable_candidates(now, demand, parts, &scan);
+        let best = self.best(demand, &scan, &usable);
         let decision = self.choose(now, demand);
         let id = |candidate: &Candidate| &self.servers[candidate.server].server.id;
         let (choice, considered) = match &decision {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,7 +14,7 @@
 use crate::crossing::{self, Share, View};
 use crate::demand::{Demand, Key, Prompt};
 use crate::drained;
-use crate::engine::Load;
+use crate::engine::{Load, Speed};
 use crate::explain::{Exclusion, Rule};
 use crate::health::Health;
 use crate::memory::{Held, Need};
@@ -262,13 +262,27 @@
     }
 }
 
-/// What the prediction for a server takes from all servers of its pool.
-#[derive(Clone, Copy, Default)]
+/// What the predictions of one request have in common for all servers of its pool.
+#[derive(Clone, Copy)]
 pub(crate) struct Peers {
     /// The engine from which parts of the prompt may be fetched.
     source: Option<Source>,
     /// The shortest measured slot time of the plain servers, in ms; `None` for a request to engines.
     fastest_ms: Option<f64>,
+    /// The speed of an average engine of the pool.
+    speed: Speed,
+    /// The costs of copies, if they have any in the pool.
+    price: Option<transfer::Price>,
+    /// Added to the score of a server of another domain, in ms.
+    remote_ms: f64,
+}
+
+/// The servers that may get a request. One scan serves all ways to choose among them.
+pub(crate) struct Scan {
+    /// The index of each usable server, and how many tokens of the prompt it has cached.
+    usable: Vec<(usize, u32)>,
+    /// Without a source.
+    peers: Peers,
 }
 
 /// Assigns requests to the servers of all pools.
@@ -640,24 +654,40 @@
         let cost = demand.prompt.as_ref().map(Prompt::weighted_tokens);
         let waited = self.queue.has_returned(demand.key);
         let parts = parts_of(demand);
-        let holder = self.best_holder(now, demand, &parts);
-        let Some(mut best) = holder.or_else(|| self.best(now, demand, &parts)) else {
+        let own_part = parts.last().map(|part| part.0);
+        let has_returned = self.has_returned(now, demand, &parts);
+        if let Some(refusal) = self.early_refusal(now, demand, has_returned, &parts) {
+            if let (Some(key), None) = (own_part, waited) {
+                self.refusals.take(now, key);
+            }
+            if let (Some(key), false) = (own_part, has_returned) {
+                self.refusals.record(now, key);
+            }
+            return refusal;
+        }
+        let scan = self.scan(now, demand, &parts);
+        let holder = self.best_holder(now, demand, &parts, &scan);
+        let mut candidates = Vec::new();
+        let mut best = holder;
+        if holder.is_none() {
+            candidates = self.usable_candidates(now, demand, &parts, &scan);
+            best = self.best(demand, &scan, &candidates);
+        }
+        let Some(mut best) = best else {
             self.queue.remove(demand.key);
             return self.refuse_without_candidate(now, demand);
         };
-        let own_part = parts.last().map(|part| part.0);
-        let has_returned = self.has_returned(now, demand, &parts);
         if let (Some(key), None) = (own_part, waited) {
             self.refusals.take(now, key);
         }
         let mut refusal = self.refusal(now, demand, &best, has_returned);
         // An account beyond its share is refused after a short wait, which another engine may not have.
-        if refusal.is_some()
-            && holder.is_some()
-            && let Some(other) = self.best(now, demand, &parts)
-        {
-            best = other;
-            refusal = self.refusal(now, demand, &best, has_returned);
+        if refusal.is_some() && holder.is_some() {
+            candidates = self.usable_candidates(now, demand, &parts, &scan);
+            if let Some(other) = self.best(demand, &scan, &candidates) {
+                best = other;
+                refusal = self.refusal(now, demand, &best, has_returned);
+            }
         }
         // Copies have a price, but idle engines serve accounts beyond their share whatever a copy costs.
         let is_over_share = matches!(
@@ -667,13 +697,15 @@
                 ..
             })
         );
-        if is_over_share
-            && self.price(&demand.pool).is_some()
-            && let Some(soonest) = self.soonest(now, demand, &parts)
-            && self.refusal(now, demand, &soonest, has_returned).is_none()
-        {
-            best = soonest;
-            refusal = None;
+        if is_over_share && scan.peers.price.is_some() {
+            let soonest = candidates.iter();
+            let soonest = soonest.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()));
+            if let Some(soonest) = soonest
+                && self.refusal(now, demand, soonest, has_returned).is_none()
+            {
+                best = *soonest;
+                refusal = None;
+            }
         }
         let refusal = self.wait_or(refusal, now, demand, &best, has_returned);
         if let Some(refusal) = refusal {
@@ -709,6 +741,48 @@
         }
     }
 
+    /// The refusal of a request to a pool with costs of copies if the shortest wait on any usable server is beyond its
+    /// limit, which is found without looking for cached parts. In a flood most requests are refused, and a full choice
+    /// for each of them takes more processor time than a core host has.
+    fn early_refusal(
+        &mut self,
+        now: Time,
+        demand: &Demand,
+        has_returned: bool,
+        parts: &[(u64, u32)],
+    ) -> Option<Decision> {
+        self.price(&demand.pool)?;
+        if self.waiting_capacity(demand).is_some() {
+            return None;
+        }
+        let limit = self.limit(now, demand, has_returned);
+        let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
+        let waits = self.usable(now, demand, parts).map(|(_, state)| {
+            let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
+            state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms)
+        });
+        let wait_ms = waits.min_by(f64::total_cmp)?;
+        let objective = f64::from(demand.objective_ms);
+        let waited = f64::from(demand.waited_ms);
+        // A prefill takes longer than nothing, so no candidate may wait longer than this.
+        let max_wait = (limit.objectives * objective - waited - speed.first_ms).max(0.0);
+        if wait_ms + speed.first_ms > f64::from(demand.remaining_ms) {
+            return Some(refuse(Reason::Deadline, wait_ms, wait_ms + speed.first_ms));
+        }
+        (wait_ms > max_wait).then(|| refuse(limit.reason(), wait_ms, wait_ms - max_wait))
+    }
+
+    /// Looks up the servers that may get a request and what they have cached.
+    pub(crate) fn scan(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Scan {
+        let usable = self.usable(now, demand, parts);
+        Scan {
+            usable: usable
+                .map(|(at, state)| (at, state.cache.cached_tokens(parts)))
+                .collect(),
+            peers: self.common(demand),
+        }
+    }
+
     /// Whether the request was refused before.
     pub(crate) fn has_returned(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> bool {
         let waited = self.queue.has_returned(demand.key);
@@ -1149,36 +1223,54 @@
         }
     }
 
-    /// Returns the usable server with the lowest score, or `None` if no server is usable.
-    pub(crate) fn best(
+    /// The predictions for all usable servers, in the order of `scan`.
+    pub(crate) fn usable_candidates(
         &self,
         now: Time,
         demand: &Demand,
         parts: &[(u64, u32)],
+        scan: &Scan,
+    ) -> Vec<Candidate> {
+        let peers = Peers {
+            source: self.source_for(now, demand, parts),
+            ..scan.peers
+        };
+        let usable = scan.usable.iter();
+        usable
+            .map(|&(at, cached)| self.candidate(now, demand, parts, at, cached, peers))
+            .collect()
+    }
+
+    /// Returns the usable server with the lowest score, or `None` if no server is usable.
+    pub(crate) fn best(
+        &self,
+        demand: &Demand,
+        scan: &Scan,
+        candidates: &[Candidate],
     ) -> Option<Candidate> {
-        let usable = self.usable(now, demand, parts);
-        let cached: Vec<u32> = self
-            .servers
-            .iter()
-            .map(|state| state.cache.cached_tokens(parts))
-            .collect();
-        let peers = self.peers(now, demand, parts);
-        let mut candidates: Vec<Candidate> = usable
-            .map(|(at, _)| self.candidate(now, demand, parts, at, cached[at], peers))
-            .collect();
-        candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-        // What a copy evicts takes long to find, and can only increase a score.
+        let scores = || candidates.iter().map(|candidate| candidate.score);
+        if scan.peers.price.is_none() {
+            let lowest = scores().enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+            return lowest.map(|(at, _)| candidates[at]);
+        }
+        // What a copy evicts takes long to find and can only increase a score, so it is found in the order of the
+        // scores, for as long as one is below that of the best candidate.
+        let mut scores: Vec<f64> = scores().collect();
         let mut best: Option<Candidate> = None;
-        for mut candidate in candidates {
-            if best.is_some_and(|best| best.score <= candidate.score) {
-                break;
+        loop {
+            let lowest = scores.iter().enumerate();
+            let (at, score) = lowest.min_by(|a, b| a.1.total_cmp(b.1))?;
+            if *score == f64::INFINITY || best.is_some_and(|best| best.score <= *score) {
+                return best.or_else(|| candidates.first().copied());
             }
-            candidate.score += self.eviction_ms(demand, candidate.server, cached[candidate.server]);
+            scores[at] = f64::INFINITY;
+            let (server, cached) = scan.usable[at];
+            let mut candidate = candidates[at];
+            candidate.score += self.eviction_ms(demand, server, cached);
             if best.is_none_or(|best| candidate.score < best.score) {
                 best = Some(candidate);
             }
         }
-        best
     }
 
     /// Cost of what the request evicts from the engine with the index `at`, whether its parts are fetched or read.
@@ -1201,35 +1293,22 @@
         now: Time,
         demand: &Demand,
         parts: &[(u64, u32)],
+        scan: &Scan,
     ) -> Option<Candidate> {
-        self.price(&demand.pool)?;
-        let cached: Vec<(usize, u32)> = self
-            .usable(now, demand, parts)
-            .map(|(at, state)| (at, state.cache.cached_tokens(parts)))
-            .collect();
-        let most = cached.iter().map(|&(_, tokens)| tokens).max()?;
+        scan.peers.price?;
+        let cached = scan.usable.iter().copied();
+        let most = cached.clone().map(|(_, tokens)| tokens).max()?;
         let missing = self.settings.min_fetch_tokens;
         let holds = |tokens: u32| tokens >= missing && tokens.saturating_add(missing) > most;
         let is_sound =
             |at: usize| self.servers[at].health.failure_rate() < transfer::MAX_HOLDER_FAILURE_RATE;
         cached
-            .into_iter()
             .filter(|&(at, tokens)| holds(tokens) && is_sound(at))
-            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, Peers::default()))
+            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, scan.peers))
             .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
 
-    /// Returns the usable server that is predicted to answer first, whatever it costs.
-    fn soonest(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Candidate> {
-        let peers = self.peers(now, demand, parts);
-        let usable = self.usable(now, demand, parts).map(|(at, state)| {
-            let cached = state.cache.cached_tokens(parts);
-            self.candidate(now, demand, parts, at, cached, peers)
-        });
-        usable.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()))
-    }
-
     /// Whether hosts of `domain` may send requests for `pool` to the server, and its own domain is not drained.
     fn is_open(&self, state: &State, now: Time, pool: &str, domain: &str) -> bool {
         state.is_usable(now, pool, domain) && !self.drained.contains(&state.server.domain)
@@ -1301,22 +1380,37 @@
         transfer::Price::of(self.engine(pool)?, &self.settings)
     }
 
-    /// What the prediction for each server takes from all servers of the pool.
-    pub(crate) fn peers(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Peers {
-        if demand.prompt.is_some() {
-            return Peers {
-                source: self.source(now, demand, parts),
-                fastest_ms: None,
-            };
+    /// What the predictions of a request have in common, without the engine that parts may be fetched from.
+    fn common(&self, demand: &Demand) -> Peers {
+        let mut fastest_ms = None;
+        if demand.prompt.is_none() {
+            let in_pool = |state: &&State| state.server.pool == demand.pool && state.slot_ms > 0.0;
+            let measured = self.servers.iter().filter(in_pool);
+            fastest_ms = measured.map(|state| state.slot_ms).min_by(f64::total_cmp);
         }
-        let in_pool = |state: &&State| state.server.pool == demand.pool && state.slot_ms > 0.0;
-        let measured = self.servers.iter().filter(in_pool);
         Peers {
             source: None,
-            fastest_ms: measured.map(|state| state.slot_ms).min_by(f64::total_cmp),
+            fastest_ms,
+            speed: self.speeds.speed(&demand.pool, &self.settings.speed),
+            price: self.price(&demand.pool),
+            remote_ms: self.remote_ms(demand),
         }
     }
 
+    /// What the predictions of a request have in common.
+    pub(crate) fn peers(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Peers {
+        Peers {
+            source: self.source_for(now, demand, parts),
+            ..self.common(demand)
+        }
+    }
+
+    /// The engine that parts of the prompt may be fetched from, if the request has a prompt.
+    fn source_for(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Option<Source> {
+        demand.prompt.as_ref()?;
+        self.source(now, demand, parts)
+    }
+
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
     /// of its prompt cached and may fetch more from the source of `peers`.
     pub(crate) fn candidate(
@@ -1333,7 +1427,7 @@
         let remote_ms = if state.server.domain == demand.domain {
             0.0
         } else {
-            self.remote_ms(demand)
+            peers.remote_ms
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
@@ -1353,13 +1447,13 @@
             };
         };
         let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
-        let speed = self.speeds.speed(&demand.pool, &settings.speed);
+        let speed = peers.speed;
         let wait_ms = state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms);
         let load = state.load.len() as f64;
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
         let affinity = affinity(parts, &state.server.id);
-        let price = self.price(&demand.pool);
+        let price = peers.price;
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
             let prefill = speed.prefill(prompt.input_tokens, cached_tokens);
             let own_ms = state.load.prefill_ms(&prefill, &speed);
