fleet: Report the version of the document that the placer has

An explanation reported the newest version of the replica, which can be newer than the document that the placer decided by: both events may wait in the task, and either is processed first. Record the version when the placer gets a document. The race has no test.

--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -107,7 +107,7 @@
 /// Where a request would go by the placer of this host.
 #[derive(Clone, Debug)]
 pub struct Explanation {
-    /// Version of the document in force.
+    /// Version of the document that the placer has.
     pub version: u64,
     /// Time since the list of servers was requested, in ms; `None` if this host has no list.
     pub list_age_ms: Option<u64>,
@@ -165,6 +165,7 @@
         drained_list: inputs.replica.follow_drained(),
         drained: drained::Set::default(),
         placer: Placer::new(inputs.placer_settings.clone()),
+        version: None,
         incarnation: rand::random(),
         socket,
         links,
@@ -235,6 +236,9 @@
     /// The newest set of drained domains that this host's replica or another core host has stated.
     drained: drained::Set,
     placer: Placer,
+    /// Version of the placer's document; `None` before the first one. `newest` may hold a later one that was not taken over
+    /// yet.
+    version: Option<u64>,
     events: mpsc::Sender<Event>,
     published: watch::Sender<Option<(Arc<Directory>, Time)>>,
     directory: Published,
@@ -356,9 +360,8 @@
 
     fn explain(&self, demand: &Demand) -> Option<Explanation> {
         let now = Time::now();
-        let version = self.newest.borrow().as_ref()?.document.version;
         Some(Explanation {
-            version,
+            version: self.version?,
             list_age_ms: self.own_directory().map(|(_, read)| now.since(read)),
             report: self.placer.explain(now, demand),
         })
@@ -647,6 +650,7 @@
     fn document_changed(&mut self) {
         if let Some(stored) = &*self.newest.borrow() {
             self.placer.set_document(&stored.document);
+            self.version = Some(stored.document.version);
             info!(self.inputs.log, "document in force"; "version" => stored.document.version,
                 "routes" => stored.document.routes.len());
         }
