place: Tell scarcity, deadlines and late placements in explanations

An explanation said that the capacity suffices for all tenants in an overload if the account had got nothing yet, since both cases have the ratio 0. It gave a limit for requests that are refused for their deadline, and did not tell that a request is placed beyond its limit, which happens with waiting turned on.

State that the share does not include the explained request.

--- a/crates/place/src/explain.rs
+++ b/crates/place/src/explain.rs
@@ -9,7 +9,7 @@
 use primrose_base::clock::Time;
 
 use crate::demand::Demand;
-use crate::placer::{Candidate, Decision, Placer, Terms, parts_of};
+use crate::placer::{Candidate, Decision, Placer, Reason, Terms, parts_of};
 use crate::share::Excess;
 
 /// The most servers that a report lists. It bounds the size of an answer.
@@ -117,12 +117,17 @@
 pub struct Limit {
     /// Which limit of the settings applies.
     pub rule: Rule,
-    /// The limit in ms: the setting multiplied by the objective.
+    /// The limit in ms: the setting multiplied by the objective. `excess_limit` is reduced by the excess and for requests
+    /// that return before that.
     pub limit_ms: f64,
     /// What the limit leaves for the wait on the chosen server, or on the one with the lowest score, in ms, after the
-    /// time that the request has waited and the server's own time. `None` if all servers are excluded.
+    /// time that the request has waited and the server's own time. `None` if the limit does not decide, because all
+    /// servers are excluded or the request is refused for its deadline.
     pub max_wait_ms: Option<f64>,
-    /// How far the account is beyond its share, with this request; `None` if it has no share.
+    /// Whether the wait on that server exceeds `max_wait_ms`. Such a request is placed, late, only if requests wait.
+    pub is_exceeded: bool,
+    /// How far the account is beyond its share, without this request, which is admitted after the decision; `None` if it
+    /// has no share.
     pub excess: Option<Excess>,
 }
 
@@ -275,10 +280,20 @@
             }
             Decision::Refuse { .. } | Decision::Wait { .. } => (None, best),
         };
+        let is_hopeless = matches!(
+            decision,
+            Decision::Refuse {
+                reason: Reason::Deadline,
+                ..
+            }
+        );
+        let decisive = considered.filter(|_| !is_hopeless);
+        let wait_limits = decisive.map(|it| (it.wait_ms, self.max_wait_ms(demand, &it, &applied)));
         let limit = Limit {
             rule: applied.rule,
             limit_ms: applied.objectives * f64::from(demand.objective_ms),
-            max_wait_ms: considered.map(|it| self.max_wait_ms(demand, &it, &applied)),
+            max_wait_ms: wait_limits.map(|(_, max_wait_ms)| max_wait_ms),
+            is_exceeded: wait_limits.is_some_and(|(wait_ms, max_wait_ms)| wait_ms > max_wait_ms),
             excess: applied.excess,
         };
         (decision, choice, Some(limit))
--- a/crates/place/src/share.rs
+++ b/crates/place/src/share.rs
@@ -42,6 +42,8 @@
 /// Ratio of the tokens that an account got to the common levels.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
+    /// Whether the guaranteed capacity is less than all requests need, so that there is a level.
+    pub is_scarce: bool,
     /// Ratio to the level for the guaranteed capacity: above 1 if the account is beyond its share;
     /// 0 if the capacity suffices for all requests.
     pub guaranteed: f64,
@@ -94,6 +96,7 @@
         let admitted = self.usage(now, account).admitted;
         let ratio = |level: Option<f64>| level.map_or(0.0, |level| admitted / level.max(1.0));
         Excess {
+            is_scarce: levels.guaranteed.is_some(),
             guaranteed: ratio(levels.guaranteed),
             actual: ratio(levels.actual),
         }
--- a/crates/place/tests/explain.rs
+++ b/crates/place/tests/explain.rs
@@ -101,21 +101,25 @@
     placer
 }
 
+fn waiting() -> Settings {
+    Settings {
+        waiting: true,
+        ..Settings::default()
+    }
+}
+
 // An explanation that differs from the decision misleads operators, and one that changes later decisions does harm.
 #[test]
 fn explanations_equal_decisions_and_change_nothing() {
-    let waiting = Settings {
-        waiting: true,
-        ..Settings::default()
-    };
-    let placers = [
-        contended(300_000.0, &document(None), Settings::default()),
-        contended(5_000_000.0, &document(None), Settings::default()),
-        contended(300_000.0, &fast_document(), Settings::default()),
-        contended(300_000.0, &fast_document(), waiting),
+    let cases = [
+        (300_000.0, document(None), Settings::default()),
+        (5_000_000.0, document(None), Settings::default()),
+        (300_000.0, fast_document(), Settings::default()),
+        (300_000.0, fast_document(), waiting()),
     ];
     let mut decisions = Vec::new();
-    for placer in placers {
+    for (tokens_per_s, document, settings) in cases {
+        let placer = contended(tokens_per_s, &document, settings.clone());
         let undisturbed = replay(placer.clone(), |_, _, _| {});
         let mut explained = Vec::new();
         let disturbed = replay(placer, |placer, now, demand| {
@@ -123,6 +127,9 @@
             if let Decision::Place { server, .. } = &report.decision {
                 assert_eq!(report.servers[0].server, server.id);
                 assert!(report.servers[0].exclusions.is_empty());
+                let is_exceeded = report.limit.is_some_and(|limit| limit.is_exceeded);
+                // Only requests that wait are placed beyond the limit.
+                assert!(!is_exceeded || settings.waiting);
             }
             explained.push(report.decision);
         });
@@ -242,6 +249,16 @@
     first.returning = true;
     let expected = (Rule::ReturnLimit, settings.return_limit * 600.0);
     assert_eq!(rule(&idle, &first), expected);
+    first.remaining_ms = 1;
+    let report = idle.explain(now, &first);
+    assert!(matches!(
+        report.decision,
+        Decision::Refuse {
+            reason: Reason::Deadline,
+            ..
+        }
+    ));
+    assert_eq!(report.limit.expect("a limit").max_wait_ms, None);
 
     let mut flooded = contended(5_000.0, &document(None), Settings::default());
     for sequence in 1..200 {
@@ -256,6 +273,36 @@
         panic!("placed: {:?}", report.decision);
     };
     assert_eq!(reason, Reason::OverShare);
+
+    // An account that has got nothing yet must not look like one that meets no overload.
+    let mut beginner = demand(901, 1, 10_000, 10_000);
+    beginner.account = Some("beginner".into());
+    let excess = |placer: &Placer| {
+        let report = placer.explain(now.plus_ms(60), &beginner);
+        let excess = report.limit.expect("a limit").excess.expect("a share");
+        (excess.is_scarce, excess.guaranteed)
+    };
+    assert_eq!(excess(&flooded), (true, 0.0));
+    let ample = contended(5_000_000.0, &document(None), Settings::default());
+    assert_eq!(excess(&ample), (false, 0.0));
+}
+
+// A placement beyond the limit looks like a fault unless the explanation tells of it.
+#[test]
+fn late_placements_are_marked() {
+    let now = Time::from_ms(1_000);
+    let mut placer = contended(300_000.0, &document(None), waiting());
+    for number in 1..5 {
+        let short = demand(number, number, 200, 10);
+        placer.record_assignment(now, &short, &format!("engine-0{number}"));
+    }
+    let mut late = demand(9, 9, 200, 10);
+    late.waited_ms = late.objective_ms;
+    late.remaining_ms = 8_000;
+    let report = placer.explain(now, &late);
+    let limit = report.limit.expect("a limit");
+    assert!(matches!(report.decision, Decision::Place { .. }));
+    assert!(limit.is_exceeded, "{limit:?}");
 }
 
 // The answer must stay small in a fleet with many servers, and must still show the chosen one.
