place: Measure neither resent requests nor those that wait for slots

An entry host reports its running requests again to a core host that has restarted, with the assignment directly before the first event. The sample then had the work of a whole prompt and -10 ms, and made the engines look fast. A request that found all slots in use had its wait for a slot in its time, and made the engine look slow.

Exclude both from the measurements. A resent request also disturbs the measurement after it, because pending ones are resent with a wrong time of assignment.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -180,7 +180,8 @@
     /// Work for requests whose first event was reported before that of the oldest one, and when the last was.
     passed: Work,
     passed_until: f64,
-    /// Whether the engine has worked for a request that ended without a first event.
+    /// Whether the engine has worked for a request whose time is unknown: one that ended without a first event or was
+    /// excluded, or one of an earlier run of this host.
     is_disturbed: bool,
 }
 
@@ -207,8 +208,8 @@
     key: Key,
     prefill: Prefill,
     assigned: Time,
-    /// Whether the engine fetches parts of the prompt first, which takes an unknown time.
-    is_fetching: bool,
+    /// Whether the time until the first event says nothing about the speed of the engine.
+    is_excluded: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -317,15 +318,15 @@
             key,
             prefill,
             assigned: now,
-            is_fetching: false,
+            is_excluded: false,
         });
     }
 
-    /// Records that the engine fetches parts of the prompt of an assigned request. Its time is not measured.
-    pub fn record_fetch(&mut self, key: Key) {
+    /// Excludes an assigned request from the measurements: it waits for something else than the prefills before it.
+    pub fn exclude(&mut self, key: Key) {
         let mut pending = self.pending.iter_mut();
         if let Some(pending) = pending.find(|pending| pending.key == key) {
-            pending.is_fetching = true;
+            pending.is_excluded = true;
         }
     }
 
@@ -359,6 +360,11 @@
         let at = self.pending.iter().position(|pending| pending.key == key)?;
         let pending = self.pending.remove(at);
         let reported = now.as_ms() as f64 - REPORT_DELAY_MS;
+        let assigned = pending.assigned.as_ms() as f64;
+        // An entry host reports its running requests again to a core host that has restarted. The assignment and the first
+        // event of such a request arrive together.
+        let is_resent = reported <= assigned;
+        let is_excluded = pending.is_excluded || is_resent;
         let prefill = &pending.prefill;
         let mut work = Work {
             uncached: prefill.uncached,
@@ -371,6 +377,10 @@
             context_tokens: prefill.context_tokens,
         });
         let seen = &mut self.observation;
+        if at > 0 && is_excluded {
+            seen.is_disturbed = true;
+            return None;
+        }
         if at > 0 {
             // Reports of prompts that shared a step arrive in any order. They are measured together with the oldest.
             seen.passed.add(&work);
@@ -379,13 +389,12 @@
         }
         work.add(&std::mem::take(&mut seen.passed));
         let end = reported.max(seen.passed_until);
-        let assigned = pending.assigned.as_ms() as f64;
         let pause_ms = assigned - self.prefilled_until;
-        let is_disturbed = std::mem::take(&mut seen.is_disturbed);
+        let is_disturbed = std::mem::replace(&mut seen.is_disturbed, is_resent);
         let was_free = pause_ms >= MIN_PAUSE_MS;
         let start = if was_free { assigned } else { seen.reported };
         let is_behind = pause_ms <= 0.0 && seen.reported > 0.0;
-        let is_known = !is_disturbed && !pending.is_fetching && (was_free || is_behind);
+        let is_known = !is_disturbed && !is_excluded && (was_free || is_behind) && end > start;
         let measurement = Measurement {
             work,
             was_free,
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -697,7 +697,7 @@
             .map(|warmup| self.warming.send_within_ms(now, &server.id, warmup));
         self.assign(now, demand, best.server, &parts, best.cached_tokens);
         if fetch_from.is_some() {
-            self.servers[best.server].load.record_fetch(demand.key);
+            self.servers[best.server].load.exclude(demand.key);
         }
         Decision::Place {
             send_within_ms,
@@ -1088,7 +1088,12 @@
             .map_or(0, |prompt| prompt.input_tokens);
         let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
         let prefill = speed.prefill(input, cached_tokens);
+        let is_full = state.load.len() >= state.server.slots.max(1) as usize;
         state.load.assign(now, demand.key, prefill);
+        if is_full {
+            // The wait for a slot depends on the length of other answers.
+            state.load.exclude(demand.key);
+        }
         state.cache.touch(parts, capacity);
         let assignment = Assignment {
             key: demand.key,
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -525,3 +525,61 @@
     serve(&mut alone, 200, 600, SHORT, 1.0, 300.0);
     assert_eq!(predicted_ms(&mut alone, 1_000, 9_300), with_figures);
 }
+
+fn last_figures(placer: &Placer, at: u64) -> Option<Figures> {
+    placer.figures(Time::from_ms(at * 1_000)).pop()
+}
+
+// Entry hosts report running requests again to a core host that has restarted. Their first events seemed to follow 10 ms
+// before the assignments, and made the engines look fast.
+#[test]
+fn resent_assignments_are_not_measured() {
+    let mut placer = placer(1);
+    serve(&mut placer, 1, 300, 9_300, 1.0, 85.0);
+    let before = last_figures(&placer, 300);
+    let at = Time::from_ms(301_000);
+    let ended = Outcome::Answered { failed: false };
+    for sequence in 301..341 {
+        let request = demand(sequence, sequence, 0, 9_300);
+        placer.record_assignment(at, &request, "engine-01");
+        placer.record_first_event(at, request.key);
+        placer.record_end(at, request.key, ended);
+    }
+    // Completes the last measurement.
+    serve(&mut placer, 342, 2, 9_300, 1.0, 85.0);
+    let after = last_figures(&placer, 343);
+    let (before, after) = (before.expect("figures"), after.expect("figures"));
+    assert!(
+        (0.99..1.01).contains(&(after.tokens_per_ms / before.tokens_per_ms)),
+        "{before:?} {after:?}"
+    );
+}
+
+// The wait for a slot was taken for the time of a prefill, so that full engines looked slow.
+#[test]
+fn waits_for_slots_are_not_measured() {
+    let mut placer = placer(1);
+    let server = Server {
+        slots: 1,
+        ..engine(1)
+    };
+    placer.set_servers(&[server]);
+    serve(&mut placer, 1, 300, 9_300, 1.0, 85.0);
+    let before = predicted_ms(&mut placer, 400, 9_300);
+    let ended = Outcome::Answered { failed: false };
+    placer.record_end(Time::from_ms(400_200), demand(400, 0, 0, 1).key, ended);
+    for sequence in 401..441 {
+        let at = Time::from_ms(sequence * 1_000);
+        let [first, second] = [sequence, sequence + 1_000].map(|n| demand(n, n, 0, 9_300));
+        for request in [&first, &second] {
+            placer.record_assignment(at, request, "engine-01");
+        }
+        placer.place(at, &demand(5_000, 5_000, 0, 1_000_000));
+        placer.record_first_event(at.plus_ms(205), first.key);
+        placer.record_end(at.plus_ms(500), first.key, ended);
+        placer.record_first_event(at.plus_ms(800), second.key);
+        placer.record_end(at.plus_ms(900), second.key, ended);
+    }
+    let after = predicted_ms(&mut placer, 500, 9_300);
+    assert!(after < before + 20, "{before} {after}");
+}
