place, fleet, entry: Learn engine figures only while in charge

A core host that is not asked for servers gets the reports of a part of the requests only and is not told of fetches. It learnt wrong figures from them, and sent them to entry hosts when it took over. Without a leader, several hosts are in charge, and the figures of entry hosts alternated between theirs. The slowdowns that an entry host had measured stayed relative to its old figures when it received others.

Record samples and move the slowdowns of learnt pools only while this host is asked for servers. Heartbeats contain the figures; core hosts take those of the leader and learn on from them when they take over. Entry hosts take the figures of the core host that they would ask first, and move no slowdowns of learnt pools.

The test of the takeover gave the follower all reports, which it does not get in a fleet. It now gets those of half of the requests and the figures, and its figures must be within 10 % of those before.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -579,7 +579,6 @@
         if !status.crossing.is_empty() {
             self.placer.set_crossing_shares(&status.crossing);
         }
-        self.placer.set_figures(&status.figures);
         if self.placer.set_drained(now, &status.drained) {
             lock(&self.notices).set_drained(&status.drained);
             self.inputs.meter.count("drained_changed");
@@ -616,7 +615,12 @@
         let entry_hosts = status.entry_hosts.max(1);
         let core = &mut self.core_hosts[at];
         core.last_heard = now;
+        let figures = status.figures.clone();
         core.status = Some(status);
+        // Without a leader, several core hosts are in charge of a part of the requests each, and their figures differ.
+        if self.candidates(now).first() == Some(&at) {
+            self.placer.set_figures(&figures);
+        }
         // A core host that has just started knows few entry hosts, so the reports of all count.
         let reports = self
             .core_hosts
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -470,6 +470,11 @@
     fn handle_heartbeat(&mut self, heartbeat: &Heartbeat) {
         self.merge_quarantine(&heartbeat.quarantine);
         self.merge_drained(&heartbeat.drained);
+        // Without a leader, several hosts are in charge of a part of the requests each.
+        let is_leader = self.state.borrow().leader.as_ref() == Some(&heartbeat.host);
+        if is_leader {
+            self.placer.adopt_figures(Time::now(), &heartbeat.figures);
+        }
         self.record_core_host(&heartbeat.host, Some(heartbeat.stamp));
         for host in &heartbeat.core_hosts {
             self.record_core_host(host, None);
@@ -754,6 +759,7 @@
                 stamp: Stamp::now(self.incarnation),
                 answers: peer.last_heartbeat,
                 quarantine: self.placer.quarantine_notices(now),
+                figures: self.placer.figures(now),
                 drained: self.drained.clone(),
             });
             self.send(SocketAddr::V4(peer.address), &heartbeat);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -148,7 +148,7 @@
 }
 
 /// The state of a core host as sent to the other core hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The core host that sends the heartbeat.
     pub host: Name,
@@ -162,6 +162,9 @@
     pub answers: Option<Stamp>,
     /// The prompt parts that are quarantined.
     pub quarantine: Vec<Notice>,
+    /// The learnt figures of pools, for core hosts that may take over. Empty unless the sender places requests at present;
+    /// at most [`primrose_place::speed::MAX_FIGURES_BYTES`] long.
+    pub figures: Vec<Figures>,
     /// The newest set of drained failure domains that the sender knows.
     pub drained: drained::Set,
 }
--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -355,8 +355,15 @@
     }
 
     /// Records the first event of a request in a pool with learnt figures. Returns a sample for the figures if a
-    /// measurement is complete, and updates the slowdown from it.
-    pub fn observe_first_event(&mut self, now: Time, key: Key, speed: &Speed) -> Option<Sample> {
+    /// measurement is complete, and updates the slowdown from it. Nothing is measured unless `is_in_charge`: this host
+    /// does not know all requests of the engine otherwise.
+    pub fn observe_first_event(
+        &mut self,
+        now: Time,
+        key: Key,
+        speed: &Speed,
+        is_in_charge: bool,
+    ) -> Option<Sample> {
         let at = self.pending.iter().position(|pending| pending.key == key)?;
         let pending = self.pending.remove(at);
         let reported = now.as_ms() as f64 - REPORT_DELAY_MS;
@@ -364,7 +371,7 @@
         // An entry host reports its running requests again to a core host that has restarted. The assignment and the first
         // event of such a request arrive together.
         let is_resent = reported <= assigned;
-        let is_excluded = pending.is_excluded || is_resent;
+        let is_excluded = pending.is_excluded || is_resent || !is_in_charge;
         let prefill = &pending.prefill;
         let mut work = Work {
             uncached: prefill.uncached,
@@ -416,7 +423,7 @@
         };
         seen.reported = end;
         self.prefilled_until = self.prefilled_until.max(end - speed.first_ms);
-        let complete = complete?;
+        let complete = complete.filter(|_| is_in_charge)?;
         let elapsed_ms = complete.end - complete.start;
         let fixed_ms = if complete.was_free {
             speed.first_ms
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -938,7 +938,10 @@
             return;
         }
         let settings = &self.settings.speed;
-        if let Some(sample) = state.load.observe_first_event(now, key, &speed)
+        let is_in_charge = now.since(self.last_asked) < IN_CHARGE_MS && !self.speeds.is_follower();
+        if let Some(sample) = state
+            .load
+            .observe_first_event(now, key, &speed, is_in_charge)
             && self.speeds.record(now, pool, &sample, settings)
         {
             let pool = Arc::clone(pool);
@@ -959,7 +962,7 @@
         }
     }
 
-    /// The learnt figures for hosts that decide alone. Empty unless this placer was asked for servers recently: another
+    /// The learnt figures for hosts that are not in charge. Empty unless this placer was asked for servers recently: another
     /// one may have missed reports.
     pub fn figures(&self, now: Time) -> Vec<Figures> {
         if now.since(self.last_asked) >= IN_CHARGE_MS {
@@ -968,8 +971,16 @@
         self.speeds.figures()
     }
 
-    /// Sets the figures that the placer in charge has learnt. From the first call on, this placer learns none from its
-    /// own requests, which share the engines with those of other hosts.
+    /// Takes over the figures that the placer in charge has learnt, unless this one is in charge. It starts from them when
+    /// it takes over.
+    pub fn adopt_figures(&mut self, now: Time, figures: &[Figures]) {
+        if now.since(self.last_asked) >= IN_CHARGE_MS {
+            self.speeds.adopt(figures, &self.settings.speed);
+        }
+    }
+
+    /// Sets the figures that the placer in charge has learnt. From the first call on, this placer learns neither
+    /// figures nor slowdowns of these pools from its own requests, which share the engines with those of other hosts.
     pub fn set_figures(&mut self, figures: &[Figures]) {
         self.speeds.follow(figures, &self.settings.speed);
     }
--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -51,6 +51,9 @@
 /// figures of its predecessor there by the settings.
 const MIN_SENT_SAMPLES: u64 = 200;
 
+/// Weight of adopted figures relative to the settings. The settings then pull them by 1 % only.
+const ADOPTED_WEIGHT: f64 = 100.0;
+
 /// A change of a figure by this factor is reported.
 const REPORTED_FACTOR: f64 = 1.25;
 
@@ -198,11 +201,13 @@
             .map_or(*settings, |at| self.figures[at].speed)
     }
 
+    /// Whether the figures come from another host and nothing is learnt.
+    pub fn is_follower(&self) -> bool {
+        self.is_follower
+    }
+
     /// Records the time of one first event. Returns whether the figures are due to be fitted.
     pub fn record(&mut self, now: Time, pool: &str, sample: &Sample, settings: &Speed) -> bool {
-        if self.is_follower {
-            return false;
-        }
         let Ok(at) = self.position(pool) else {
             return false;
         };
@@ -259,6 +264,20 @@
         }
     }
 
+    /// Takes over the figures of another host as those from which this one goes on to learn.
+    pub fn adopt(&mut self, figures: &[Figures], settings: &Speed) {
+        for received in figures {
+            if let Some(factors) = received.factors(settings)
+                && let Ok(at) = self.position(&received.pool)
+            {
+                let figure = &mut self.figures[at];
+                figure.set(factors, settings);
+                figure.fit = Fit::around(&factors);
+                figure.samples = MIN_SENT_SAMPLES;
+            }
+        }
+    }
+
     fn position(&self, pool: &str) -> Result<usize, usize> {
         self.figures
             .binary_search_by(|figure| (*figure.pool).cmp(pool))
@@ -345,6 +364,16 @@
 }
 
 impl Fit {
+    /// Sums whose solution is near to `factors` until about 200 samples have replaced them.
+    fn around(factors: &[f64; COUNT]) -> Fit {
+        let mut fit = Fit::default();
+        for (at, (factor, weight)) in factors.iter().zip(SETTINGS_WEIGHTS).enumerate() {
+            fit.products[at][at] = ADOPTED_WEIGHT * weight;
+            fit.times[at] = ADOPTED_WEIGHT * weight * factor;
+        }
+        fit
+    }
+
     fn add(&mut self, features: &[f64; COUNT], time: f64, weight: f64, decay: f64) {
         for (row, (sums, x)) in self.products.iter_mut().zip(features).enumerate() {
             for (sum, y) in sums.iter_mut().zip(features) {
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -209,7 +209,7 @@
 /// Engines and their placer in virtual time.
 struct Replay {
     placer: Placer,
-    /// Receives only the reports, and those of assignments 12 ms late.
+    /// Receives the figures of `placer`, and the reports of half of the requests, those of assignments 12 ms late.
     follower: Placer,
     truth: Truth,
     now_ms: u64,
@@ -315,8 +315,10 @@
             return;
         };
         let reported = Time::from_ms(self.now_ms + 12);
-        self.follower
-            .record_assignment(reported, &demand, &server.id);
+        if demand.key.sequence.is_multiple_of(2) {
+            self.follower
+                .record_assignment(reported, &demand, &server.id);
+        }
         let is_odd = draw(&mut self.seed) < self.odd;
         let is_evicted = is_odd && draw(&mut self.seed) < 0.5;
         let at = (1..).position(|number| engine(number).id == server.id);
@@ -367,6 +369,11 @@
                     }
                 }
             }
+            if self.now_ms.is_multiple_of(200) {
+                let now = Time::from_ms(self.now_ms);
+                let figures = self.placer.figures(now);
+                self.follower.adopt_figures(now, &figures);
+            }
             let swing = if self.now_ms % 1_000 < 500 { 1.4 } else { 0.6 };
             if draw() < per_s / 1_000.0 * swing {
                 let tokens = tokens * ((draw() - 0.5) * 4.6).exp();
@@ -483,15 +490,21 @@
     assert_eq!(tally.refused, 0, "{tally:?}");
 }
 
-// A placer that takes over has only the reports. Without the figures it would refuse what its predecessor admitted.
+// A placer that takes over has the reports of a part of the requests only. It learnt wrong figures from them, sent these to
+// the entry hosts, and refused what its predecessor admitted.
 #[test]
 fn placer_that_takes_over_knows_the_figures() {
     let mut replay = Replay::new(k(), true);
     replay.run(20_000, 110.0, 2_000.0);
     let before = replay.run(20_000, 110.0, 2_000.0);
     let now = Time::from_ms(replay.now_ms);
+    let figures = replay.figures();
     assert!(replay.follower.figures(now).is_empty());
     std::mem::swap(&mut replay.placer, &mut replay.follower);
+    replay.run(100, 110.0, 2_000.0);
+    let adopted = replay.figures();
+    let ratio = adopted.tokens_per_ms / figures.tokens_per_ms;
+    assert!((0.9..1.1).contains(&ratio), "{figures:?} {adopted:?}");
     let after = replay.run(20_000, 110.0, 2_000.0);
     assert!(
         after.mean_error_ms() < 1.3 * before.mean_error_ms(),
@@ -524,6 +537,9 @@
     alone.set_figures(&invalid);
     serve(&mut alone, 200, 600, SHORT, 1.0, 300.0);
     assert_eq!(predicted_ms(&mut alone, 1_000, 9_300), with_figures);
+    // Nor may slowdowns remain that are relative to older figures.
+    serve(&mut alone, 2_000, 100, 9_300, 4.0, 22.0);
+    assert_eq!(predicted_ms(&mut alone, 3_000, 9_300), with_figures);
 }
 
 fn last_figures(placer: &Placer, at: u64) -> Option<Figures> {
