place: Use the learnt figures for the waits of the queue

Late requests are placed only where the wait is short. The waits were predicted with the settings, so that late requests took the place of others where engines are slower than the settings say.

The new test fails before: a late request is placed while the other engine is busy for 198 ms, of which the settings expect 135 ms; the limit is 160 ms.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1560,8 +1560,10 @@
             .servers
             .iter()
             .filter(|state| state.is_usable(now, &demand.pool, &demand.domain));
-        let speed = &self.settings.speed;
-        let waits: Vec<f64> = usable.map(|state| state.load.wait_ms(now, speed)).collect();
+        let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
+        let waits: Vec<f64> = usable
+            .map(|state| state.load.wait_ms(now, &speed))
+            .collect();
         self.queue.observe(now, &demand.pool, &waits);
         let objective_ms = f64::from(demand.objective_ms);
         let is_late = demand.returning
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -13,6 +13,7 @@
 use primrose_place::placer::{Decision, Outcome, Placer};
 use primrose_place::speed::{Figures, Register};
 use primrose_place::{Server, Settings};
+use primrose_route::document::{Kind, Route, Target};
 use support::{POOL, demand, document, engine, engines, fast_document};
 use test_case::test_case;
 
@@ -599,3 +600,56 @@
     let after = predicted_ms(&mut placer, 500, 9_300);
     assert!(after < before + 20, "{before} {after}");
 }
+
+// The queue of late requests predicted the waits with the settings, and gave late requests the place of others where the
+// engines are slower.
+#[test]
+fn queue_uses_the_learnt_figures() {
+    let settings = Settings {
+        waiting: true,
+        ..Settings::default()
+    };
+    let mut document = (*fast_document()).clone();
+    document.limits.tokens_per_s = Some(1e6);
+    document.routes.push(Route {
+        name: "long".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        kind: Kind::Stream { resumable: false },
+        timeout_ms: 50_000,
+        objective_ms: 8_000,
+        max_gap_ms: None,
+        priority: 0,
+        targets: vec![Target {
+            pool: POOL.into(),
+            weight: 1,
+        }],
+        max_servers: 2,
+        allows_anonymous: false,
+    });
+    let mut placer = Placer::new(settings.clone());
+    placer.set_document(&Arc::new(document));
+    placer.set_servers(&engines(2));
+    let speed = &settings.speed;
+    placer.set_figures(&[Figures {
+        pool: POOL.into(),
+        tokens_per_ms: speed.tokens_per_ms as f32,
+        ms_per_million_pairs: speed.ms_per_million_pairs as f32,
+        step_ms: 5.0 * speed.step_ms as f32,
+        step_ms_per_thousand: speed.step_ms_per_thousand as f32,
+        first_ms: speed.first_ms as f32,
+    }]);
+    let [first, mut late] = [1, 2].map(|sequence| demand(sequence, sequence, 0, 9_300));
+    late.returning = true;
+    // The first request keeps its engine busy for 198 ms. Late requests may wait for 160 ms.
+    let decisions = [first, late].map(|mut request| {
+        request.objective_ms = 8_000;
+        request.remaining_ms = 50_000;
+        placer.place(Time::from_ms(1_000), &request)
+    });
+    assert!(matches!(decisions[0], Decision::Place { .. }));
+    assert!(
+        !matches!(decisions[1], Decision::Place { .. }),
+        "{decisions:?}"
+    );
+}
