place: Send the figures of later pools after a long name

The size bound of the figures ended the list at the first pool that did not fit, so that a pool with a long name kept those of all later pools from other hosts. Skip only what does not fit. The new test fails before with an empty list.

Skip samples whose products are not finite; no such sample is known, so no test has one. Rename the private struct Figure to Estimate, which is not mistaken for Figures, and correct comments on the matrix, on rescaling and on the time of a sample.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -154,7 +154,7 @@
     pub slowdown: f64,
     /// Whether the engine was free before. `elapsed_ms` then includes the fixed time of the first event.
     pub was_free: bool,
-    /// Time from the start of the first prefill, in ms.
+    /// Time from the assignment, or from the report before if the engine was busy, in ms.
     pub elapsed_ms: f64,
 }
 
--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -51,7 +51,7 @@
 /// figures of its predecessor there by the settings.
 const MIN_SENT_SAMPLES: u64 = 200;
 
-/// Weight of adopted figures relative to the settings. The settings then pull them by 1 % only.
+/// Weight of adopted figures relative to the settings. The settings then change them by 1 % of the difference only.
 const ADOPTED_WEIGHT: f64 = 100.0;
 
 /// A change of a figure by this factor is reported.
@@ -131,7 +131,7 @@
 
 /// The learnt figures of one pool.
 #[derive(Clone, Debug)]
-struct Figure {
+struct Estimate {
     pool: Arc<str>,
     /// The figures relative to the settings, in the order of [`scales`]; within [`RANGE`].
     factors: [f64; COUNT],
@@ -158,7 +158,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     /// Sorted by pool.
-    figures: Vec<Figure>,
+    estimates: Vec<Estimate>,
     /// Whether the figures come from another host.
     is_follower: bool,
     /// Not taken yet; at most one for each pool.
@@ -175,19 +175,19 @@
 impl Register {
     /// Sets the pools of a new document. Pools that stay retain their figures.
     pub fn set_document(&mut self, document: &Document, settings: &Speed) {
-        let mut old = std::mem::take(&mut self.figures);
+        let mut old = std::mem::take(&mut self.estimates);
         let is_on = |engine| is_learnt(engine, settings);
         let pools = document.pools.iter();
         let pools = pools.filter(|pool| pool.engine.as_ref().is_some_and(is_on));
-        self.figures = pools
+        self.estimates = pools
             .map(
-                |pool| match old.iter().position(|figure| figure.pool == pool.name) {
+                |pool| match old.iter().position(|estimate| estimate.pool == pool.name) {
                     Some(at) => old.swap_remove(at),
-                    None => Figure::new(&pool.name, settings),
+                    None => Estimate::new(&pool.name, settings),
                 },
             )
             .collect();
-        self.figures.sort_by(|a, b| a.pool.cmp(&b.pool));
+        self.estimates.sort_by(|a, b| a.pool.cmp(&b.pool));
     }
 
     /// Whether the pool has learnt figures.
@@ -198,7 +198,7 @@
     /// The speed of an average engine of the pool, apart from the slowdown of each.
     pub fn speed(&self, pool: &str, settings: &Speed) -> Speed {
         self.position(pool)
-            .map_or(*settings, |at| self.figures[at].speed)
+            .map_or(*settings, |at| self.estimates[at].speed)
     }
 
     /// Whether the figures come from another host and nothing is learnt.
@@ -211,22 +211,22 @@
         let Ok(at) = self.position(pool) else {
             return false;
         };
-        let figure = &mut self.figures[at];
-        figure.record(sample, settings);
-        now.since(figure.last_fit) >= INTERVAL_MS
+        let estimate = &mut self.estimates[at];
+        estimate.record(sample, settings);
+        now.since(estimate.last_fit) >= INTERVAL_MS
     }
 
     /// Fits the figures of a pool whose engines have the given geometric mean of the measured slowdowns. Returns the
-    /// factor by which all slowdowns of the pool are to be divided. The figures are multiplied by it, so that no
-    /// prediction changes; otherwise figures and slowdowns could drift against each other.
+    /// factor by which all slowdowns of the pool are to be divided. The figures of the prefill are multiplied by it, so that
+    /// no prediction changes while figures and slowdowns are within their bounds; otherwise figures and slowdowns could drift against each other.
     pub fn fit(&mut self, now: Time, pool: &str, mean_slowdown: f64, settings: &Speed) -> f64 {
         let Ok(at) = self.position(pool) else {
             return 1.0;
         };
-        let figure = &mut self.figures[at];
-        let factor = figure.rescale(mean_slowdown);
-        figure.fit(now, settings);
-        if let Some(change) = figure.change(now) {
+        let estimate = &mut self.estimates[at];
+        let factor = estimate.rescale(mean_slowdown);
+        estimate.fit(now, settings);
+        if let Some(change) = estimate.change(now) {
             self.changes.retain(|known| known.pool != change.pool);
             self.changes.push(change);
         }
@@ -241,13 +241,17 @@
     /// The figures for other hosts, as many as fit into [`MAX_FIGURES_BYTES`].
     pub fn figures(&self) -> Vec<Figures> {
         let mut bytes = 0;
-        let learnt = self.figures.iter();
-        let learnt = learnt.filter(|figure| figure.samples >= MIN_SENT_SAMPLES);
+        let learnt = self.estimates.iter();
+        let learnt = learnt.filter(|estimate| estimate.samples >= MIN_SENT_SAMPLES);
         learnt
-            .map(|figure| Figures::new(&figure.pool, &figure.speed))
-            .take_while(|figures| {
-                bytes += figures.encoded_bytes();
-                bytes <= MAX_FIGURES_BYTES
+            .map(|estimate| Figures::new(&estimate.pool, &estimate.speed))
+            .filter(|figures| {
+                let with_these = bytes + figures.encoded_bytes();
+                let fits = with_these <= MAX_FIGURES_BYTES;
+                if fits {
+                    bytes = with_these;
+                }
+                fits
             })
             .collect()
     }
@@ -259,7 +263,7 @@
             if let Some(factors) = received.factors(settings)
                 && let Ok(at) = self.position(&received.pool)
             {
-                self.figures[at].set(factors, settings);
+                self.estimates[at].set(factors, settings);
             }
         }
     }
@@ -270,23 +274,23 @@
             if let Some(factors) = received.factors(settings)
                 && let Ok(at) = self.position(&received.pool)
             {
-                let figure = &mut self.figures[at];
-                figure.set(factors, settings);
-                figure.fit = Fit::around(&factors);
-                figure.samples = MIN_SENT_SAMPLES;
+                let estimate = &mut self.estimates[at];
+                estimate.set(factors, settings);
+                estimate.fit = Fit::around(&factors);
+                estimate.samples = MIN_SENT_SAMPLES;
             }
         }
     }
 
     fn position(&self, pool: &str) -> Result<usize, usize> {
-        self.figures
-            .binary_search_by(|figure| (*figure.pool).cmp(pool))
+        self.estimates
+            .binary_search_by(|estimate| (*estimate.pool).cmp(pool))
     }
 }
 
-impl Figure {
-    fn new(pool: &Arc<str>, settings: &Speed) -> Figure {
-        Figure {
+impl Estimate {
+    fn new(pool: &Arc<str>, settings: &Speed) -> Estimate {
+        Estimate {
             pool: Arc::clone(pool),
             factors: [1.0; COUNT],
             speed: *settings,
@@ -317,7 +321,7 @@
         if !deviation.is_finite() {
             return;
         }
-        // Huber's weight: the pull of a sample on the figures does not grow with its deviation.
+        // Huber's weight: the influence of a sample on the figures does not grow with its deviation.
         let weight = 1.0 / deviation.max(1.0) / (noise * noise);
         self.samples += 1;
         let memory = (self.samples as f64 * MEMORY_PART).clamp(*MEMORY.start(), *MEMORY.end());
@@ -374,7 +378,12 @@
         fit
     }
 
+    /// Adds a sample, unless its products are not finite.
     fn add(&mut self, features: &[f64; COUNT], time: f64, weight: f64, decay: f64) {
+        let largest = features.iter().copied().fold(time.abs(), f64::max);
+        if !(weight * largest * largest).is_finite() {
+            return;
+        }
         for (row, (sums, x)) in self.products.iter_mut().zip(features).enumerate() {
             for (sum, y) in sums.iter_mut().zip(features) {
                 *sum = *sum * decay + weight * x * y;
@@ -414,7 +423,8 @@
         None
     }
 
-    /// Solves the equations for the factors that are not fixed, by elimination. The matrix is positive definite.
+    /// Solves the equations for the factors that are not fixed, by elimination. The matrix is positive
+    /// definite without the rows and columns of the fixed factors, and the rows of these have a 1 only.
     fn solve_with(&self, fixed: &[Option<f64>; COUNT]) -> Option<[f64; COUNT]> {
         let mut matrix = self.products;
         let mut right = self.times;
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -653,3 +653,29 @@
         "{decisions:?}"
     );
 }
+
+// The figures of one pool with a long name must not keep those of all later pools from other hosts.
+#[test]
+fn long_name_hides_no_other_pool() {
+    let mut document = (*fast_document()).clone();
+    let mut long = document.pools[0].clone();
+    long.name = "a".repeat(100).into();
+    document.pools.push(long.clone());
+    let settings = Speed::default();
+    let mut register = Register::default();
+    register.set_document(&document, &settings);
+    let sample = Sample {
+        work: Work::default(),
+        slowdown: 1.0,
+        was_free: true,
+        elapsed_ms: 85.0,
+    };
+    for pool in [POOL, &*long.name] {
+        for _ in 0..200 {
+            register.record(Time::ZERO, pool, &sample, &settings);
+        }
+    }
+    let figures = register.figures();
+    let pools: Vec<&str> = figures.iter().map(|figures| &*figures.pool).collect();
+    assert_eq!(pools, [POOL]);
+}
