place: Reset, bound and expire the slowdowns of learnt pools

A pool that ceased to learn, or a server that moved to another pool, kept a slowdown that was relative to the learnt figures. Slowdowns of engines without samples were divided by each change of scale of their pool and drifted to a bound. One engine of two that was 20 times slower moved the mean so far that the figures came to their bound.

Reset the slowdown, its bound and the observation in the first case. After each fit, engines that were not measured within 60 s get the median of the others. In the mean, slowdowns count as at most 3 times the middle one, or a third of it; engines with a slowdown at a bound give no samples for the figures while others are within the bounds.

Leaving slowdowns at a bound out of the mean was tried and was worse: the fast engine came to its bound first, and 441 ms were predicted for it in place of 112 ms.

The new tests fail before: 153 ms in place of 219 ms are predicted after the change of pool, 123 and 147 ms for equal engines, and 18.6 tokens per ms are learnt in place of at least 46.5.

--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -84,6 +84,14 @@
 /// have a lower bound of [`crate::speed::MIN_SLOWDOWN`].
 const SLOWDOWN_RANGE: std::ops::RangeInclusive<f64> = 0.7..=5.0;
 
+/// A slowdown within this factor of a bound counts as one at the bound. A single sample changes it by 6 % at most, so the
+/// noise of one sample does not make an engine count as within the bounds.
+const BOUND_MARGIN: f64 = 1.1;
+
+/// A slowdown of a pool with learnt figures counts as assumed if it was not measured for this time, in ms. The figures
+/// that it is relative to have changed meanwhile.
+const MEASUREMENT_MS: u64 = 60_000;
+
 /// Time that the report of a first event takes to reach the placer, in ms: about two hops between
 /// failure domains and the batching of reports.
 const REPORT_DELAY_MS: f64 = 10.0;
@@ -196,8 +204,8 @@
     prefilled_until: f64,
     /// Ratio of the measured to the predicted prefill time, as a moving average.
     slowdown: f64,
-    /// Whether `slowdown` comes from requests of this engine.
-    is_measured: bool,
+    /// When `slowdown` was last measured in requests of this engine; `None` if it is assumed.
+    measured: Option<Time>,
     /// Lower bound of `slowdown`; above 0.
     min_slowdown: f64,
     observation: Observation,
@@ -225,7 +233,7 @@
             running: Vec::new(),
             prefilled_until: 0.0,
             slowdown: 1.0,
-            is_measured: false,
+            measured: None,
             min_slowdown: *SLOWDOWN_RANGE.start(),
             observation: Observation::default(),
         }
@@ -256,21 +264,44 @@
 
     /// The slowdown if it was measured on this engine.
     pub fn measured_slowdown(&self) -> Option<f64> {
-        self.is_measured.then_some(self.slowdown)
+        self.measured.map(|_| self.slowdown)
     }
 
     /// Sets the slowdown that is assumed until it is measured.
     pub fn assume_slowdown(&mut self, slowdown: f64) {
-        if !self.is_measured {
+        if self.measured.is_none() {
             self.slowdown = slowdown;
         }
     }
 
+    /// Counts the slowdown as assumed if it has not been measured for [`MEASUREMENT_MS`].
+    pub fn expire_slowdown(&mut self, now: Time) {
+        self.measured = self
+            .measured
+            .filter(|&measured| now.since(measured) < MEASUREMENT_MS);
+    }
+
+    /// Forgets what was learnt about the engine, because its pool now has other figures or learns none. The assigned
+    /// requests stay.
+    pub fn reset_learnt(&mut self) {
+        let load = Load::default();
+        self.slowdown = load.slowdown;
+        self.measured = load.measured;
+        self.min_slowdown = load.min_slowdown;
+        self.observation = load.observation;
+    }
+
     /// Sets the lower bound of the slowdown, which must be above 0.
     pub fn set_min_slowdown(&mut self, min_slowdown: f64) {
         self.min_slowdown = min_slowdown;
     }
 
+    /// Whether the slowdown is at a bound or near to it, so that the true one may be further off.
+    pub fn is_at_bound(&self) -> bool {
+        let (least, most) = (self.min_slowdown, *SLOWDOWN_RANGE.end());
+        !(least * BOUND_MARGIN..=most / BOUND_MARGIN).contains(&self.slowdown)
+    }
+
     /// Divides the slowdown by `factor`, because the figures that it is relative to were multiplied by it.
     pub fn rescale_slowdown(&mut self, factor: f64) {
         self.slowdown = (self.slowdown / factor).clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
@@ -344,7 +375,7 @@
             let measured = (end - start) / expected * self.slowdown;
             let slowdown = self.slowdown + SLOWDOWN_WEIGHT * (measured - self.slowdown);
             self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
-            self.is_measured = true;
+            self.measured = Some(now);
         }
         self.prefilled_until = self.prefilled_until.max(end);
         let context_tokens = pending.prefill.context_tokens;
@@ -431,7 +462,7 @@
             0.0
         };
         let expected_ms = complete.work.duration_ms(speed) * slowdown;
-        self.observe_slowdown(expected_ms, elapsed_ms - fixed_ms);
+        self.observe_slowdown(now, expected_ms, elapsed_ms - fixed_ms);
         Some(Sample {
             work: complete.work,
             slowdown,
@@ -441,7 +472,7 @@
     }
 
     /// Moves the slowdown toward the ratio of the measured to the expected time of a prefill.
-    fn observe_slowdown(&mut self, expected_ms: f64, measured_ms: f64) {
+    fn observe_slowdown(&mut self, now: Time, expected_ms: f64, measured_ms: f64) {
         if expected_ms < MIN_LEARNT_MS {
             return;
         }
@@ -450,7 +481,7 @@
         let step = weight * deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
         let slowdown = self.slowdown * step.exp();
         self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
-        self.is_measured = true;
+        self.measured = Some(now);
     }
 
     /// Removes a request that has ended, with or without an answer.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -428,6 +428,10 @@
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
+        let servers = self.servers.iter();
+        let were_on: Vec<bool> = servers
+            .map(|state| self.speeds.is_on(&state.server.pool))
+            .collect();
         self.speeds.set_document(document, &self.settings.speed);
         let is_cheap = |engine| transfer::is_cheap(engine, &self.settings.speed);
         let pools = document.pools.iter();
@@ -435,9 +439,11 @@
         self.cheap = pools.map(|pool| Arc::clone(&pool.name)).collect();
         self.cheap.sort_unstable();
         self.crossing.retain(|pool| is_in(&self.cheap, pool));
-        for state in &mut self.servers {
+        for (state, was_on) in self.servers.iter_mut().zip(were_on) {
             if self.speeds.is_on(&state.server.pool) {
                 state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            } else if was_on {
+                state.load.reset_learnt();
             }
         }
         self.list_warming();
@@ -464,7 +470,7 @@
             let state = match known {
                 Some(at) => State {
                     server: server.clone(),
-                    load: std::mem::take(&mut old[at].load),
+                    load: self.moved_load(&mut old[at], &server.pool, &slowdowns),
                     cache: std::mem::take(&mut old[at].cache),
                     health: std::mem::take(&mut old[at].health),
                     held: std::mem::take(&mut old[at].held),
@@ -556,9 +562,30 @@
         }
     }
 
+    /// The load of a known server, which is now in `pool`.
+    fn moved_load(
+        &self,
+        old: &mut State,
+        pool: &str,
+        slowdowns: &[(Arc<str>, Option<f64>)],
+    ) -> Load {
+        let mut load = std::mem::take(&mut old.load);
+        let is_learnt = self.speeds.is_on(&old.server.pool) || self.speeds.is_on(pool);
+        if *old.server.pool != *pool && is_learnt {
+            load.reset_learnt();
+            self.begin_learning(&mut load, pool, slowdowns);
+        }
+        load
+    }
+
     /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
     fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
         let mut load = Load::default();
+        self.begin_learning(&mut load, pool, slowdowns);
+        load
+    }
+
+    fn begin_learning(&self, load: &mut Load, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) {
         if self.speeds.is_on(pool) {
             load.set_min_slowdown(speed::MIN_SLOWDOWN);
             let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
@@ -567,7 +594,6 @@
                 load.assume_slowdown(median);
             }
         }
-        load
     }
 
     /// Records the parts that the server with the id `server` reports as cached, as pairs of the
@@ -939,25 +965,48 @@
         }
         let settings = &self.settings.speed;
         let is_in_charge = now.since(self.last_asked) < IN_CHARGE_MS && !self.speeds.is_follower();
-        if let Some(sample) = state
+        let sample = state
             .load
-            .observe_first_event(now, key, &speed, is_in_charge)
-            && self.speeds.record(now, pool, &sample, settings)
-        {
-            let pool = Arc::clone(pool);
+            .observe_first_event(now, key, &speed, is_in_charge);
+        let is_at_bound = state.load.is_at_bound();
+        let pool = Arc::clone(pool);
+        let Some(sample) = sample else {
+            return;
+        };
+        // The sample of an engine with a slowdown at a bound would move the figures away from those of the other engines.
+        let is_exact = |state: &State| {
+            state.server.pool == pool
+                && state.load.measured_slowdown().is_some()
+                && !state.load.is_at_bound()
+        };
+        if is_at_bound && self.servers.iter().any(is_exact) {
+            return;
+        }
+        if self.speeds.record(now, &pool, &sample, settings) {
             self.fit_figures(now, &pool);
         }
     }
 
     /// Fits the figures of a pool to the recorded samples.
     fn fit_figures(&mut self, now: Time, pool: &Arc<str>) {
-        let in_pool = |state: &&State| state.server.pool == *pool;
-        let loads = self.servers.iter().filter(in_pool);
-        let mean = speed::mean(loads.filter_map(|state| state.load.measured_slowdown()));
+        let servers = self.servers.iter_mut();
+        let mut loads: Vec<&mut Load> = servers
+            .filter(|state| state.server.pool == *pool)
+            .map(|state| &mut state.load)
+            .collect();
+        for load in &mut loads {
+            load.expire_slowdown(now);
+        }
+        let measured = loads.iter().filter_map(|load| load.measured_slowdown());
+        let mean = speed::mean(measured.collect());
         let factor = self.speeds.fit(now, pool, mean, &self.settings.speed);
-        for state in &mut self.servers {
-            if state.server.pool == *pool {
-                state.load.rescale_slowdown(factor);
+        for load in &mut loads {
+            load.rescale_slowdown(factor);
+        }
+        let measured = loads.iter().filter_map(|load| load.measured_slowdown());
+        if let Some(median) = speed::median(measured.collect()) {
+            for load in &mut loads {
+                load.assume_slowdown(median);
             }
         }
     }
--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -28,6 +28,11 @@
 /// time.
 pub const MIN_SLOWDOWN: f64 = 0.3;
 
+/// Range of the slowdowns relative to the middle one beyond which they do not move the mean of their pool further. A single
+/// engine that is slower by a factor of 20 would otherwise bring those of all others to their lower bound. The engines of
+/// known pools differ by a factor of 2.4.
+const MEAN_RANGE: RangeInclusive<f64> = 1.0 / 3.0..=3.0;
+
 /// The deviation from a prediction up to which a sample counts in full: this many ms, mostly from the batching of reports,
 /// and this share of the predicted time.
 const NOISE_MS: f64 = 5.0;
@@ -492,16 +497,17 @@
     slowdowns.get(slowdowns.len() / 2).copied()
 }
 
-/// The geometric mean of the slowdowns that were measured in a pool; 1 if there is none.
-pub fn mean(slowdowns: impl Iterator<Item = f64>) -> f64 {
-    let (mut sum, mut count) = (0.0, 0.0);
-    for slowdown in slowdowns {
-        sum += slowdown.ln();
-        count += 1.0;
-    }
-    if count > 0.0 {
-        f64::exp(sum / count)
-    } else {
-        1.0
-    }
+/// The geometric mean of the slowdowns that were measured in a pool; 1 if there is none. Slowdowns beyond
+/// [`MEAN_RANGE`] count as the bound.
+pub fn mean(mut slowdowns: Vec<f64>) -> f64 {
+    slowdowns.sort_unstable_by(f64::total_cmp);
+    // The lower one of two in the middle: engines fail more often by being slow than by being fast.
+    let Some(middle) = slowdowns.get(slowdowns.len().saturating_sub(1) / 2) else {
+        return 1.0;
+    };
+    let (least, most) = (middle * MEAN_RANGE.start(), middle * MEAN_RANGE.end());
+    let logarithms = slowdowns
+        .iter()
+        .map(|slowdown| slowdown.clamp(least, most).ln());
+    f64::exp(logarithms.sum::<f64>() / slowdowns.len() as f64)
 }
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -601,6 +601,106 @@
     assert!(after < before + 20, "{before} {after}");
 }
 
+/// Serves requests of 2,000 tokens on one engine that takes `factor` times the default time. Others are asked for and
+/// refused, so that the placer is in charge.
+fn serve_on(placer: &mut Placer, server: &str, sequences: std::ops::Range<u64>, factor: f64) {
+    for sequence in sequences {
+        let at = Time::from_ms(sequence * 1_000);
+        let request = demand(sequence, sequence, 0, 2_000);
+        placer.record_assignment(at, &request, server);
+        placer.place(at, &demand(sequence + 100_000, 0, 0, 10_000_000));
+        let event = at.plus_ms((26.5 * factor + 95.0) as u64);
+        placer.record_first_event(event, request.key);
+        placer.record_end(event, request.key, Outcome::Answered { failed: false });
+    }
+}
+
+// The slowdown of an engine without requests was divided by each change of scale of its pool, and drifted to a bound.
+#[test]
+fn slowdowns_without_samples_follow_the_pool() {
+    let mut placer = placer(2);
+    serve_on(&mut placer, "engine-02", 1..50, 3.0);
+    serve_on(&mut placer, "engine-01", 50..400, 1.5);
+    let predicted = [2, 1].map(|other| {
+        let mut request = demand(500 + other, 500 + other, 0, 2_000);
+        request.tried = vec![engine(other as u32).id];
+        match placer.place(Time::from_ms(500_000), &request) {
+            Decision::Place { predicted_ms, .. } => predicted_ms,
+            decision => panic!("{decision:?}"),
+        }
+    });
+    assert!(predicted[0].abs_diff(predicted[1]) < 5, "{predicted:?}");
+}
+
+// One engine that is 20 times slower than the other moved the mean of the pool so far that the figures came to their bound
+// and the slowdown of the other engine to its own.
+#[test]
+fn extremely_slow_engine_does_not_move_the_figures() {
+    let mut placer = placer(2);
+    let mut range = [f32::MAX, 0.0];
+    for sequence in 1..1_200 {
+        let at = sequence % 2;
+        let factor = if at == 0 { 20.0 } else { 1.0 };
+        serve_on(
+            &mut placer,
+            &engine(at as u32 + 1).id,
+            sequence..sequence + 1,
+            factor,
+        );
+        if sequence > 1_000 {
+            let figures = last_figures(&placer, sequence).expect("figures");
+            range[0] = range[0].min(figures.tokens_per_ms);
+            range[1] = range[1].max(figures.tokens_per_ms);
+        }
+    }
+    assert!(range[0] > 93.0 / 2.0, "{range:?}");
+    assert!(range[1] < 1.05 * range[0], "{range:?}");
+    let mut request = demand(2_000, 2_000, 0, 2_000);
+    request.tried = vec![engine(1).id];
+    let decision = placer.place(Time::from_ms(2_000_000), &request);
+    let Decision::Place { predicted_ms, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(
+        (107..117).contains(&predicted_ms),
+        "{predicted_ms}, {range:?}"
+    );
+}
+
+// A pool that ceased to learn, and a server that moved to one that does not learn, kept the slowdown that was relative to
+// the learnt figures.
+#[test_case(true; "other document")]
+#[test_case(false; "other pool")]
+fn nothing_learnt_remains(is_document_replaced: bool) {
+    let mut document = (*fast_document()).clone();
+    let mut plain = support::document(None).pools[0].clone();
+    plain.name = "plain".into();
+    document.pools.push(plain);
+    let mut learnt = placer(1);
+    learnt.set_document(&Arc::new(document.clone()));
+    learnt.set_servers(&engines(2));
+    for sequence in 1..300 {
+        let (server, factor) = [("engine-01", 1.0), ("engine-02", 3.0)][sequence as usize % 2];
+        serve_on(&mut learnt, server, sequence..sequence + 1, factor);
+    }
+    let mut new = Placer::new(Settings::default());
+    let mut request = demand(400, 400, 0, 9_300);
+    let mut server = engine(1);
+    if is_document_replaced {
+        document.pools.retain(|pool| &*pool.name == "plain");
+        document.pools[0].name = POOL.into();
+    } else {
+        request.pool = "plain".into();
+        server.pool = "plain".into();
+    }
+    let decisions = [&mut learnt, &mut new].map(|placer| {
+        placer.set_document(&Arc::new(document.clone()));
+        placer.set_servers(std::slice::from_ref(&server));
+        placer.place(Time::from_ms(400_000), &request)
+    });
+    assert_eq!(decisions[0], decisions[1]);
+}
+
 // The queue of late requests predicted the waits with the settings, and gave late requests the place of others where the
 // engines are slower.
 #[test]
