place: Bound the change of learnt figures

A core host that gets little processor time reads all reports late. With all reports late by 300 ms for a minute, the figures followed within seconds, and 375 of 3,656 requests at a light load were refused, and 22 in the 10 s after the minute.

After 1,000 samples, let each figure change by at most 1 % in a second. Then 56 and 4 requests are refused in the same test. With 2 % they were 191 and 28, with constant figures 10 and 0: overdue first events count as longer waits whatever the figures are. The price is that a true change of a whole pool is followed by 1 % in a second only.

requests_are_served_better passes with 1 %, with 35,535 requests in time for M in place of 35,331 with the settings. In trials with 0.5 and 2 % and with 2,000 samples there were 35,175 to 35,424, so that the case M failed in some of them: its difference is within the noise. With 0.2 % it failed too; the figure was not recorded.

--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -59,6 +59,12 @@
 /// Weight of adopted figures relative to the settings. The settings then change them by 1 % of the difference only.
 const ADOPTED_WEIGHT: f64 = 100.0;
 
+/// Number of samples after which the change of the figures is limited, and the most by which each may change in a second.
+/// The engines of a pool do not become slower all at once, but a host that gets little processor time reads all reports
+/// late. With 2 % in place of 1 %, a minute of reports that are 300 ms late led to three times as many refusals.
+const FAST_SAMPLES: u64 = 1_000;
+const MAX_CHANGE_PER_S: f64 = 1.01;
+
 /// A change of a figure by this factor is reported.
 const REPORTED_FACTOR: f64 = 1.25;
 
@@ -223,14 +229,17 @@
 
     /// Fits the figures of a pool whose engines have the given geometric mean of the measured slowdowns. Returns the
     /// factor by which all slowdowns of the pool are to be divided. The figures of the prefill are multiplied by it, so that
-    /// no prediction changes while figures and slowdowns are within their bounds; otherwise figures and slowdowns could drift against each other.
+    /// no prediction changes while figures and slowdowns are within their bounds and the figures within the permitted
+    /// change; otherwise figures and slowdowns could drift against each other.
     pub fn fit(&mut self, now: Time, pool: &str, mean_slowdown: f64, settings: &Speed) -> f64 {
         let Ok(at) = self.position(pool) else {
             return 1.0;
         };
         let estimate = &mut self.estimates[at];
+        let before = (estimate.factors, estimate.last_fit);
         let factor = estimate.rescale(mean_slowdown);
         estimate.fit(now, settings);
+        estimate.limit_change(before, settings);
         if let Some(change) = estimate.change(now) {
             self.changes.retain(|known| known.pool != change.pool);
             self.changes.push(change);
@@ -354,6 +363,20 @@
         self.set(factors, settings);
     }
 
+    /// Brings the factors within the permitted change since `before`, the factors and the time of the last fit.
+    fn limit_change(&mut self, before: ([f64; COUNT], Time), settings: &Speed) {
+        if self.samples < FAST_SAMPLES {
+            return;
+        }
+        let (before, at) = before;
+        let most = MAX_CHANGE_PER_S.powf(self.last_fit.since(at) as f64 / 1_000.0);
+        let mut factors = self.factors;
+        for (factor, before) in factors.iter_mut().zip(before) {
+            *factor = factor.clamp(before / most, before * most);
+        }
+        self.set(factors, settings);
+    }
+
     /// The change to be reported, if there is one.
     fn change(&mut self, now: Time) -> Option<Change> {
         let (factors, at) = self.reported;
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -217,6 +217,8 @@
     tally: Tally,
     /// The part of the requests whose report is late, or whose cached parts were evicted.
     odd: f64,
+    /// Delay of all reports, in ms.
+    delay_ms: f64,
     standins: Vec<Standin>,
     /// Time, key, and whether it is the end of the request.
     reports: BTreeSet<(u64, Key, bool)>,
@@ -248,6 +250,7 @@
             now_ms: 1_000,
             tally: Tally::default(),
             odd: 0.1,
+            delay_ms: 0.0,
             standins: vec![Standin::default(); 12],
             reports: BTreeSet::new(),
             seed: 1,
@@ -295,7 +298,7 @@
             self.tally.late += u32::from(took > 400.0);
             self.tally.error_ms += (took - begun.predicted).abs();
             let late = if begun.is_odd { 400.0 } else { 0.0 };
-            let at = event + 4.0 + 12.0 * draw(&mut self.seed) + late;
+            let at = event + 4.0 + 12.0 * draw(&mut self.seed) + late + self.delay_ms;
             self.reports.insert((at as u64, begun.key, false));
             standin.running.push(begun);
         }
@@ -779,3 +782,18 @@
     let pools: Vec<&str> = figures.iter().map(|figures| &*figures.pool).collect();
     assert_eq!(pools, [POOL]);
 }
+
+// A core host that gets little processor time reads all reports late. The figures followed within seconds, and one request
+// in ten was refused. Overdue first events alone lead to 10 refusals, with figures that do not change.
+#[test]
+fn late_reports_for_a_minute_lead_to_few_refusals() {
+    let mut replay = Replay::new(m(), true);
+    replay.run(60_000, 110.0, 4_000.0);
+    replay.delay_ms = 300.0;
+    let during = replay.run(60_000, 60.0, 4_000.0);
+    replay.delay_ms = 0.0;
+    let after = replay.run(10_000, 60.0, 4_000.0);
+    println!("{during:?} {after:?}");
+    assert!(during.refused < 100, "{during:?}");
+    assert!(after.refused < 10, "{after:?}");
+}
