--- a/crates/place/src/engine.rs
+++ b/crates/place/src/engine.rs
@@ -84,6 +84,14 @@
 /// have a lower bound of [`crate::speed::MIN_SLOWDOWN`].
 const SLOWDOWN_RANGE: std::ops::RangeInclusive<f64> = 0.7..=5.0;
 
+/// A slowdown within this factor of a bound counts as one at the bound. A single sample changes it by 6 % at most, so the
+/// noise of one sample does not make an engine count as within the bounds.
+const BOUND_MARGIN: f64 = 1.1;
+
+/// A slowdown of a pool with learnt figures counts as assumed if it was not measured for this time, in ms. The figures
+/// that it is relative to have changed meanwhile.
+const MEASUREMENT_MS: u64 = 60_000;
+
 /// Time that the report of a first event takes to reach the placer, in ms: about two hops between
 /// failure domains and the batching of reports.
 const REPORT_DELAY_MS: f64 = 10.0;
@@ -154,7 +162,7 @@
     pub slowdown: f64,
     /// Whether the engine was free before. `elapsed_ms` then includes the fixed time of the first event.
     pub was_free: bool,
-    /// Time from the start of the first prefill, in ms.
+    /// Time from the assignment, or from the report before if the engine was busy, in ms.
     pub elapsed_ms: f64,
 }
 
@@ -180,7 +188,8 @@
     /// Work for requests whose first event was reported before that of the oldest one, and when the last was.
     passed: Work,
     passed_until: f64,
-    /// Whether the engine has worked for a request that ended without a first event.
+    /// Whether the engine has worked for a request whose time is unknown: one that ended without a first event or was
+    /// excluded, or one of an earlier run of this host.
     is_disturbed: bool,
 }
 
@@ -195,8 +204,8 @@
     prefilled_until: f64,
     /// Ratio of the measured to the predicted prefill time, as a moving average.
     slowdown: f64,
-    /// Whether `slowdown` comes from requests of this engine.
-    is_measured: bool,
+    /// When `slowdown` was last measured in requests of this engine; `None` if it is assumed.
+    measured: Option<Time>,
     /// Lower bound of `slowdown`; above 0.
     min_slowdown: f64,
     observation: Observation,
@@ -207,8 +216,8 @@
     key: Key,
     prefill: Prefill,
     assigned: Time,
-    /// Whether the engine fetches parts of the prompt first, which takes an unknown time.
-    is_fetching: bool,
+    /// Whether the time until the first event says nothing about the speed of the engine.
+    is_excluded: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -224,7 +233,7 @@
             running: Vec::new(),
             prefilled_until: 0.0,
             slowdown: 1.0,
-            is_measured: false,
+            measured: None,
             min_slowdown: *SLOWDOWN_RANGE.start(),
             observation: Observation::default(),
         }
@@ -255,21 +264,44 @@
 
     /// The slowdown if it was measured on this engine.
     pub fn measured_slowdown(&self) -> Option<f64> {
-        self.is_measured.then_some(self.slowdown)
+        self.measured.map(|_| self.slowdown)
     }
 
     /// Sets the slowdown that is assumed until it is measured.
     pub fn assume_slowdown(&mut self, slowdown: f64) {
-        if !self.is_measured {
+        if self.measured.is_none() {
             self.slowdown = slowdown;
         }
     }
 
+    /// Counts the slowdown as assumed if it has not been measured for [`MEASUREMENT_MS`].
+    pub fn expire_slowdown(&mut self, now: Time) {
+        self.measured = self
+            .measured
+            .filter(|&measured| now.since(measured) < MEASUREMENT_MS);
+    }
+
+    /// Forgets what was learnt about the engine, because its pool now has other figures or learns none. The assigned
+    /// requests stay.
+    pub fn reset_learnt(&mut self) {
+        let load = Load::default();
+        self.slowdown = load.slowdown;
+        self.measured = load.measured;
+        self.min_slowdown = load.min_slowdown;
+        self.observation = load.observation;
+    }
+
     /// Sets the lower bound of the slowdown, which must be above 0.
     pub fn set_min_slowdown(&mut self, min_slowdown: f64) {
         self.min_slowdown = min_slowdown;
     }
 
+    /// Whether the slowdown is at a bound or near to it, so that the true one may be further off.
+    pub fn is_at_bound(&self) -> bool {
+        let (least, most) = (self.min_slowdown, *SLOWDOWN_RANGE.end());
+        !(least * BOUND_MARGIN..=most / BOUND_MARGIN).contains(&self.slowdown)
+    }
+
     /// Divides the slowdown by `factor`, because the figures that it is relative to were multiplied by it.
     pub fn rescale_slowdown(&mut self, factor: f64) {
         self.slowdown = (self.slowdown / factor).clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
@@ -317,15 +349,15 @@
             key,
             prefill,
             assigned: now,
-            is_fetching: false,
+            is_excluded: false,
         });
     }
 
-    /// Records that the engine fetches parts of the prompt of an assigned request. Its time is not measured.
-    pub fn record_fetch(&mut self, key: Key) {
+    /// Excludes an assigned request from the measurements: it waits for something else than the prefills before it.
+    pub fn exclude(&mut self, key: Key) {
         let mut pending = self.pending.iter_mut();
         if let Some(pending) = pending.find(|pending| pending.key == key) {
-            pending.is_fetching = true;
+            pending.is_excluded = true;
         }
     }
 
@@ -343,7 +375,7 @@
             let measured = (end - start) / expected * self.slowdown;
             let slowdown = self.slowdown + SLOWDOWN_WEIGHT * (measured - self.slowdown);
             self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
-            self.is_measured = true;
+            self.measured = Some(now);
         }
         self.prefilled_until = self.prefilled_until.max(end);
         let context_tokens = pending.prefill.context_tokens;
@@ -354,11 +386,23 @@
     }
 
     /// Records the first event of a request in a pool with learnt figures. Returns a sample for the figures if a
-    /// measurement is complete, and updates the slowdown from it.
-    pub fn observe_first_event(&mut self, now: Time, key: Key, speed: &Speed) -> Option<Sample> {
+    /// measurement is complete, and updates the slowdown from it. Nothing is measured unless `is_in_charge`: this host
+    /// does not know all requests of the engine otherwise.
+    pub fn observe_first_event(
+        &mut self,
+        now: Time,
+        key: Key,
+        speed: &Speed,
+        is_in_charge: bool,
+    ) -> Option<Sample> {
         let at = self.pending.iter().position(|pending| pending.key == key)?;
         let pending = self.pending.remove(at);
         let reported = now.as_ms() as f64 - REPORT_DELAY_MS;
+        let assigned = pending.assigned.as_ms() as f64;
+        // An entry host reports its running requests again to a core host that has restarted. The assignment and the first
+        // event of such a request arrive together.
+        let is_resent = reported <= assigned;
+        let is_excluded = pending.is_excluded || is_resent || !is_in_charge;
         let prefill = &pending.prefill;
         let mut work = Work {
             uncached: prefill.uncached,
@@ -371,6 +415,10 @@
             context_tokens: prefill.context_tokens,
         });
         let seen = &mut self.observation;
+        if at > 0 && is_excluded {
+            seen.is_disturbed = true;
+            return None;
+        }
         if at > 0 {
             // Reports of prompts that shared a step arrive in any order. They are measured together with the oldest.
             seen.passed.add(&work);
@@ -379,13 +427,12 @@
         }
         work.add(&std::mem::take(&mut seen.passed));
         let end = reported.max(seen.passed_until);
-        let assigned = pending.assigned.as_ms() as f64;
         let pause_ms = assigned - self.prefilled_until;
-        let is_disturbed = std::mem::take(&mut seen.is_disturbed);
+        let is_disturbed = std::mem::replace(&mut seen.is_disturbed, is_resent);
         let was_free = pause_ms >= MIN_PAUSE_MS;
         let start = if was_free { assigned } else { seen.reported };
         let is_behind = pause_ms <= 0.0 && seen.reported > 0.0;
-        let is_known = !is_disturbed && !pending.is_fetching && (was_free || is_behind);
+        let is_known = !is_disturbed && !is_excluded && (was_free || is_behind) && end > start;
         let measurement = Measurement {
             work,
             was_free,
@@ -407,7 +454,7 @@
         };
         seen.reported = end;
         self.prefilled_until = self.prefilled_until.max(end - speed.first_ms);
-        let complete = complete?;
+        let complete = complete.filter(|_| is_in_charge)?;
         let elapsed_ms = complete.end - complete.start;
         let fixed_ms = if complete.was_free {
             speed.first_ms
@@ -415,7 +462,7 @@
             0.0
         };
         let expected_ms = complete.work.duration_ms(speed) * slowdown;
-        self.observe_slowdown(expected_ms, elapsed_ms - fixed_ms);
+        self.observe_slowdown(now, expected_ms, elapsed_ms - fixed_ms);
         Some(Sample {
             work: complete.work,
             slowdown,
@@ -425,7 +472,7 @@
     }
 
     /// Moves the slowdown toward the ratio of the measured to the expected time of a prefill.
-    fn observe_slowdown(&mut self, expected_ms: f64, measured_ms: f64) {
+    fn observe_slowdown(&mut self, now: Time, expected_ms: f64, measured_ms: f64) {
         if expected_ms < MIN_LEARNT_MS {
             return;
         }
@@ -434,7 +481,7 @@
         let step = weight * deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
         let slowdown = self.slowdown * step.exp();
         self.slowdown = slowdown.clamp(self.min_slowdown, *SLOWDOWN_RANGE.end());
-        self.is_measured = true;
+        self.measured = Some(now);
     }
 
     /// Removes a request that has ended, with or without an answer.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -442,6 +442,10 @@
     /// it gives no capacity, no account is beyond its share.
     pub fn set_document(&mut self, document: &Arc<Document>) {
         self.document = Arc::clone(document);
+        let servers = self.servers.iter();
+        let were_on: Vec<bool> = servers
+            .map(|state| self.speeds.is_on(&state.server.pool))
+            .collect();
         self.speeds.set_document(document, &self.settings.speed);
         let is_cheap = |engine| transfer::is_cheap(engine, &self.settings.speed);
         let pools = document.pools.iter();
@@ -449,9 +453,11 @@
         self.cheap = pools.map(|pool| Arc::clone(&pool.name)).collect();
         self.cheap.sort_unstable();
         self.crossing.retain(|pool| is_in(&self.cheap, pool));
-        for state in &mut self.servers {
+        for (state, was_on) in self.servers.iter_mut().zip(were_on) {
             if self.speeds.is_on(&state.server.pool) {
                 state.load.set_min_slowdown(speed::MIN_SLOWDOWN);
+            } else if was_on {
+                state.load.reset_learnt();
             }
         }
         self.list_warming();
@@ -478,7 +484,7 @@
             let state = match known {
                 Some(at) => State {
                     server: server.clone(),
-                    load: std::mem::take(&mut old[at].load),
+                    load: self.moved_load(&mut old[at], &server.pool, &slowdowns),
                     cache: std::mem::take(&mut old[at].cache),
                     health: std::mem::take(&mut old[at].health),
                     held: std::mem::take(&mut old[at].held),
@@ -570,9 +576,30 @@
         }
     }
 
+    /// The load of a known server, which is now in `pool`.
+    fn moved_load(
+        &self,
+        old: &mut State,
+        pool: &str,
+        slowdowns: &[(Arc<str>, Option<f64>)],
+    ) -> Load {
+        let mut load = std::mem::take(&mut old.load);
+        let is_learnt = self.speeds.is_on(&old.server.pool) || self.speeds.is_on(pool);
+        if *old.server.pool != *pool && is_learnt {
+            load.reset_learnt();
+            self.begin_learning(&mut load, pool, slowdowns);
+        }
+        load
+    }
+
     /// The load of a new server. In a pool with learnt figures, it starts from the median of the pool's `slowdowns`.
     fn new_load(&self, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) -> Load {
         let mut load = Load::default();
+        self.begin_learning(&mut load, pool, slowdowns);
+        load
+    }
+
+    fn begin_learning(&self, load: &mut Load, pool: &str, slowdowns: &[(Arc<str>, Option<f64>)]) {
         if self.speeds.is_on(pool) {
             load.set_min_slowdown(speed::MIN_SLOWDOWN);
             let of_pool = slowdowns.iter().filter(|(known, _)| **known == *pool);
@@ -581,7 +608,6 @@
                 load.assume_slowdown(median);
             }
         }
-        load
     }
 
     /// Records the parts that the server with the id `server` reports as cached, as pairs of the
@@ -729,7 +755,7 @@
             .map(|warmup| self.warming.send_within_ms(now, &server.id, warmup));
         self.assign(now, demand, best.server, &parts, best.cached_tokens);
         if fetch_from.is_some() {
-            self.servers[best.server].load.record_fetch(demand.key);
+            self.servers[best.server].load.exclude(demand.key);
         }
         Decision::Place {
             send_within_ms,
@@ -1012,28 +1038,54 @@
             return;
         }
         let settings = &self.settings.speed;
-        if let Some(sample) = state.load.observe_first_event(now, key, &speed)
-            && self.speeds.record(now, pool, &sample, settings)
-        {
-            let pool = Arc::clone(pool);
+        let is_in_charge = now.since(self.last_asked) < IN_CHARGE_MS && !self.speeds.is_follower();
+        let sample = state
+            .load
+            .observe_first_event(now, key, &speed, is_in_charge);
+        let is_at_bound = state.load.is_at_bound();
+        let pool = Arc::clone(pool);
+        let Some(sample) = sample else {
+            return;
+        };
+        // The sample of an engine with a slowdown at a bound would move the figures away from those of the other engines.
+        let is_exact = |state: &State| {
+            state.server.pool == pool
+                && state.load.measured_slowdown().is_some()
+                && !state.load.is_at_bound()
+        };
+        if is_at_bound && self.servers.iter().any(is_exact) {
+            return;
+        }
+        if self.speeds.record(now, &pool, &sample, settings) {
             self.fit_figures(now, &pool);
         }
     }
 
     /// Fits the figures of a pool to the recorded samples.
     fn fit_figures(&mut self, now: Time, pool: &Arc<str>) {
-        let in_pool = |state: &&State| state.server.pool == *pool;
-        let loads = self.servers.iter().filter(in_pool);
-        let mean = speed::mean(loads.filter_map(|state| state.load.measured_slowdown()));
+        let servers = self.servers.iter_mut();
+        let mut loads: Vec<&mut Load> = servers
+            .filter(|state| state.server.pool == *pool)
+            .map(|state| &mut state.load)
+            .collect();
+        for load in &mut loads {
+            load.expire_slowdown(now);
+        }
+        let measured = loads.iter().filter_map(|load| load.measured_slowdown());
+        let mean = speed::mean(measured.collect());
         let factor = self.speeds.fit(now, pool, mean, &self.settings.speed);
-        for state in &mut self.servers {
-            if state.server.pool == *pool {
-                state.load.rescale_slowdown(factor);
+        for load in &mut loads {
+            load.rescale_slowdown(factor);
+        }
+        let measured = loads.iter().filter_map(|load| load.measured_slowdown());
+        if let Some(median) = speed::median(measured.collect()) {
+            for load in &mut loads {
+                load.assume_slowdown(median);
             }
         }
     }
 
-    /// The learnt figures for hosts that decide alone. Empty unless this placer was asked for servers recently: another
+    /// The learnt figures for hosts that are not in charge. Empty unless this placer was asked for servers recently: another
     /// one may have missed reports.
     pub fn figures(&self, now: Time) -> Vec<Figures> {
         if now.since(self.last_asked) >= IN_CHARGE_MS {
@@ -1042,8 +1094,16 @@
         self.speeds.figures()
     }
 
-    /// Sets the figures that the placer in charge has learnt. From the first call on, this placer learns none from its
-    /// own requests, which share the engines with those of other hosts.
+    /// Takes over the figures that the placer in charge has learnt, unless this one is in charge. It starts from them when
+    /// it takes over.
+    pub fn adopt_figures(&mut self, now: Time, figures: &[Figures]) {
+        if now.since(self.last_asked) >= IN_CHARGE_MS {
+            self.speeds.adopt(figures, &self.settings.speed);
+        }
+    }
+
+    /// Sets the figures that the placer in charge has learnt. From the first call on, this placer learns neither
+    /// figures nor slowdowns of these pools from its own requests, which share the engines with those of other hosts.
     pub fn set_figures(&mut self, figures: &[Figures]) {
         self.speeds.follow(figures, &self.settings.speed);
     }
@@ -1162,7 +1222,12 @@
             .map_or(0, |prompt| prompt.input_tokens);
         let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
         let prefill = speed.prefill(input, cached_tokens);
+        let is_full = state.load.len() >= state.server.slots.max(1) as usize;
         state.load.assign(now, demand.key, prefill);
+        if is_full {
+            // The wait for a slot depends on the length of other answers.
+            state.load.exclude(demand.key);
+        }
         state.cache.touch(parts, capacity);
         let assignment = Assignment {
             key: demand.key,
@@ -1638,8 +1703,10 @@
             .servers
             .iter()
             .filter(|state| state.is_usable(now, &demand.pool, &demand.domain));
-        let speed = &self.settings.speed;
-        let waits: Vec<f64> = usable.map(|state| state.load.wait_ms(now, speed)).collect();
+        let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
+        let waits: Vec<f64> = usable
+            .map(|state| state.load.wait_ms(now, &speed))
+            .collect();
         self.queue.observe(now, &demand.pool, &waits);
         let objective_ms = f64::from(demand.objective_ms);
         let is_late = demand.returning
--- a/crates/place/src/speed.rs
+++ b/crates/place/src/speed.rs
@@ -28,6 +28,11 @@
 /// time.
 pub const MIN_SLOWDOWN: f64 = 0.3;
 
+/// Range of the slowdowns relative to the middle one beyond which they do not move the mean of their pool further. A single
+/// engine that is slower by a factor of 20 would otherwise bring those of all others to their lower bound. The engines of
+/// known pools differ by a factor of 2.4.
+const MEAN_RANGE: RangeInclusive<f64> = 1.0 / 3.0..=3.0;
+
 /// The deviation from a prediction up to which a sample counts in full: this many ms, mostly from the batching of reports,
 /// and this share of the predicted time.
 const NOISE_MS: f64 = 5.0;
@@ -51,6 +56,15 @@
 /// figures of its predecessor there by the settings.
 const MIN_SENT_SAMPLES: u64 = 200;
 
+/// Weight of adopted figures relative to the settings. The settings then change them by 1 % of the difference only.
+const ADOPTED_WEIGHT: f64 = 100.0;
+
+/// Number of samples after which the change of the figures is limited, and the most by which each may change in a second.
+/// The engines of a pool do not become slower all at once, but a host that gets little processor time reads all reports
+/// late. With 2 % in place of 1 %, a minute of reports that are 300 ms late led to three times as many refusals.
+const FAST_SAMPLES: u64 = 1_000;
+const MAX_CHANGE_PER_S: f64 = 1.01;
+
 /// A change of a figure by this factor is reported.
 const REPORTED_FACTOR: f64 = 1.25;
 
@@ -128,7 +142,7 @@
 
 /// The learnt figures of one pool.
 #[derive(Clone, Debug)]
-struct Figure {
+struct Estimate {
     pool: Arc<str>,
     /// The figures relative to the settings, in the order of [`scales`]; within [`RANGE`].
     factors: [f64; COUNT],
@@ -155,7 +169,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     /// Sorted by pool.
-    figures: Vec<Figure>,
+    estimates: Vec<Estimate>,
     /// Whether the figures come from another host.
     is_follower: bool,
     /// Not taken yet; at most one for each pool.
@@ -172,19 +186,19 @@
 impl Register {
     /// Sets the pools of a new document. Pools that stay retain their figures.
     pub fn set_document(&mut self, document: &Document, settings: &Speed) {
-        let mut old = std::mem::take(&mut self.figures);
+        let mut old = std::mem::take(&mut self.estimates);
         let is_on = |engine| is_learnt(engine, settings);
         let pools = document.pools.iter();
         let pools = pools.filter(|pool| pool.engine.as_ref().is_some_and(is_on));
-        self.figures = pools
+        self.estimates = pools
             .map(
-                |pool| match old.iter().position(|figure| figure.pool == pool.name) {
+                |pool| match old.iter().position(|estimate| estimate.pool == pool.name) {
                     Some(at) => old.swap_remove(at),
-                    None => Figure::new(&pool.name, settings),
+                    None => Estimate::new(&pool.name, settings),
                 },
             )
             .collect();
-        self.figures.sort_by(|a, b| a.pool.cmp(&b.pool));
+        self.estimates.sort_by(|a, b| a.pool.cmp(&b.pool));
     }
 
     /// Whether the pool has learnt figures.
@@ -195,33 +209,38 @@
     /// The speed of an average engine of the pool, apart from the slowdown of each.
     pub fn speed(&self, pool: &str, settings: &Speed) -> Speed {
         self.position(pool)
-            .map_or(*settings, |at| self.figures[at].speed)
+            .map_or(*settings, |at| self.estimates[at].speed)
+    }
+
+    /// Whether the figures come from another host and nothing is learnt.
+    pub fn is_follower(&self) -> bool {
+        self.is_follower
     }
 
     /// Records the time of one first event. Returns whether the figures are due to be fitted.
     pub fn record(&mut self, now: Time, pool: &str, sample: &Sample, settings: &Speed) -> bool {
-        if self.is_follower {
-            return false;
-        }
         let Ok(at) = self.position(pool) else {
             return false;
         };
-        let figure = &mut self.figures[at];
-        figure.record(sample, settings);
-        now.since(figure.last_fit) >= INTERVAL_MS
+        let estimate = &mut self.estimates[at];
+        estimate.record(sample, settings);
+        now.since(estimate.last_fit) >= INTERVAL_MS
     }
 
     /// Fits the figures of a pool whose engines have the given geometric mean of the measured slowdowns. Returns the
-    /// factor by which all slowdowns of the pool are to be divided. The figures are multiplied by it, so that no
-    /// prediction changes; otherwise figures and slowdowns could drift against each other.
+    /// factor by which all slowdowns of the pool are to be divided. The figures of the prefill are multiplied by it, so that
+    /// no prediction changes while figures and slowdowns are within their bounds and the figures within the permitted
+    /// change; otherwise figures and slowdowns could drift against each other.
     pub fn fit(&mut self, now: Time, pool: &str, mean_slowdown: f64, settings: &Speed) -> f64 {
         let Ok(at) = self.position(pool) else {
             return 1.0;
         };
-        let figure = &mut self.figures[at];
-        let factor = figure.rescale(mean_slowdown);
-        figure.fit(now, settings);
-        if let Some(change) = figure.change(now) {
+        let estimate = &mut self.estimates[at];
+        let before = (estimate.factors, estimate.last_fit);
+        let factor = estimate.rescale(mean_slowdown);
+        estimate.fit(now, settings);
+        estimate.limit_change(before, settings);
+        if let Some(change) = estimate.change(now) {
             self.changes.retain(|known| known.pool != change.pool);
             self.changes.push(change);
         }
@@ -236,13 +255,17 @@
     /// The figures for other hosts, as many as fit into [`MAX_FIGURES_BYTES`].
     pub fn figures(&self) -> Vec<Figures> {
         let mut bytes = 0;
-        let learnt = self.figures.iter();
-        let learnt = learnt.filter(|figure| figure.samples >= MIN_SENT_SAMPLES);
+        let learnt = self.estimates.iter();
+        let learnt = learnt.filter(|estimate| estimate.samples >= MIN_SENT_SAMPLES);
         learnt
-            .map(|figure| Figures::new(&figure.pool, &figure.speed))
-            .take_while(|figures| {
-                bytes += figures.encoded_bytes();
-                bytes <= MAX_FIGURES_BYTES
+            .map(|estimate| Figures::new(&estimate.pool, &estimate.speed))
+            .filter(|figures| {
+                let with_these = bytes + figures.encoded_bytes();
+                let fits = with_these <= MAX_FIGURES_BYTES;
+                if fits {
+                    bytes = with_these;
+                }
+                fits
             })
             .collect()
     }
@@ -254,20 +277,34 @@
             if let Some(factors) = received.factors(settings)
                 && let Ok(at) = self.position(&received.pool)
             {
-                self.figures[at].set(factors, settings);
+                self.estimates[at].set(factors, settings);
+            }
+        }
+    }
+
+    /// Takes over the figures of another host as those from which this one goes on to learn.
+    pub fn adopt(&mut self, figures: &[Figures], settings: &Speed) {
+        for received in figures {
+            if let Some(factors) = received.factors(settings)
+                && let Ok(at) = self.position(&received.pool)
+            {
+                let estimate = &mut self.estimates[at];
+                estimate.set(factors, settings);
+                estimate.fit = Fit::around(&factors);
+                estimate.samples = MIN_SENT_SAMPLES;
             }
         }
     }
 
     fn position(&self, pool: &str) -> Result<usize, usize> {
-        self.figures
-            .binary_search_by(|figure| (*figure.pool).cmp(pool))
+        self.estimates
+            .binary_search_by(|estimate| (*estimate.pool).cmp(pool))
     }
 }
 
-impl Figure {
-    fn new(pool: &Arc<str>, settings: &Speed) -> Figure {
-        Figure {
+impl Estimate {
+    fn new(pool: &Arc<str>, settings: &Speed) -> Estimate {
+        Estimate {
             pool: Arc::clone(pool),
             factors: [1.0; COUNT],
             speed: *settings,
@@ -298,7 +335,7 @@
         if !deviation.is_finite() {
             return;
         }
-        // Huber's weight: the pull of a sample on the figures does not grow with its deviation.
+        // Huber's weight: the influence of a sample on the figures does not grow with its deviation.
         let weight = 1.0 / deviation.max(1.0) / (noise * noise);
         self.samples += 1;
         let memory = (self.samples as f64 * MEMORY_PART).clamp(*MEMORY.start(), *MEMORY.end());
@@ -326,6 +363,20 @@
         self.set(factors, settings);
     }
 
+    /// Brings the factors within the permitted change since `before`, the factors and the time of the last fit.
+    fn limit_change(&mut self, before: ([f64; COUNT], Time), settings: &Speed) {
+        if self.samples < FAST_SAMPLES {
+            return;
+        }
+        let (before, at) = before;
+        let most = MAX_CHANGE_PER_S.powf(self.last_fit.since(at) as f64 / 1_000.0);
+        let mut factors = self.factors;
+        for (factor, before) in factors.iter_mut().zip(before) {
+            *factor = factor.clamp(before / most, before * most);
+        }
+        self.set(factors, settings);
+    }
+
     /// The change to be reported, if there is one.
     fn change(&mut self, now: Time) -> Option<Change> {
         let (factors, at) = self.reported;
@@ -345,7 +396,22 @@
 }
 
 impl Fit {
+    /// Sums whose solution is near to `factors` until about 200 samples have replaced them.
+    fn around(factors: &[f64; COUNT]) -> Fit {
+        let mut fit = Fit::default();
+        for (at, (factor, weight)) in factors.iter().zip(SETTINGS_WEIGHTS).enumerate() {
+            fit.products[at][at] = ADOPTED_WEIGHT * weight;
+            fit.times[at] = ADOPTED_WEIGHT * weight * factor;
+        }
+        fit
+    }
+
+    /// Adds a sample, unless its products are not finite.
     fn add(&mut self, features: &[f64; COUNT], time: f64, weight: f64, decay: f64) {
+        let largest = features.iter().copied().fold(time.abs(), f64::max);
+        if !(weight * largest * largest).is_finite() {
+            return;
+        }
         for (row, (sums, x)) in self.products.iter_mut().zip(features).enumerate() {
             for (sum, y) in sums.iter_mut().zip(features) {
                 *sum = *sum * decay + weight * x * y;
@@ -385,7 +451,8 @@
         None
     }
 
-    /// Solves the equations for the factors that are not fixed, by elimination. The matrix is positive definite.
+    /// Solves the equations for the factors that are not fixed, by elimination. The matrix is positive
+    /// definite without the rows and columns of the fixed factors, and the rows of these have a 1 only.
     fn solve_with(&self, fixed: &[Option<f64>; COUNT]) -> Option<[f64; COUNT]> {
         let mut matrix = self.products;
         let mut right = self.times;
@@ -453,16 +520,17 @@
     slowdowns.get(slowdowns.len() / 2).copied()
 }
 
-/// The geometric mean of the slowdowns that were measured in a pool; 1 if there is none.
-pub fn mean(slowdowns: impl Iterator<Item = f64>) -> f64 {
-    let (mut sum, mut count) = (0.0, 0.0);
-    for slowdown in slowdowns {
-        sum += slowdown.ln();
-        count += 1.0;
-    }
-    if count > 0.0 {
-        f64::exp(sum / count)
-    } else {
-        1.0
-    }
+/// The geometric mean of the slowdowns that were measured in a pool; 1 if there is none. Slowdowns beyond
+/// [`MEAN_RANGE`] count as the bound.
+pub fn mean(mut slowdowns: Vec<f64>) -> f64 {
+    slowdowns.sort_unstable_by(f64::total_cmp);
+    // The lower one of two in the middle: engines fail more often by being slow than by being fast.
+    let Some(middle) = slowdowns.get(slowdowns.len().saturating_sub(1) / 2) else {
+        return 1.0;
+    };
+    let (least, most) = (middle * MEAN_RANGE.start(), middle * MEAN_RANGE.end());
+    let logarithms = slowdowns
+        .iter()
+        .map(|slowdown| slowdown.clamp(least, most).ln());
+    f64::exp(logarithms.sum::<f64>() / slowdowns.len() as f64)
 }
--- a/crates/place/tests/speed.rs
+++ b/crates/place/tests/speed.rs
@@ -13,6 +13,7 @@
 use primrose_place::placer::{Decision, Outcome, Placer};
 use primrose_place::speed::{Figures, Register};
 use primrose_place::{Server, Settings};
+use primrose_route::document::{Kind, Route, Target};
 use support::{POOL, demand, document, engine, engines, fast_document};
 use test_case::test_case;
 
@@ -209,13 +210,15 @@
 /// Engines and their placer in virtual time.
 struct Replay {
     placer: Placer,
-    /// Receives only the reports, and those of assignments 12 ms late.
+    /// Receives the figures of `placer`, and the reports of half of the requests, those of assignments 12 ms late.
     follower: Placer,
     truth: Truth,
     now_ms: u64,
     tally: Tally,
     /// The part of the requests whose report is late, or whose cached parts were evicted.
     odd: f64,
+    /// Delay of all reports, in ms.
+    delay_ms: f64,
     standins: Vec<Standin>,
     /// Time, key, and whether it is the end of the request.
     reports: BTreeSet<(u64, Key, bool)>,
@@ -247,6 +250,7 @@
             now_ms: 1_000,
             tally: Tally::default(),
             odd: 0.1,
+            delay_ms: 0.0,
             standins: vec![Standin::default(); 12],
             reports: BTreeSet::new(),
             seed: 1,
@@ -294,7 +298,7 @@
             self.tally.late += u32::from(took > 400.0);
             self.tally.error_ms += (took - begun.predicted).abs();
             let late = if begun.is_odd { 400.0 } else { 0.0 };
-            let at = event + 4.0 + 12.0 * draw(&mut self.seed) + late;
+            let at = event + 4.0 + 12.0 * draw(&mut self.seed) + late + self.delay_ms;
             self.reports.insert((at as u64, begun.key, false));
             standin.running.push(begun);
         }
@@ -315,8 +319,10 @@
             return;
         };
         let reported = Time::from_ms(self.now_ms + 12);
-        self.follower
-            .record_assignment(reported, &demand, &server.id);
+        if demand.key.sequence.is_multiple_of(2) {
+            self.follower
+                .record_assignment(reported, &demand, &server.id);
+        }
         let is_odd = draw(&mut self.seed) < self.odd;
         let is_evicted = is_odd && draw(&mut self.seed) < 0.5;
         let at = (1..).position(|number| engine(number).id == server.id);
@@ -367,6 +373,11 @@
                     }
                 }
             }
+            if self.now_ms.is_multiple_of(200) {
+                let now = Time::from_ms(self.now_ms);
+                let figures = self.placer.figures(now);
+                self.follower.adopt_figures(now, &figures);
+            }
             let swing = if self.now_ms % 1_000 < 500 { 1.4 } else { 0.6 };
             if draw() < per_s / 1_000.0 * swing {
                 let tokens = tokens * ((draw() - 0.5) * 4.6).exp();
@@ -483,15 +494,21 @@
     assert_eq!(tally.refused, 0, "{tally:?}");
 }
 
-// A placer that takes over has only the reports. Without the figures it would refuse what its predecessor admitted.
+// A placer that takes over has the reports of a part of the requests only. It learnt wrong figures from them, sent these to
+// the entry hosts, and refused what its predecessor admitted.
 #[test]
 fn placer_that_takes_over_knows_the_figures() {
     let mut replay = Replay::new(k(), true);
     replay.run(20_000, 110.0, 2_000.0);
     let before = replay.run(20_000, 110.0, 2_000.0);
     let now = Time::from_ms(replay.now_ms);
+    let figures = replay.figures();
     assert!(replay.follower.figures(now).is_empty());
     std::mem::swap(&mut replay.placer, &mut replay.follower);
+    replay.run(100, 110.0, 2_000.0);
+    let adopted = replay.figures();
+    let ratio = adopted.tokens_per_ms / figures.tokens_per_ms;
+    assert!((0.9..1.1).contains(&ratio), "{figures:?} {adopted:?}");
     let after = replay.run(20_000, 110.0, 2_000.0);
     assert!(
         after.mean_error_ms() < 1.3 * before.mean_error_ms(),
@@ -524,4 +541,259 @@
     alone.set_figures(&invalid);
     serve(&mut alone, 200, 600, SHORT, 1.0, 300.0);
     assert_eq!(predicted_ms(&mut alone, 1_000, 9_300), with_figures);
+    // Nor may slowdowns remain that are relative to older figures.
+    serve(&mut alone, 2_000, 100, 9_300, 4.0, 22.0);
+    assert_eq!(predicted_ms(&mut alone, 3_000, 9_300), with_figures);
+}
+
+fn last_figures(placer: &Placer, at: u64) -> Option<Figures> {
+    placer.figures(Time::from_ms(at * 1_000)).pop()
+}
+
+// Entry hosts report running requests again to a core host that has restarted. Their first events seemed to follow 10 ms
+// before the assignments, and made the engines look fast.
+#[test]
+fn resent_assignments_are_not_measured() {
+    let mut placer = placer(1);
+    serve(&mut placer, 1, 300, 9_300, 1.0, 85.0);
+    let before = last_figures(&placer, 300);
+    let at = Time::from_ms(301_000);
+    let ended = Outcome::Answered { failed: false };
+    for sequence in 301..341 {
+        let request = demand(sequence, sequence, 0, 9_300);
+        placer.record_assignment(at, &request, "engine-01");
+        placer.record_first_event(at, request.key);
+        placer.record_end(at, request.key, ended);
+    }
+    // Completes the last measurement.
+    serve(&mut placer, 342, 2, 9_300, 1.0, 85.0);
+    let after = last_figures(&placer, 343);
+    let (before, after) = (before.expect("figures"), after.expect("figures"));
+    assert!(
+        (0.99..1.01).contains(&(after.tokens_per_ms / before.tokens_per_ms)),
+        "{before:?} {after:?}"
+    );
+}
+
+// The wait for a slot was taken for the time of a prefill, so that full engines looked slow.
+#[test]
+fn waits_for_slots_are_not_measured() {
+    let mut placer = placer(1);
+    let server = Server {
+        slots: 1,
+        ..engine(1)
+    };
+    placer.set_servers(&[server]);
+    serve(&mut placer, 1, 300, 9_300, 1.0, 85.0);
+    let before = predicted_ms(&mut placer, 400, 9_300);
+    let ended = Outcome::Answered { failed: false };
+    placer.record_end(Time::from_ms(400_200), demand(400, 0, 0, 1).key, ended);
+    for sequence in 401..441 {
+        let at = Time::from_ms(sequence * 1_000);
+        let [first, second] = [sequence, sequence + 1_000].map(|n| demand(n, n, 0, 9_300));
+        for request in [&first, &second] {
+            placer.record_assignment(at, request, "engine-01");
+        }
+        placer.place(at, &demand(5_000, 5_000, 0, 1_000_000));
+        placer.record_first_event(at.plus_ms(205), first.key);
+        placer.record_end(at.plus_ms(500), first.key, ended);
+        placer.record_first_event(at.plus_ms(800), second.key);
+        placer.record_end(at.plus_ms(900), second.key, ended);
+    }
+    let after = predicted_ms(&mut placer, 500, 9_300);
+    assert!(after < before + 20, "{before} {after}");
+}
+
+/// Serves requests of 2,000 tokens on one engine that takes `factor` times the default time. Others are asked for and
+/// refused, so that the placer is in charge.
+fn serve_on(placer: &mut Placer, server: &str, sequences: std::ops::Range<u64>, factor: f64) {
+    for sequence in sequences {
+        let at = Time::from_ms(sequence * 1_000);
+        let request = demand(sequence, sequence, 0, 2_000);
+        placer.record_assignment(at, &request, server);
+        placer.place(at, &demand(sequence + 100_000, 0, 0, 10_000_000));
+        let event = at.plus_ms((26.5 * factor + 95.0) as u64);
+        placer.record_first_event(event, request.key);
+        placer.record_end(event, request.key, Outcome::Answered { failed: false });
+    }
+}
+
+// The slowdown of an engine without requests was divided by each change of scale of its pool, and drifted to a bound.
+#[test]
+fn slowdowns_without_samples_follow_the_pool() {
+    let mut placer = placer(2);
+    serve_on(&mut placer, "engine-02", 1..50, 3.0);
+    serve_on(&mut placer, "engine-01", 50..400, 1.5);
+    let predicted = [2, 1].map(|other| {
+        let mut request = demand(500 + other, 500 + other, 0, 2_000);
+        request.tried = vec![engine(other as u32).id];
+        match placer.place(Time::from_ms(500_000), &request) {
+            Decision::Place { predicted_ms, .. } => predicted_ms,
+            decision => panic!("{decision:?}"),
+        }
+    });
+    assert!(predicted[0].abs_diff(predicted[1]) < 5, "{predicted:?}");
+}
+
+// One engine that is 20 times slower than the other moved the mean of the pool so far that the figures came to their bound
+// and the slowdown of the other engine to its own.
+#[test]
+fn extremely_slow_engine_does_not_move_the_figures() {
+    let mut placer = placer(2);
+    let mut range = [f32::MAX, 0.0];
+    for sequence in 1..1_200 {
+        let at = sequence % 2;
+        let factor = if at == 0 { 20.0 } else { 1.0 };
+        serve_on(
+            &mut placer,
+            &engine(at as u32 + 1).id,
+            sequence..sequence + 1,
+            factor,
+        );
+        if sequence > 1_000 {
+            let figures = last_figures(&placer, sequence).expect("figures");
+            range[0] = range[0].min(figures.tokens_per_ms);
+            range[1] = range[1].max(figures.tokens_per_ms);
+        }
+    }
+    assert!(range[0] > 93.0 / 2.0, "{range:?}");
+    assert!(range[1] < 1.05 * range[0], "{range:?}");
+    let mut request = demand(2_000, 2_000, 0, 2_000);
+    request.tried = vec![engine(1).id];
+    let decision = placer.place(Time::from_ms(2_000_000), &request);
+    let Decision::Place { predicted_ms, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(
+        (107..117).contains(&predicted_ms),
+        "{predicted_ms}, {range:?}"
+    );
+}
+
+// A pool that ceased to learn, and a server that moved to one that does not learn, kept the slowdown that was relative to
+// the learnt figures.
+#[test_case(true; "other document")]
+#[test_case(false; "other pool")]
+fn nothing_learnt_remains(is_document_replaced: bool) {
+    let mut document = (*fast_document()).clone();
+    let mut plain = support::document(None).pools[0].clone();
+    plain.name = "plain".into();
+    document.pools.push(plain);
+    let mut learnt = placer(1);
+    learnt.set_document(&Arc::new(document.clone()));
+    learnt.set_servers(&engines(2));
+    for sequence in 1..300 {
+        let (server, factor) = [("engine-01", 1.0), ("engine-02", 3.0)][sequence as usize % 2];
+        serve_on(&mut learnt, server, sequence..sequence + 1, factor);
+    }
+    let mut new = Placer::new(Settings::default());
+    let mut request = demand(400, 400, 0, 9_300);
+    let mut server = engine(1);
+    if is_document_replaced {
+        document.pools.retain(|pool| &*pool.name == "plain");
+        document.pools[0].name = POOL.into();
+    } else {
+        request.pool = "plain".into();
+        server.pool = "plain".into();
+    }
+    let decisions = [&mut learnt, &mut new].map(|placer| {
+        placer.set_document(&Arc::new(document.clone()));
+        placer.set_servers(std::slice::from_ref(&server));
+        placer.place(Time::from_ms(400_000), &request)
+    });
+    assert_eq!(decisions[0], decisions[1]);
+}
+
+// The queue of late requests predicted the waits with the settings, and gave late requests the place of others where the
+// engines are slower.
+#[test]
+fn queue_uses_the_learnt_figures() {
+    let settings = Settings {
+        waiting: true,
+        ..Settings::default()
+    };
+    let mut document = (*fast_document()).clone();
+    document.limits.tokens_per_s = Some(1e6);
+    document.routes.push(Route {
+        name: "long".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        kind: Kind::Stream { resumable: false },
+        timeout_ms: 50_000,
+        objective_ms: 8_000,
+        max_gap_ms: None,
+        priority: 0,
+        targets: vec![Target {
+            pool: POOL.into(),
+            weight: 1,
+        }],
+        max_servers: 2,
+        allows_anonymous: false,
+    });
+    let mut placer = Placer::new(settings.clone());
+    placer.set_document(&Arc::new(document));
+    placer.set_servers(&engines(2));
+    let speed = &settings.speed;
+    placer.set_figures(&[Figures {
+        pool: POOL.into(),
+        tokens_per_ms: speed.tokens_per_ms as f32,
+        ms_per_million_pairs: speed.ms_per_million_pairs as f32,
+        step_ms: 5.0 * speed.step_ms as f32,
+        step_ms_per_thousand: speed.step_ms_per_thousand as f32,
+        first_ms: speed.first_ms as f32,
+    }]);
+    let [first, mut late] = [1, 2].map(|sequence| demand(sequence, sequence, 0, 9_300));
+    late.returning = true;
+    // The first request keeps its engine busy for 198 ms. Late requests may wait for 160 ms.
+    let decisions = [first, late].map(|mut request| {
+        request.objective_ms = 8_000;
+        request.remaining_ms = 50_000;
+        placer.place(Time::from_ms(1_000), &request)
+    });
+    assert!(matches!(decisions[0], Decision::Place { .. }));
+    assert!(
+        !matches!(decisions[1], Decision::Place { .. }),
+        "{decisions:?}"
+    );
+}
+
+// The figures of one pool with a long name must not keep those of all later pools from other hosts.
+#[test]
+fn long_name_hides_no_other_pool() {
+    let mut document = (*fast_document()).clone();
+    let mut long = document.pools[0].clone();
+    long.name = "a".repeat(100).into();
+    document.pools.push(long.clone());
+    let settings = Speed::default();
+    let mut register = Register::default();
+    register.set_document(&document, &settings);
+    let sample = Sample {
+        work: Work::default(),
+        slowdown: 1.0,
+        was_free: true,
+        elapsed_ms: 85.0,
+    };
+    for pool in [POOL, &*long.name] {
+        for _ in 0..200 {
+            register.record(Time::ZERO, pool, &sample, &settings);
+        }
+    }
+    let figures = register.figures();
+    let pools: Vec<&str> = figures.iter().map(|figures| &*figures.pool).collect();
+    assert_eq!(pools, [POOL]);
+}
+
+// A core host that gets little processor time reads all reports late. The figures followed within seconds, and one request
+// in ten was refused. Overdue first events alone lead to 10 refusals, with figures that do not change.
+#[test]
+fn late_reports_for_a_minute_lead_to_few_refusals() {
+    let mut replay = Replay::new(m(), true);
+    replay.run(60_000, 110.0, 4_000.0);
+    replay.delay_ms = 300.0;
+    let during = replay.run(60_000, 60.0, 4_000.0);
+    replay.delay_ms = 0.0;
+    let after = replay.run(10_000, 60.0, 4_000.0);
+    println!("{during:?} {after:?}");
+    assert!(during.refused < 100, "{during:?}");
+    assert!(after.refused < 10, "{after:?}");
 }
