platform: End the flush of the log within the grace period

Cause: an entry host ends its connections 400 ms before the grace period ends, reads on from callers for 200 ms and up to 20 ms more, and then waited 300 ms for the reader of its log. With a slow reader, the process ended up to 120 ms after the grace period. A core host, which begins its flush up to 380 ms before the end, was not affected.

No test has a whole process with a slow log reader.

--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, Thread};
 use std::time::{Duration, Instant};
 
 use slog::{Drain, Logger, o};
@@ -93,13 +93,16 @@
 /// A handle to the thread that writes the log.
 pub struct Handle {
     buffer: Buffer,
+    writer: Thread,
 }
 
 impl Handle {
     /// Waits until all lines so far are written. To be called before the process ends. Gives up after a short timeout
-    /// if the log is not read.
-    pub fn flush(&self) {
-        let end = Instant::now() + FLUSH_TIMEOUT;
+    /// if the log is not read, and at `latest` in any case.
+    pub fn flush(&self, latest: Instant) {
+        let end = latest.min(Instant::now() + FLUSH_TIMEOUT);
+        // The pause between two writes may be longer than the time until `latest`.
+        self.writer.unpark();
         let is_done =
             || self.buffer.lock().is_empty() && !self.buffer.is_writing.load(Ordering::Acquire);
         while !is_done() && Instant::now() < end {
@@ -115,25 +118,37 @@
 ///
 /// Returns an error if the thread that writes the log cannot be started.
 pub fn open(host: &str) -> io::Result<(Logger, Handle)> {
+    open_output(host, io::stdout())
+}
+
+/// Does the same as [`open`] with another output.
+///
+/// # Errors
+///
+/// Returns an error if the thread that writes the log cannot be started.
+pub fn open_output<W: Write + Send + 'static>(
+    host: &str,
+    output: W,
+) -> io::Result<(Logger, Handle)> {
     let buffer = Buffer::default();
     let log = logger(&buffer, host);
     let source = buffer.clone();
-    thread::Builder::new()
+    let thread = thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write(&source))?;
-    Ok((log, Handle { buffer }))
+        .spawn(move || write(&source, output))?;
+    let writer = thread.thread().clone();
+    Ok((log, Handle { buffer, writer }))
 }
 
-fn write(buffer: &Buffer) {
+fn write<W: Write>(buffer: &Buffer, mut output: W) {
     loop {
         buffer.is_writing.store(true, Ordering::Release);
         let bytes = buffer.take();
         if !bytes.is_empty() {
-            let mut output = io::stdout().lock();
-            // If standard output is closed, there is nowhere to report the error.
+            // If the output is closed, there is nowhere to report the error.
             let _ = output.write_all(&bytes).and_then(|()| output.flush());
         }
         buffer.is_writing.store(false, Ordering::Release);
-        thread::sleep(WRITE_INTERVAL);
+        thread::park_timeout(WRITE_INTERVAL);
     }
 }
