place: Measure every plain server under a light load

Cause: an idle plain server without measurements counted exactly as the fastest measured one. Equal scores leave the order of the ids, so with one request at a time, all requests went to the first server of a domain and the others were never measured, although the comment says that they are. And a request that hangs in its body ends as cancelled, which was not recorded at all: its server stayed idle and unmeasured, and got the next request again.

Change: an idle server without measurements or failures counts as 0.99 times the shortest measured slot time. For 4 s after one of its requests was cancelled, it counts as 20 ms, as it does while it has a request. The time is that of the longest back-off, and is chosen, not measured; it ends because a caller that disconnects also cancels a request. The scores of measured servers and of engines are unchanged.

--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -19,6 +19,10 @@
 /// Weight of one request in the moving average of failures: about the last ten requests count.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
+/// How long an unmeasured server counts as possibly hanging after a request to it was cancelled, in ms: as the longest
+/// back-off. The placer cannot distinguish a server that hangs from a caller that disconnects.
+const CANCELLED_MS: u64 = 4_000;
+
 /// The health of one server.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -27,6 +31,8 @@
     backoffs: Vec<Backoff>,
     /// Until when the server counts as full, after it refused a request because it was full.
     full_until: Time,
+    /// Until when a cancelled request counts as a sign that the server hangs.
+    cancelled_until: Time,
     /// Share of recent requests that failed, from 0 to 1.
     failure_rate: f64,
 }
@@ -56,6 +62,11 @@
         now < self.full_until
     }
 
+    /// Whether a request to the server was cancelled a short time ago.
+    pub fn is_cancelled(&self, now: Time) -> bool {
+        now < self.cancelled_until
+    }
+
     /// Whether hosts of `domain` have received no answer since one of them could not connect.
     pub fn has_backoff(&self, domain: &str) -> bool {
         self.position(domain).is_ok()
@@ -95,6 +106,11 @@
         self.full_until = now.plus_ms(backoff_ms);
     }
 
+    /// Records that a request ended without an answer, because its caller disconnected or its deadline passed.
+    pub fn record_cancelled(&mut self, now: Time) {
+        self.cancelled_until = now.plus_ms(CANCELLED_MS);
+    }
+
     /// Records an answer to a host of `domain`, which ends the back-off of that domain.
     pub fn record_answer(&mut self, domain: &str, failed: bool) {
         if let Ok(at) = self.position(domain) {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -62,6 +62,10 @@
 /// ms, unless a faster server of the pool was measured.
 const INITIAL_PLAIN_SLOT_MS: f64 = 20.0;
 
+/// The slot time of an idle plain server without measurements, as a part of the shortest one measured in its pool. If both
+/// were equal, the first server in the order of the ids would be chosen each time.
+const UNMEASURED_FACTOR: f64 = 0.99;
+
 /// Weight of one measurement in the moving average of the slot time.
 const SLOT_TIME_WEIGHT: f64 = 0.05;
 
@@ -1026,7 +1030,7 @@
             }
             Outcome::Full => state.health.record_full(now, FULL_BACKOFF_MS),
             Outcome::Replaced => state.replaced = true,
-            Outcome::Cancelled => {}
+            Outcome::Cancelled => state.health.record_cancelled(now),
         }
     }
 
@@ -1337,7 +1341,7 @@
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
-            let slot_ms = state.slot_ms_or(unmeasured_slot_ms(state, peers.fastest_ms));
+            let slot_ms = state.slot_ms_or(unmeasured_slot_ms(now, state, peers.fastest_ms));
             let wait_ms = slot_wait_ms(state, slot_ms);
             // Even while slots are free, the load counts: spreading requests over the servers keeps
             // the bursts of other hosts apart.
@@ -1668,15 +1672,17 @@
     ahead as f64 * slot_ms / slots as f64
 }
 
-/// The assumed slot time of a plain server without measurements, in ms. If it is idle, it counts as the fastest measured
-/// server of its pool; otherwise it would get no request of a light load, and would never be measured. While it has a
-/// request, it counts as the initial value, so that a burst does not go to a server that may be slow. As its requests fail,
-/// it approaches the initial value too, since failures are not measured.
-fn unmeasured_slot_ms(state: &State, fastest_ms: Option<f64>) -> f64 {
+/// The assumed slot time of a plain server without measurements, in ms. If it is idle, it counts as slightly faster than
+/// the fastest measured server of its pool; otherwise it would get no request of a light load, and would never be measured.
+/// While it has a request, it counts as the initial value, so that a burst does not go to a server that may be slow, and
+/// for a while after a request to it was cancelled, since it may hang. As its requests fail, it approaches the initial
+/// value too, since failures are not measured.
+fn unmeasured_slot_ms(now: Time, state: &State, fastest_ms: Option<f64>) -> f64 {
     match fastest_ms {
-        Some(fastest_ms) if state.load.is_empty() => {
+        Some(fastest_ms) if state.load.is_empty() && !state.health.is_cancelled(now) => {
             let failed_ms = state.health.failure_rate() * INITIAL_PLAIN_SLOT_MS;
-            fastest_ms.max(failed_ms).min(INITIAL_PLAIN_SLOT_MS)
+            let assumed_ms = fastest_ms * UNMEASURED_FACTOR;
+            assumed_ms.max(failed_ms).min(INITIAL_PLAIN_SLOT_MS)
         }
         _ => INITIAL_PLAIN_SLOT_MS,
     }
--- a/crates/place/tests/plain.rs
+++ b/crates/place/tests/plain.rs
@@ -230,3 +230,47 @@
     }
     assert!((2..=6).contains(&failed), "{failed} of 200 requests failed");
 }
+
+// With one request at a time, all servers are idle whenever a server is chosen. Each of them must be measured, or all
+// requests go to the first one.
+#[test]
+fn every_server_is_measured_under_a_light_load() {
+    let mut placer = placer();
+    let mut now = Time::from_ms(1_000);
+    let mut placed = Vec::new();
+    for sequence in 100..103 {
+        let request = plain(sequence);
+        placed.push(support::server_of(placer.place(now, &request)));
+        now = now.plus_ms(2);
+        placer.record_end(now, request.key, Outcome::Answered { failed: false });
+    }
+    placed.sort_unstable();
+    let servers: Vec<Arc<str>> = (1..=3).map(|number| support::engine(number).id).collect();
+    assert_eq!(placed, servers);
+}
+
+// A server that hangs is not measured, since its requests end as cancelled. It must not get the next request each time
+// because it is idle and not measured, and must get one later, since a caller may have given up a sound server.
+#[test]
+fn unmeasured_server_that_hangs_gets_few_requests() {
+    let mut placer = placer();
+    let hanging = support::engine(2).id;
+    let mut now = Time::from_ms(1_000);
+    // The number of requests before each one that hung, and of those after the last.
+    let mut answered = vec![0];
+    for sequence in 100..4_100 {
+        let request = plain(sequence);
+        if support::server_of(placer.place(now, &request)) == hanging {
+            now = now.plus_ms(1_000);
+            placer.record_end(now, request.key, Outcome::Cancelled);
+            answered.push(0);
+        } else {
+            now = now.plus_ms(2);
+            placer.record_end(now, request.key, Outcome::Answered { failed: false });
+            *answered.last_mut().expect("a number") += 1;
+        }
+    }
+    // 4,000 requests of 2 ms take 8 s.
+    assert!((2..=4).contains(&answered.len()), "{answered:?}");
+    assert!(answered[1] >= 1_000, "{answered:?}");
+}
