entry: Count only callers whose request is known to be incomplete

Cause: a caller that had sent a whole body in chunks was counted and logged as "caller still sent when its connection was closed", since a request whose end is not known counted as incomplete. The comment said that a caller that has sent its request whole is not counted.

Change: only a caller within a head, or within a body of a known length, is counted. Also, the comment of linger::discard says that every read error counts as the end of the connection, not only a close by the caller.

--- a/crates/entry/src/closing.rs
+++ b/crates/entry/src/closing.rs
@@ -464,8 +464,9 @@
     }
 }
 
-/// A caller that may still be sending a request that was answered. Its drop counts and logs a caller that neither has
-/// closed nor has sent the request whole, also when the process ends: such a caller may lose the answer.
+/// A caller that may still be sending a request that was answered. Its drop counts and logs a caller whose connection is
+/// open and whose request is known to be incomplete, also when the process ends: such a caller may lose the answer. A
+/// caller that sends its body in chunks is counted only within the head, since the end of the body is not followed.
 pub(crate) struct Sending {
     log: Option<Log>,
     record: Record,
@@ -474,7 +475,7 @@
 }
 
 impl Sending {
-    /// Records whether the caller has closed the connection.
+    /// Records whether the connection has ended: the caller has closed it, or it has failed.
     pub(crate) fn end(mut self, is_closed: bool) {
         self.is_closed = is_closed;
     }
--- a/crates/entry/src/framing.rs
+++ b/crates/entry/src/framing.rs
@@ -45,9 +45,10 @@
         self.begun
     }
 
-    /// Whether the last request has not arrived whole, as far as is known.
-    pub fn is_within_request(&self) -> bool {
-        self.place != Place::Between
+    /// Whether a part of the last request is known to be missing. A request whose end is not known, for example because
+    /// its body is sent in chunks, may have arrived whole.
+    pub const fn is_within_request(&self) -> bool {
+        matches!(self.place, Place::Head(_) | Place::Body(_))
     }
 
     /// Follows the next bytes.
--- a/crates/wire/src/linger.rs
+++ b/crates/wire/src/linger.rs
@@ -20,14 +20,15 @@
 /// Size of the buffer for discarded bytes.
 const BUFFER_BYTES: usize = 4 << 10;
 
-/// Discards what a caller still sends, after the host has ended its direction of the connection. Returns when the caller
-/// has closed, and after [`MAX_TIME`] or [`MAX_BYTES`] at the latest. Returns whether the caller has closed.
+/// Discards what a caller still sends, after the host has ended its direction of the connection. Returns when nothing more
+/// can be read, and after [`MAX_TIME`] or [`MAX_BYTES`] at the latest. Returns whether nothing more can be read: the caller
+/// has ended its direction, or the connection was reset or failed otherwise.
 pub async fn discard<S: AsyncRead + Unpin>(socket: &mut S) -> bool {
     let deadline = Instant::now() + MAX_TIME;
     let mut buffer = [0; BUFFER_BYTES];
     let mut discarded = 0;
     while discarded < MAX_BYTES {
-        // The end of the stream, a reset and the deadline all end the wait.
+        // The end of the stream, any error and the deadline all end the wait.
         match tokio::time::timeout_at(deadline, socket.read(&mut buffer)).await {
             Ok(Ok(count @ 1..)) => discarded += count,
             Ok(Ok(0) | Err(_)) => return true,
