fleet: Keep the folders of failed tests until their replicas are done

Cause: folder_is_opened_when_the_disk_has_room failed once in the whole script on a busy machine, and its process "exited abnormally" without output. A test that fails drops its temporary folder while the thread of its replica may still write. The write to the removed folder fails, the replica ends the process, and the other tests and the output of the failed one are lost. The error of the replica was discarded too.

Change: the folders of space.rs, drain.rs and ledger.rs are kept if the test fails, and errors of replicas go to the standard error output, past the capture. The product is unchanged: a replica whose storage fails otherwise than by a full disk ends the process by design. The folder of a test that passes is still removed right away; a replica that starts a segment in that moment could still end the process, which would now be named.

--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hosts::{Host, TIMEOUT, document, form_fleet, leader};
+use hosts::{Folder, Host, TIMEOUT, document, form_fleet, leader};
 use primrose_base::clock::Time;
 use primrose_base::name::Name;
 use primrose_fleet::directory::Freshness;
@@ -245,17 +245,17 @@
     assert!(!held.contains("west"));
 }
 
-fn open(folders: &[tempfile::TempDir]) -> Vec<Host> {
+fn open(folders: &[Folder]) -> Vec<Host> {
     hosts::open(folders.iter().map(|folder| Storage::folder(folder.path())))
 }
 
-fn folders() -> Vec<tempfile::TempDir> {
-    let folders = (0..3).map(|_| tempfile::tempdir().expect("a folder can be created"));
+fn folders() -> Vec<Folder> {
+    let folders = (0..3).map(|_| Folder::new());
     folders.collect()
 }
 
 /// Copies of the files, which stand for the disks after a kill: the threads of the first replicas still use theirs.
-fn copy(folders: &[tempfile::TempDir]) -> Vec<tempfile::TempDir> {
+fn copy(folders: &[Folder]) -> Vec<Folder> {
     let copied = self::folders();
     for (from, to) in folders.iter().zip(&copied) {
         for entry in std::fs::read_dir(from.path()).expect("the folder can be read") {
@@ -398,7 +398,7 @@
 #[tokio::test]
 async fn new_core_host_gets_the_list(has_new_leader: bool) {
     let mut disks = folders();
-    disks.push(tempfile::tempdir().expect("a folder can be created"));
+    disks.push(Folder::new());
     let hosts = open(&disks);
     form_fleet(&hosts[..3]);
     give_order(&hosts[..3], drain("west")).await;
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use hosts::{TIMEOUT, document, form_fleet, leader};
+use hosts::{Folder, TIMEOUT, document, form_fleet, leader};
 use primrose_base::name::Name;
 use primrose_fleet::replica::{Input, Outcome};
 use primrose_fleet::storage::Storage;
@@ -23,11 +23,9 @@
 // restarted.
 #[tokio::test]
 async fn acknowledged_documents_survive_a_restart_of_all_replicas() {
-    let folders: Vec<tempfile::TempDir> = (0..3)
-        .map(|_| tempfile::tempdir().expect("a folder can be created"))
-        .collect();
+    let folders: Vec<Folder> = (0..3).map(|_| Folder::new()).collect();
     let paths: Vec<&Path> = folders.iter().map(|folder| folder.path()).collect();
-    let copies = tempfile::tempdir().expect("a folder can be created");
+    let copies = Folder::new();
     {
         let hosts = open(&paths);
         form_fleet(&hosts);
@@ -79,7 +77,7 @@
 // know which document is the newest.
 #[tokio::test]
 async fn minority_acknowledges_nothing() {
-    let folder = tempfile::tempdir().expect("a folder can be created");
+    let folder = Folder::new();
     let hosts = open(&[folder.path()]);
     let own = hosts[0].handle.state().introduction;
     let mut other = own.clone();
@@ -97,7 +95,7 @@
 // forever.
 #[tokio::test]
 async fn reset_replica_gets_a_new_id() {
-    let folder = tempfile::tempdir().expect("a folder can be created");
+    let folder = Folder::new();
     let hosts = open(&[folder.path()]);
     let before = hosts[0].handle.state().introduction.replica;
     hosts[0].handle.send(Input::Reset);
@@ -119,7 +117,7 @@
 // as long as the removal is not committed: with one of the other disks lost, the log would have no majority.
 #[tokio::test]
 async fn voter_is_not_told_of_a_removal_that_is_not_committed() {
-    let folders = [(); 4].map(|()| tempfile::tempdir().expect("a folder can be created"));
+    let folders = [(); 4].map(|()| Folder::new());
     let paths: Vec<&Path> = folders.iter().map(|folder| folder.path()).collect();
     let hosts = open(&paths);
     form_fleet(&hosts[..3]);
--- a/crates/fleet/tests/space.rs
+++ b/crates/fleet/tests/space.rs
@@ -15,18 +15,17 @@
 use primrose_fleet::replica::Outcome;
 use primrose_fleet::storage::Storage;
 use primrose_fleet::store::{Reply, Stored};
-use tempfile::TempDir;
 
 /// A folder that refuses appends while the flag is set, after it has written half of the bytes.
 struct Folder {
-    folder: TempDir,
+    folder: hosts::Folder,
     is_full: Arc<AtomicBool>,
 }
 
 impl Folder {
     fn new() -> Folder {
         Folder {
-            folder: tempfile::tempdir().expect("a folder can be created"),
+            folder: hosts::Folder::new(),
             is_full: Arc::default(),
         }
     }
--- a/crates/fleet/tests/support/hosts.rs
+++ b/crates/fleet/tests/support/hosts.rs
@@ -1,15 +1,19 @@
 //! Replicas of the log in one process. The messages between them are delivered without a network.
 
-use std::sync::{Arc, Mutex};
+use std::io;
+use std::path::Path;
+use std::sync::{Arc, LazyLock, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use primrose_base::name::Name;
 use primrose_fleet::replica::{self, Handle, Input, Inputs};
 use primrose_fleet::storage::Storage;
 use primrose_fleet::store::Stored;
-use primrose_observe::Meter;
+use primrose_observe::{Meter, log};
 use primrose_route::Document;
-use slog::{Discard, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use tempfile::TempDir;
 use tokio::sync::mpsc;
 
 /// The longest wait for an event that includes an election.
@@ -23,6 +27,35 @@
     pub(crate) cut_off: Arc<Mutex<Vec<Name>>>,
 }
 
+/// Writes the errors of the replicas to the standard error output, past the capture of the test harness: a replica whose
+/// disk fails ends the process of the test, and nothing else would tell the cause.
+static ERRORS: LazyLock<Logger> = LazyLock::new(|| {
+    let opened = log::open_output("test", io::stderr());
+    let (log, _) = opened.expect("the thread can be started");
+    Logger::root(LevelFilter::new(log, Level::Error).ignore_res(), o!())
+});
+
+/// A temporary folder for a replica. It is kept if the test fails, since the thread of the replica may still write then,
+/// for example after a stall of the disk. A write to a removed folder would end the process, and with it the other tests
+/// and the output of the failed one.
+pub(crate) struct Folder(TempDir);
+
+impl Folder {
+    pub(crate) fn new() -> Folder {
+        Folder(tempfile::tempdir().expect("a folder can be created"))
+    }
+
+    pub(crate) fn path(&self) -> &Path {
+        self.0.path()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        self.0.disable_cleanup(thread::panicking());
+    }
+}
+
 /// Opens a replica on each storage and delivers the messages between them.
 pub(crate) fn open(storages: impl Iterator<Item = Storage>) -> Vec<Host> {
     let (sender, mut messages) = mpsc::unbounded_channel::<(Name, replica::Outgoing)>();
@@ -38,7 +71,7 @@
             tolerated_losses: 1,
             outgoing,
             meter: Arc::new(Meter::new(&primrose_fleet::counter::ALL, &[])),
-            log: Logger::root(Discard, o!()),
+            log: ERRORS.clone(),
         };
         let handle = replica::open_storage(storage, inputs).expect("the folder can be opened");
         let (from, sender) = (name.clone(), sender.clone());
