fleet: Order at whichever host leads in the tests of drains

Cause: acknowledged_order_survives_a_power_loss and acknowledged_order_ survives_the_loss_of_the_leader ordered, and read, at a leader that was looked up once. On a busy machine the leader may change in between, and the answer is NotLeader.

Change: both order at whichever host leads, as new_core_host_gets_the_list does, and read likewise. The host that is cut off in the second test is the one that acknowledged the order and still leads. The checks are the same: each order must be answered with Ordered, the list must contain the domain with the revision 1, and the lost leader must acknowledge nothing.

--- a/crates/fleet/tests/drain.rs
+++ b/crates/fleet/tests/drain.rs
@@ -16,7 +16,7 @@
 use primrose_fleet::drain::{Action, List, MAX_DOMAINS, MAX_NAMES_BYTES, Order};
 use primrose_fleet::entry::Entry;
 use primrose_fleet::message::{Heartbeat, Packet, Stamp, Status};
-use primrose_fleet::replica::{Input, MAX_ORDER_WAIT_MS, Outcome};
+use primrose_fleet::replica::{Current, Input, MAX_ORDER_WAIT_MS, Outcome};
 use primrose_fleet::storage::Storage;
 use primrose_fleet::store::{Reply, Store, Stored};
 use primrose_place::crossing::{MAX_SHARES_BYTES, Share};
@@ -285,9 +285,7 @@
     {
         let hosts = open(&disks);
         form_fleet(&hosts);
-        let leader = leader(&hosts).await;
-        let outcome = leader.handle.order(drain("west"), Time::now()).await;
-        assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+        give_order(&hosts, drain("west")).await;
         for version in 1..=documents {
             store(&hosts, version).await;
         }
@@ -297,8 +295,7 @@
     }
     let copied = copy(&disks);
     let hosts = open(&copied);
-    let leader = leader(&hosts).await;
-    let current = leader.handle.read().await.expect("the leader can read");
+    let current = read(&hosts).await;
     assert!(current.drained.contains("west"));
     assert_eq!(current.drained.revision, 1);
     for host in &hosts {
@@ -312,32 +309,24 @@
     let disks = folders();
     let hosts = open(&disks);
     form_fleet(&hosts);
-    let old = leader(&hosts).await;
-    let outcome = old.handle.order(drain("west"), Time::now()).await;
-    assert_eq!(outcome, Outcome::Applied(Reply::Ordered));
+    // The lost host must be the one that has acknowledged the order and leads.
+    let old = loop {
+        let host = give_order(&hosts, drain("west")).await;
+        if host.handle.state().is_leading {
+            break host;
+        }
+    };
     {
         let mut cut_off = old.cut_off.lock().expect("not poisoned");
         cut_off.push(old.name.clone());
     }
-    let rest = || hosts.iter().filter(|host| host.name != old.name);
-    let new = async {
-        loop {
-            if let Some(host) = rest().find(|host| host.handle.state().is_leading) {
-                return host;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let new = tokio::time::timeout(TIMEOUT, new).await.expect("a leader");
-    let current = new.handle.read().await.expect("the leader can read");
+    let rest = hosts.iter().filter(|host| host.name != old.name);
+    let rest: Vec<Host> = rest.cloned().collect();
+    let current = read(&rest).await;
     assert!(current.drained.contains("west"));
-    let outcome = new.handle.order(drain("west"), Time::now()).await;
-    assert_eq!(
-        outcome,
-        Outcome::Applied(Reply::Ordered),
-        "a repeated order"
-    );
-    let current = new.handle.read().await.expect("the leader can read");
+    // A repeated order is acknowledged without a change.
+    give_order(&rest, drain("west")).await;
+    let current = read(&rest).await;
     assert_eq!(current.drained.revision, 1);
     // The lost leader cannot reach a majority and must acknowledge nothing.
     let outcome = old.handle.order(release("west"), Time::now());
@@ -346,20 +335,36 @@
     assert!(matches!(outcome, Outcome::Unknown | Outcome::NotLeader));
 }
 
-/// Gives the order at whichever host leads, as an operator does: on a busy machine the leader may change.
-async fn give_order(hosts: &[Host], order: Order) {
+/// Gives the order at whichever host leads, as an operator does: on a busy machine the leader may change. Returns the host
+/// that has acknowledged it.
+async fn give_order(hosts: &[Host], order: Order) -> &Host {
     let given = async {
         loop {
-            let outcome = leader(hosts).await.handle.order(order.clone(), Time::now());
-            match outcome.await {
-                Outcome::Applied(reply) => return reply,
+            let host = leader(hosts).await;
+            match host.handle.order(order.clone(), Time::now()).await {
+                Outcome::Applied(reply) => return (host, reply),
                 Outcome::NotLeader | Outcome::Unknown => {}
                 other => panic!("{other:?}"),
             }
         }
     };
     let acknowledged = tokio::time::timeout(TIMEOUT, given).await;
-    assert_eq!(acknowledged.expect("an answer in time"), Reply::Ordered);
+    let (host, reply) = acknowledged.expect("an answer in time");
+    assert_eq!(reply, Reply::Ordered);
+    host
+}
+
+/// Reads at whichever host leads, which refuses if another one has become the leader meanwhile.
+async fn read(hosts: &[Host]) -> Current {
+    let answered = async {
+        loop {
+            if let Some(current) = leader(hosts).await.handle.read().await {
+                return current;
+            }
+        }
+    };
+    let current = tokio::time::timeout(TIMEOUT, answered).await;
+    current.expect("a leader answers in time")
 }
 
 /// Cuts the leader `old` off until another host leads.
--- a/crates/fleet/tests/support/hosts.rs
+++ b/crates/fleet/tests/support/hosts.rs
@@ -19,6 +19,7 @@
 /// The longest wait for an event that includes an election.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 
+#[derive(Clone)]
 pub(crate) struct Host {
     pub(crate) name: Name,
     pub(crate) handle: Handle,
