--- a/crates/place/tests/overload.rs
+++ b/crates/place/tests/overload.rs
@@ -355,3 +355,40 @@
         "admitted without reports: {before}, with reports: {after}, of 199"
     );
 }
+
+// In a flood a request is refused early, with the shortest wait on any engine, if that wait is beyond its limit. A wrong
+// bound would refuse requests that an engine can serve in time.
+#[test]
+fn early_refusals_are_right() {
+    let mut document = (*support::fast_document()).clone();
+    document.limits.tokens_per_s = Some(100_000.0);
+    let mut placer = placer(4);
+    placer.set_document(&std::sync::Arc::new(document));
+    let mut replay = Replay::new(placer);
+    let mut tally = Tally::default();
+    let mut refused = 0;
+    for sequence in 0..3_000 {
+        replay.step();
+        let account = if sequence % 10 == 0 { "small" } else { "flood" };
+        let request = for_account(account, demand(sequence, sequence % 20, 10_000, 3_000));
+        let now = Time::from_ms(1_001 + sequence);
+        let report = replay.placer.explain(now, &request);
+        let servers = report.servers.iter();
+        let soonest = servers.min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
+        if let Decision::Refuse { wait_ms, .. } = report.decision
+            && let (Some(soonest), Some(limit)) = (soonest, &report.limit)
+            && wait_ms == soonest.wait_ms as u32
+        {
+            refused += 1;
+            let first_ms = soonest.first_event_ms - soonest.wait_ms - soonest.own_ms;
+            let own_ms = soonest.own_ms.min(Settings::default().own_cap * 600.0);
+            let max_wait_ms = (limit.limit_ms - first_ms - own_ms).max(0.0);
+            assert!(
+                soonest.wait_ms > max_wait_ms,
+                "request {sequence}: {soonest:?} {limit:?}"
+            );
+        }
+        replay.send(&request, &mut tally);
+    }
+    assert!(refused > 1_000, "{refused} refused");
+}
