place: Name what predictions of a request have in common after it

Peers held the speed figures, the price and the source of a request, none of which is a peer. No behaviour changes; the tests of place pass.

--- a/crates/place/src/explain.rs
+++ b/crates/place/src/explain.rs
@@ -219,13 +219,13 @@
 
     /// The predictions for all servers of the pool, whether they may get the request or not.
     fn candidates(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Vec<Candidate> {
-        let peers = self.peers(now, demand, parts);
+        let common = self.common_with_source(now, demand, parts);
         let servers = self.servers.iter().enumerate();
         let in_pool = servers.filter(|(_, state)| state.server.pool == demand.pool);
         in_pool
             .map(|(at, state)| {
                 let cached_tokens = state.cache.cached_tokens(parts);
-                let mut candidate = self.candidate(now, demand, parts, at, cached_tokens, peers);
+                let mut candidate = self.candidate(now, demand, parts, at, cached_tokens, common);
                 candidate.score += self.eviction_ms(demand, at, cached_tokens);
                 candidate
             })
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -268,7 +268,7 @@
 
 /// What the predictions of one request have in common for all servers of its pool.
 #[derive(Clone, Copy)]
-pub(crate) struct Peers {
+pub(crate) struct Common {
     /// The engine from which parts of the prompt may be fetched.
     source: Option<Source>,
     /// The shortest measured slot time of the plain servers, in ms; `None` for a request to engines.
@@ -286,7 +286,7 @@
     /// The index of each usable server, and how many tokens of the prompt it has cached.
     usable: Vec<(usize, u32)>,
     /// Without a source.
-    peers: Peers,
+    common: Common,
 }
 
 /// Assigns requests to the servers of all pools.
@@ -727,7 +727,7 @@
                 ..
             })
         );
-        if is_over_share && scan.peers.price.is_some() {
+        if is_over_share && scan.common.price.is_some() {
             let soonest = candidates.iter();
             let soonest = soonest.min_by(|a, b| a.total_ms().total_cmp(&b.total_ms()));
             if let Some(soonest) = soonest
@@ -809,7 +809,7 @@
             usable: usable
                 .map(|(at, state)| (at, state.cache.cached_tokens(parts)))
                 .collect(),
-            peers: self.common(demand),
+            common: self.common(demand),
         }
     }
 
@@ -1300,13 +1300,13 @@
         parts: &[(u64, u32)],
         scan: &Scan,
     ) -> Vec<Candidate> {
-        let peers = Peers {
+        let common = Common {
             source: self.source_for(now, demand, parts),
-            ..scan.peers
+            ..scan.common
         };
         let usable = scan.usable.iter();
         usable
-            .map(|&(at, cached)| self.candidate(now, demand, parts, at, cached, peers))
+            .map(|&(at, cached)| self.candidate(now, demand, parts, at, cached, common))
             .collect()
     }
 
@@ -1318,7 +1318,7 @@
         candidates: &[Candidate],
     ) -> Option<Candidate> {
         let scores = || candidates.iter().map(|candidate| candidate.score);
-        if scan.peers.price.is_none() {
+        if scan.common.price.is_none() {
             let lowest = scores().enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
             return lowest.map(|(at, _)| candidates[at]);
         }
@@ -1364,7 +1364,7 @@
         parts: &[(u64, u32)],
         scan: &Scan,
     ) -> Option<Candidate> {
-        scan.peers.price?;
+        scan.common.price?;
         let cached = scan.usable.iter().copied();
         let most = cached.clone().map(|(_, tokens)| tokens).max()?;
         let missing = self.settings.min_fetch_tokens;
@@ -1373,7 +1373,7 @@
             |at: usize| self.servers[at].health.failure_rate() < transfer::MAX_HOLDER_FAILURE_RATE;
         cached
             .filter(|&(at, tokens)| holds(tokens) && is_sound(at))
-            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, scan.peers))
+            .map(|(at, tokens)| self.candidate(now, demand, parts, at, tokens, scan.common))
             .filter(|holder| transfer::is_soon_enough(holder.total_ms(), demand, &self.settings))
             .min_by(|a, b| a.score.total_cmp(&b.score))
     }
@@ -1450,14 +1450,14 @@
     }
 
     /// What the predictions of a request have in common, without the engine that parts may be fetched from.
-    fn common(&self, demand: &Demand) -> Peers {
+    fn common(&self, demand: &Demand) -> Common {
         let mut fastest_ms = None;
         if demand.prompt.is_none() {
             let in_pool = |state: &&State| state.server.pool == demand.pool && state.slot_ms > 0.0;
             let measured = self.servers.iter().filter(in_pool);
             fastest_ms = measured.map(|state| state.slot_ms).min_by(f64::total_cmp);
         }
-        Peers {
+        Common {
             source: None,
             fastest_ms,
             speed: self.speeds.speed(&demand.pool, &self.settings.speed),
@@ -1467,8 +1467,13 @@
     }
 
     /// What the predictions of a request have in common.
-    pub(crate) fn peers(&self, now: Time, demand: &Demand, parts: &[(u64, u32)]) -> Peers {
-        Peers {
+    pub(crate) fn common_with_source(
+        &self,
+        now: Time,
+        demand: &Demand,
+        parts: &[(u64, u32)],
+    ) -> Common {
+        Common {
             source: self.source_for(now, demand, parts),
             ..self.common(demand)
         }
@@ -1481,7 +1486,7 @@
     }
 
     /// Predicts the times of a request on the server with the index `at`, which has `cached_tokens`
-    /// of its prompt cached and may fetch more from the source of `peers`.
+    /// of its prompt cached and may fetch more from the source of `common`.
     pub(crate) fn candidate(
         &self,
         now: Time,
@@ -1489,18 +1494,18 @@
         parts: &[(u64, u32)],
         at: usize,
         cached_tokens: u32,
-        peers: Peers,
+        common: Common,
     ) -> Candidate {
         let state = &self.servers[at];
         let settings = &self.settings;
         let remote_ms = if state.server.domain == demand.domain {
             0.0
         } else {
-            peers.remote_ms
+            common.remote_ms
         };
         let failure_factor = 1.0 + settings.failure_weight * state.health.failure_rate();
         let Some(prompt) = &demand.prompt else {
-            let slot_ms = state.slot_ms_or(unmeasured_slot_ms(now, state, peers.fastest_ms));
+            let slot_ms = state.slot_ms_or(unmeasured_slot_ms(now, state, common.fastest_ms));
             let wait_ms = slot_wait_ms(state, slot_ms);
             // Even while slots are free, the load counts: spreading requests over the servers keeps
             // the bursts of other hosts apart.
@@ -1516,13 +1521,13 @@
             };
         };
         let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
-        let speed = peers.speed;
+        let speed = common.speed;
         let wait_ms = state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms);
         let load = state.load.len() as f64;
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
         let affinity = affinity(parts, &state.server.id);
-        let price = peers.price;
+        let price = common.price;
         let candidate = |cached_tokens: u32, fetch: Option<Fetch>| {
             let prefill = speed.prefill(prompt.input_tokens, cached_tokens);
             let own_ms = state.load.prefill_ms(&prefill, &speed);
@@ -1553,7 +1558,7 @@
             }
         };
         let without_fetch = candidate(cached_tokens, None);
-        let with_fetch = peers.source.and_then(|source| {
+        let with_fetch = common.source.and_then(|source| {
             let fetch = self.fetch(now, demand, source, at, cached_tokens)?;
             Some(candidate(source.cached_tokens, Some(fetch)))
         });
