place: Predict the wait on an engine in one place

Cause: the early refusal of floods added a third copy of the sum of the prefill wait and the wait for a slot, beside the prediction of a candidate and the backlogs from which the price of leaving a domain follows. A change of one of them would make an early refusal differ from the choice that it stands for.

engine_wait_ms serves all three. No behaviour changes: all tests of place pass, among them those that compare hashes of decisions; fmt and clippy are clean.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -787,10 +787,8 @@
         }
         let limit = self.limit(now, demand, has_returned);
         let speed = self.speeds.speed(&demand.pool, &self.settings.speed);
-        let waits = self.usable(now, demand, parts).map(|(_, state)| {
-            let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
-            state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms)
-        });
+        let usable = self.usable(now, demand, parts);
+        let waits = usable.map(|(_, state)| engine_wait_ms(state, now, &speed));
         let wait_ms = waits.min_by(f64::total_cmp)?;
         let objective = f64::from(demand.objective_ms);
         let waited = f64::from(demand.waited_ms);
@@ -873,8 +871,7 @@
         let servers = servers.filter(|state| *state.server.pool == *pool);
         let backlogs: Vec<(&State, f64)> = servers
             .map(|state| {
-                let slot_ms = slot_wait_ms(state, state.slot_ms_or(INITIAL_ENGINE_SLOT_MS));
-                let wait_ms = state.load.wait_ms(now, &speed) + slot_ms;
+                let wait_ms = engine_wait_ms(state, now, &speed);
                 (state, wait_ms / self.mean_objective_ms)
             })
             .collect();
@@ -1520,9 +1517,8 @@
                 score: (wait_ms + spread + slot_ms) * failure_factor + remote_ms,
             };
         };
-        let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
         let speed = common.speed;
-        let wait_ms = state.load.wait_ms(now, &speed) + slot_wait_ms(state, slot_ms);
+        let wait_ms = engine_wait_ms(state, now, &speed);
         let load = state.load.len() as f64;
         // A hash of the prompt decides between otherwise equal servers, so that placers that do not
         // know of each other send the same parts to the same servers.
@@ -1830,6 +1826,12 @@
     refuse(reason, wait_ms, span_ms * draw as f64 / 1_024.0)
 }
 
+/// Time until an engine starts one more request, in ms: it prefills the prompts of the others, and a slot must be free.
+fn engine_wait_ms(state: &State, now: Time, speed: &Speed) -> f64 {
+    let slot_ms = state.slot_ms_or(INITIAL_ENGINE_SLOT_MS);
+    state.load.wait_ms(now, speed) + slot_wait_ms(state, slot_ms)
+}
+
 /// Time until a slot is free, in ms: while all slots are in use, one becomes free every
 /// `slot_ms / slots`.
 fn slot_wait_ms(state: &State, slot_ms: f64) -> f64 {
