review: a crashing part of a long prompt is not found

Cause: the parts of a prompt travel in datagrams between hosts, and a longer list is not sent at all. Change: a script that shows it; the records of the final builds of the stand-ins.

--- a/review/stand_ins_2/cases.rs
+++ b/review/stand_ins_2/cases.rs
@@ -13,6 +13,8 @@
     record.write(&format!("case {name}, disruption {has_trouble}"));
     let code = match name {
         "crashing-part-when-quiet" => crashing_part_when_quiet(&record, has_trouble),
+        "crashing-part-of-long-prompts" => crashing_part_of_long_prompts(&record, has_trouble),
+        "list-with-a-broken-entry" => list_with_a_broken_entry(&record, has_trouble),
         "sound-parts-refused" => sound_parts_refused(&record, has_trouble),
         _ => {
             eprintln!("unknown case {name}");
@@ -44,7 +46,9 @@
     for one in work {
         let _ = one.join();
     }
-    let Ok(mut fleet) = Arc::try_unwrap(fleet) else { return false };
+    let Ok(mut fleet) = Arc::try_unwrap(fleet) else {
+        return false;
+    };
     fleet.all_run()
 }
 
@@ -61,12 +65,22 @@
 fn crashing_part_when_quiet(record: &Record, has_trouble: bool) -> i32 {
     const CRASHING: &str = "d00dfeed";
     let behaviour = Behaviour {
-        crashing: if has_trouble { CRASHING.to_owned() } else { "-".to_owned() },
+        crashing: if has_trouble {
+            CRASHING.to_owned()
+        } else {
+            "-".to_owned()
+        },
         tokens_per_ms: 93.0,
         events: 6,
         pause_ms: 40,
     };
-    let fleet = Arc::new(Fleet::open(record.clone(), ENTRIES, &SERVERS, &behaviour, &config(7)));
+    let fleet = Arc::new(Fleet::open(
+        record.clone(),
+        ENTRIES,
+        &SERVERS,
+        &behaviour,
+        &config(7),
+    ));
     thread::sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
     let start = Instant::now();
     let mut work = Vec::new();
@@ -85,21 +99,7 @@
         }));
     }
     let all_run = close(fleet, work);
-    let crashes = record.find("crash long-");
-    let arrivals = record.find("run long-");
-    let late = crashes.get(4).map_or(0, |(fifth, _)| {
-        arrivals.iter().filter(|(at, _)| *at > fifth + STABLE_WINDOW_MS).count()
-    });
-    record.write(&format!(
-        "crashes {}, requests with the part that reached servers {}, of these later than {STABLE_WINDOW_MS} ms after \
-         the fifth crash {late} (at most 3 may)",
-        crashes.len(),
-        arrivals.len()
-    ));
-    if !all_run || arrivals.is_empty() || (has_trouble && crashes.is_empty()) {
-        return 2;
-    }
-    i32::from(late > 3)
+    judge_crashing_part(record, "long-", all_run, has_trouble)
 }
 
 /// LOST: from twice `stable_window_ms` after the last crash, while requests with the crashing part still come, sound
@@ -111,12 +111,22 @@
     const CRASHING: &str = "f00dfeed";
     const SHARED: &str = "1a000001:600,2b000002:300,3c000003:200";
     let behaviour = Behaviour {
-        crashing: if has_trouble { CRASHING.to_owned() } else { "-".to_owned() },
+        crashing: if has_trouble {
+            CRASHING.to_owned()
+        } else {
+            "-".to_owned()
+        },
         tokens_per_ms: 93.0,
         events: 5,
         pause_ms: 40,
     };
-    let fleet = Arc::new(Fleet::open(record.clone(), ENTRIES, &SERVERS, &behaviour, &config(7)));
+    let fleet = Arc::new(Fleet::open(
+        record.clone(),
+        ENTRIES,
+        &SERVERS,
+        &behaviour,
+        &config(7),
+    ));
     thread::sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
     let start = Instant::now();
     let mut work = Vec::new();
@@ -139,7 +149,11 @@
     // The requests with the crashing part begin after 30 s: 20 a second for half a second, and then one a second.
     for number in 0..44_u64 {
         let at = number as usize + 3;
-        let ms = if number < 10 { 30_600 + number * 50 } else { 31_600 + (number - 10) * 1_000 };
+        let ms = if number < 10 {
+            30_600 + number * 50
+        } else {
+            31_600 + (number - 10) * 1_000
+        };
         work.push(spawn(&fleet, move |fleet| {
             sleep_until(start, ms);
             let parts = format!("{SHARED},{CRASHING}:150,b{number:07x}:100");
@@ -151,16 +165,24 @@
     let sent = record.find("sent sound-");
     let begun = record.find("run sound-");
     let tainted = record.find("sent tainted-");
-    let Some((first_tainted, _)) = tainted.first() else { return 2 };
+    let Some((first_tainted, _)) = tainted.first() else {
+        return 2;
+    };
     let last_tainted = tainted.last().map_or(0, |(at, _)| *at);
-    let last_crash = crashes.get(4).or(crashes.last()).map_or(*first_tainted, |(at, _)| *at);
+    let last_crash = crashes
+        .get(4)
+        .or(crashes.last())
+        .map_or(*first_tainted, |(at, _)| *at);
     let share = |from: u64, until: u64| {
         let asked: Vec<&str> = sent
             .iter()
             .filter(|(at, _)| (from..until).contains(at))
             .map(|(_, line)| id_of(line))
             .collect();
-        let served = asked.iter().filter(|id| begun.iter().any(|(_, line)| id_of(line) == **id)).count();
+        let served = asked
+            .iter()
+            .filter(|id| begun.iter().any(|(_, line)| id_of(line) == **id))
+            .count();
         (served, asked.len())
     };
     let (calm_served, calm) = share(0, *first_tainted);
@@ -171,9 +193,161 @@
         crashes.len(),
         2 * STABLE_WINDOW_MS
     ));
-    if !all_run || calm < 20 || asked < 20 || calm_served == 0 || (has_trouble && crashes.is_empty()) {
+    if !all_run
+        || calm < 20
+        || asked < 20
+        || calm_served == 0
+        || (has_trouble && crashes.is_empty())
+    {
         return 2;
     }
-    let (before, after) = (calm_served as f64 / calm as f64, served as f64 / asked as f64);
+    let (before, after) = (
+        calm_served as f64 / calm as f64,
+        served as f64 / asked as f64,
+    );
     i32::from(after < before / 2.0)
 }
+
+/// BUDGET: more than three requests with a part that crashes servers reach servers later than `stable_window_ms` after
+/// the fifth crash.
+///
+/// The disruption: one part of a prompt crashes each server that begins to write an answer on it. Its requests belong to
+/// long conversations, whose prompts have 300 shared parts; one comes every 2 s. Four short sound requests of other
+/// prompts come each second.
+fn crashing_part_of_long_prompts(record: &Record, has_trouble: bool) -> i32 {
+    const CRASHING: &str = "d00dfeed";
+    let behaviour = Behaviour {
+        crashing: if has_trouble {
+            CRASHING.to_owned()
+        } else {
+            "-".to_owned()
+        },
+        tokens_per_ms: 93.0,
+        events: 5,
+        pause_ms: 40,
+    };
+    let fleet = Arc::new(Fleet::open(
+        record.clone(),
+        ENTRIES,
+        &SERVERS,
+        &behaviour,
+        &config(7),
+    ));
+    thread::sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
+    let start = Instant::now();
+    let mut work = Vec::new();
+    for number in 0..20_u64 {
+        let at = number as usize;
+        work.push(spawn(&fleet, move |fleet| {
+            sleep_until(start, number * 2_000);
+            let mut parts = format!("{CRASHING}:100");
+            for turn in 1..300_u64 {
+                parts.push_str(&format!(
+                    ",{:08x}:40",
+                    0x2000_0000 + number * 0x1_0000 + turn
+                ));
+            }
+            parts.push_str(&format!(",{:08x}:40", 0x7000_0000 + number));
+            fleet.request("long", at, "/plan/a", &parts, "12100,60");
+        }));
+    }
+    for number in 0..160_u64 {
+        let at = number as usize;
+        work.push(spawn(&fleet, move |fleet| {
+            sleep_until(start, number * 250);
+            let parts = format!(
+                "5a5a{:04x}:350,{:08x}:200",
+                number % 20,
+                0x6000_0000 + number
+            );
+            fleet.request("short", at + 4, "/plan/b", &parts, "550,60");
+        }));
+    }
+    let all_run = close(fleet, work);
+    judge_crashing_part(record, "long-", all_run, has_trouble)
+}
+
+/// Judges the rule on requests with a part that crashes servers, whose attempt ids begin with `kind`.
+fn judge_crashing_part(record: &Record, kind: &str, all_run: bool, has_trouble: bool) -> i32 {
+    let crashes = record.find(&format!("crash {kind}"));
+    let arrivals = record.find(&format!("run {kind}"));
+    let late = crashes.get(4).map_or(0, |(fifth, _)| {
+        arrivals
+            .iter()
+            .filter(|(at, _)| *at > fifth + STABLE_WINDOW_MS)
+            .count()
+    });
+    record.write(&format!(
+        "crashes {}, requests with the part that reached servers {}, of these later than {STABLE_WINDOW_MS} ms after \
+         the fifth crash {late} (at most 3 may)",
+        crashes.len(),
+        arrivals.len()
+    ));
+    if !all_run || arrivals.is_empty() || (has_trouble && crashes.is_empty()) {
+        return 2;
+    }
+    i32::from(late > 3)
+}
+
+/// DRAIN: a request reaches a server later than `drain_timeout_ms` after the platform's list shows that it is draining.
+///
+/// The disruption: the list contains an entry of another writer whose bytes break off. Five seconds later one server is
+/// listed as draining, as planned, and goes on to serve.
+fn list_with_a_broken_entry(record: &Record, has_trouble: bool) -> i32 {
+    const DRAIN_TIMEOUT_MS: u64 = 3_000;
+    let behaviour = Behaviour {
+        crashing: "-".to_owned(),
+        tokens_per_ms: 93.0,
+        events: 5,
+        pause_ms: 40,
+    };
+    let fleet = Arc::new(Fleet::open(
+        record.clone(),
+        ENTRIES,
+        &SERVERS,
+        &behaviour,
+        &config(7),
+    ));
+    thread::sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
+    let start = Instant::now();
+    let mut work = Vec::new();
+    for number in 0..600_u64 {
+        let at = number as usize;
+        work.push(spawn(&fleet, move |fleet| {
+            sleep_until(start, number * 50);
+            let parts = format!(
+                "5a5a{:04x}:350,{:08x}:200",
+                number % 40,
+                0x6000_0000 + number
+            );
+            fleet.request("short", at, "/plan/b", &parts, "550,60");
+        }));
+    }
+    sleep_until(start, 5_000);
+    if has_trouble {
+        fleet.add_entry(b"{\"service\":\"llm\",\"address\":\"127.0.0.1:80\",\"zone\":\"gas");
+    }
+    sleep_until(start, 10_000);
+    let leaving = fleet.servers[4].clone();
+    let drained = record.now_ms();
+    fleet.drain(&leaving);
+    let all_run = close(fleet, work);
+    let runs = record.find("run short-");
+    let late = runs
+        .iter()
+        .filter(|(at, line)| *at > drained + DRAIN_TIMEOUT_MS && line.ends_with(&leaving.id))
+        .count();
+    let before = runs
+        .iter()
+        .filter(|(at, line)| *at < drained && line.ends_with(&leaving.id))
+        .count();
+    record.write(&format!(
+        "requests that reached {}: {before} before it was listed as draining, {late} later than {DRAIN_TIMEOUT_MS} ms after \
+         that (none may)",
+        leaving.id
+    ));
+    if !all_run || before == 0 {
+        return 2;
+    }
+    i32::from(late > 0)
+}
--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -4,9 +4,10 @@
 //! connections at once, echoes the attempt id, signs its answers, and refuses requests for another instance with 421. If
 //! the prompt of a request has the crashing part, the process ends when it begins to write the answer.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -25,13 +26,19 @@
     pause_ms: u64,
 }
 
+/// Whether the server leaves.
+static IS_LEAVING: AtomicBool = AtomicBool::new(false);
+
 static OUTPUT: Mutex<()> = Mutex::new(());
 
 fn say(text: &str) {
     let _lock = OUTPUT.lock();
     let mut output = std::io::stdout();
     // The driver may have ended, and the process then ends with its next write.
-    if writeln!(output, "{text}").and_then(|()| output.flush()).is_err() {
+    if writeln!(output, "{text}")
+        .and_then(|()| output.flush())
+        .is_err()
+    {
         std::process::exit(0);
     }
 }
@@ -61,7 +68,9 @@
     say("up");
     thread::spawn(|| {
         // The driver closes the input when it ends.
-        let _ = std::io::stdin().read_to_end(&mut Vec::new());
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            IS_LEAVING.fetch_or(line == "leave", Ordering::Relaxed);
+        }
         std::process::exit(0);
     });
     for stream in listener.incoming().flatten() {
@@ -74,8 +83,13 @@
     let _ = stream.set_nodelay(true);
     let mut rest = Vec::new();
     while let Ok(Some(head)) = http::read_head(&mut stream, std::mem::take(&mut rest)) {
-        let length = head.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
-        let Ok((_, after)) = http::read_body(&mut stream, head.rest.clone(), length) else { return };
+        let length = head
+            .get("content-length")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
+        let Ok((_, after)) = http::read_body(&mut stream, head.rest.clone(), length) else {
+            return;
+        };
         rest = after;
         if !answer(&mut stream, &head, settings) {
             return;
@@ -88,11 +102,15 @@
     let path = head.start.split(' ').nth(1).unwrap_or_default();
     if path == "/-/kv-list" {
         let body = "{\"epoch\":1,\"next\":0,\"held\":[]}";
-        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
         return stream.write_all(text.as_bytes()).is_ok();
     }
     let Some(id) = head.get("primrosearch-attempt-id").map(str::to_owned) else {
-        let text = "HTTP/1.1 400 Bad Request\r\nPrimrosearch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        let text =
+            "HTTP/1.1 400 Bad Request\r\nPrimrosearch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
         return stream.write_all(text.as_bytes()).is_ok();
     };
     let expected = head.get("primrosearch-expect-instance");
@@ -106,12 +124,23 @@
     let prompt = head.get("primrosearch-prompt-prefix").unwrap_or_default();
     say(&format!("run {id} {prompt}"));
     let usage = head.get("primrosearch-token-usage").unwrap_or_default();
-    let tokens: f64 = usage.split(',').next().and_then(|tokens| tokens.parse().ok()).unwrap_or(0.0);
-    thread::sleep(Duration::from_secs_f64(tokens / settings.tokens_per_ms / 1_000.0));
+    let tokens: f64 = usage
+        .split(',')
+        .next()
+        .and_then(|tokens| tokens.parse().ok())
+        .unwrap_or(0.0);
+    thread::sleep(Duration::from_secs_f64(
+        tokens / settings.tokens_per_ms / 1_000.0,
+    ));
     let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
     let crashes = parts.any(|part| part == settings.crashing);
+    let leaving = if IS_LEAVING.load(Ordering::Relaxed) {
+        "Server-Leaving: 1\r\n"
+    } else {
+        ""
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nPrimrosearch-Attempt-Id: {id}\r\nPrimrosearch-Response-Seal: {}.1\r\n\
+        "HTTP/1.1 200 OK\r\nPrimrosearch-Attempt-Id: {id}\r\nPrimrosearch-Response-Seal: {}.1\r\n{leaving}\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
         settings.id
     );
--- a/review/stand_ins_2/fleet.rs
+++ b/review/stand_ins_2/fleet.rs
@@ -49,13 +49,20 @@
         let mut file = self.file.lock().expect("not poisoned");
         let now = self.now_ms();
         writeln!(file, "{now:>7} {text}").expect("record.txt can be written");
-        self.lines.lock().expect("not poisoned").push((now, text.to_owned()));
+        self.lines
+            .lock()
+            .expect("not poisoned")
+            .push((now, text.to_owned()));
     }
 
     /// The lines that begin with `start`, with their times in ms.
     pub fn find(&self, start: &str) -> Vec<(u64, String)> {
         let lines = self.lines.lock().expect("not poisoned");
-        lines.iter().filter(|(_, line)| line.starts_with(start)).cloned().collect()
+        lines
+            .iter()
+            .filter(|(_, line)| line.starts_with(start))
+            .cloned()
+            .collect()
     }
 }
 
@@ -69,6 +76,17 @@
     pub slots: u32,
 }
 
+impl Listed {
+    /// The entry of the list.
+    fn entry(&self, state: &str) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\
+             \"cold_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"id\":\"{}\"}}",
+            self.service, self.address, self.zone, self.slots, self.id
+        )
+    }
+}
+
 /// How the servers behave.
 #[derive(Clone)]
 pub struct Behaviour {
@@ -89,6 +107,40 @@
     is_ending: Arc<AtomicBool>,
     folder: PathBuf,
     attempts: AtomicU64,
+    list: List,
+    pub servers: Vec<Listed>,
+    /// The inputs of the servers, in the same order.
+    inputs: Vec<Input>,
+}
+
+/// The input of a server that runs. The server ends when it is closed.
+type Input = Arc<Mutex<Option<ChildStdin>>>;
+
+/// The platform's list of servers.
+#[derive(Clone)]
+pub struct List {
+    /// Each as its bytes are on the page.
+    entries: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+impl List {
+    fn new(listed: &[Listed]) -> List {
+        let entries = listed
+            .iter()
+            .map(|one| one.entry("ready").into_bytes())
+            .collect();
+        List {
+            entries: Arc::new(Mutex::new(entries)),
+        }
+    }
+
+    fn page(&self) -> Vec<u8> {
+        let entries = self.entries.lock().expect("not poisoned");
+        let mut page = b"{\"instances\":[".to_vec();
+        page.extend(entries.join(&b','));
+        page.extend(b"],\"next\":null}");
+        page
+    }
 }
 
 impl Drop for Fleet {
@@ -99,7 +151,9 @@
             let _ = host.kill();
             let _ = host.wait();
         }
-        // The keepers of the servers end them.
+        for input in &self.inputs {
+            *input.lock().expect("not poisoned") = None;
+        }
         thread::sleep(Duration::from_millis(300));
         let _ = fs::remove_dir_all(&self.folder);
     }
@@ -118,10 +172,15 @@
 fn free_ports(addresses: &[Ipv4Addr]) -> Ports {
     let seed = std::process::id() as u16;
     for attempt in 0..200_u16 {
-        let base = 20_000 + (seed.wrapping_mul(37).wrapping_add(attempt.wrapping_mul(101)) % 10_000);
+        let base = 20_000
+            + (seed
+                .wrapping_mul(37)
+                .wrapping_add(attempt.wrapping_mul(101))
+                % 10_000);
         let is_free = |address: &Ipv4Addr| {
             (base..base + 24).all(|port| {
-                TcpListener::bind((*address, port)).is_ok() && UdpSocket::bind((*address, port)).is_ok()
+                TcpListener::bind((*address, port)).is_ok()
+                    && UdpSocket::bind((*address, port)).is_ok()
             })
         };
         if addresses.iter().all(is_free) {
@@ -173,11 +232,23 @@
             })
             .collect();
         let cloud = SocketAddrV4::new(platform, ports.cloud);
-        serve_list(cloud, listed.clone());
+        let list = List::new(&listed);
+        serve_list(cloud, list.clone());
+        let mut inputs = Vec::new();
         for one in &listed {
-            keep_server(one.clone(), behaviour.clone(), record.clone(), Arc::clone(&is_ending));
+            let input = Input::default();
+            inputs.push(Arc::clone(&input));
+            keep_server(
+                one.clone(),
+                behaviour.clone(),
+                record.clone(),
+                Arc::clone(&is_ending),
+                input,
+            );
         }
-        let seeds: Vec<SocketAddrV4> = (0..3).map(|at| SocketAddrV4::new(core(at), ports.control)).collect();
+        let seeds: Vec<SocketAddrV4> = (0..3)
+            .map(|at| SocketAddrV4::new(core(at), ports.control))
+            .collect();
         let mut hosts = Vec::new();
         for at in 0..3 {
             let settings = settings("core", at, core(at), &ports, &seeds, cloud, &folder);
@@ -189,13 +260,20 @@
         }
         let fleet = Fleet {
             record,
-            fronts: (0..entries).map(|at| SocketAddrV4::new(entry(at), ports.front)).collect(),
-            readies: (0..entries).map(|at| SocketAddrV4::new(entry(at), ports.ready)).collect(),
+            fronts: (0..entries)
+                .map(|at| SocketAddrV4::new(entry(at), ports.front))
+                .collect(),
+            readies: (0..entries)
+                .map(|at| SocketAddrV4::new(entry(at), ports.ready))
+                .collect(),
             controls: seeds,
             hosts,
             is_ending,
             folder,
             attempts: AtomicU64::new(0),
+            list,
+            servers: listed,
+            inputs,
         };
         if !fleet.put(config) || !fleet.wait_until_ready() {
             eprintln!("the fleet does not start");
@@ -211,7 +289,8 @@
         while Instant::now() < end {
             let mut readies = self.readies.iter();
             if readies.all(|ready| {
-                http::exchange(*ready, question, Duration::from_secs(1)).is_some_and(|answer| answer.status == 200)
+                http::exchange(*ready, question, Duration::from_secs(1))
+                    .is_some_and(|answer| answer.status == 200)
             }) {
                 self.record.write("all entry hosts are ready");
                 return true;
@@ -234,13 +313,22 @@
                     "PUT /-/config HTTP/1.1\r\nHost: c\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{config}",
                     config.len()
                 );
-                let Some(answer) = http::exchange(address, request.as_bytes(), Duration::from_secs(3)) else { break };
-                self.record.write(&format!("operator PUT at {address}: {}", answer.status));
+                let Some(answer) =
+                    http::exchange(address, request.as_bytes(), Duration::from_secs(3))
+                else {
+                    break;
+                };
+                self.record
+                    .write(&format!("operator PUT at {address}: {}", answer.status));
                 match answer.status {
                     200 => return true,
                     307 => {
                         let location = answer.head.get("location").unwrap_or_default();
-                        let target = location.trim_start_matches("http://").split('/').next().unwrap_or_default();
+                        let target = location
+                            .trim_start_matches("http://")
+                            .split('/')
+                            .next()
+                            .unwrap_or_default();
                         let Ok(target) = target.parse() else { break };
                         address = target;
                     }
@@ -253,17 +341,59 @@
         false
     }
 
+    /// Adds an entry of another writer to the list.
+    pub fn add_entry(&self, bytes: &[u8]) {
+        self.record.write(&format!(
+            "the list gets the entry {}",
+            String::from_utf8_lossy(bytes)
+        ));
+        self.list
+            .entries
+            .lock()
+            .expect("not poisoned")
+            .insert(0, bytes.to_vec());
+    }
+
+    /// A server leaves: it says so in all its answers, and the list shows from now on that it is draining.
+    pub fn drain(&self, server: &Listed) {
+        for (known, input) in self.servers.iter().zip(&self.inputs) {
+            if known.id == server.id
+                && let Some(input) = &mut *input.lock().expect("not poisoned")
+            {
+                input.write_all(b"leave\n").expect("the server runs");
+            }
+        }
+        self.record
+            .write(&format!("the list shows that {} is draining", server.id));
+        let (before, after) = (server.entry("ready"), server.entry("draining"));
+        for entry in self.list.entries.lock().expect("not poisoned").iter_mut() {
+            if *entry == before.as_bytes() {
+                *entry = after.clone().into_bytes();
+            }
+        }
+    }
+
     /// Whether all hosts still run.
     pub fn all_run(&mut self) -> bool {
-        self.hosts.iter_mut().all(|host| host.try_wait().is_ok_and(|end| end.is_none()))
+        self.hosts
+            .iter_mut()
+            .all(|host| host.try_wait().is_ok_and(|end| end.is_none()))
     }
 
     /// Sends one request at the entry host with this number, on a new connection, and records what comes back.
-    pub fn request(&self, kind: &str, at: usize, path: &str, parts: &str, tokens: &str) -> Option<u16> {
+    pub fn request(
+        &self,
+        kind: &str,
+        at: usize,
+        path: &str,
+        parts: &str,
+        tokens: &str,
+    ) -> Option<u16> {
         let number = self.attempts.fetch_add(1, Ordering::Relaxed);
         let id = format!("{kind}-{:06x}-{number}", std::process::id());
         let front = self.fronts[at % self.fronts.len()];
-        self.record.write(&format!("sent {id} to {front} parts {parts}"));
+        self.record
+            .write(&format!("sent {id} to {front} parts {parts}"));
         let text = format!(
             "POST {path} HTTP/1.1\r\nHost: review.example\r\nPrimrosearch-Attempt-Id: {id}\r\n\
              Primrosearch-Deadline-Ms: 8000\r\nPrimrosearch-Model: m\r\nPrimrosearch-Token-Usage: {tokens}\r\n\
@@ -273,13 +403,21 @@
         let mut line = format!("answer {id} ");
         match &answer {
             Some(answer) if answer.status == 200 => {
-                let end = if answer.is_complete { "whole" } else { "broken off" };
+                let end = if answer.is_complete {
+                    "whole"
+                } else {
+                    "broken off"
+                };
                 let _ = write!(line, "200 {end}");
             }
             Some(answer) => {
                 let code = String::from_utf8_lossy(&answer.body);
-                let _ = write!(line, "{} retry-after {} {code}", answer.status,
-                    answer.head.get("retry-after").unwrap_or("-"));
+                let _ = write!(
+                    line,
+                    "{} retry-after {} {code}",
+                    answer.status,
+                    answer.head.get("retry-after").unwrap_or("-")
+                );
             }
             None => line.push_str("none"),
         }
@@ -288,33 +426,25 @@
     }
 }
 
-/// Answers `GET /instances` with all servers on one page.
-fn serve_list(address: SocketAddrV4, listed: Vec<Listed>) {
+/// Answers `GET /instances` with all entries on one page.
+fn serve_list(address: SocketAddrV4, list: List) {
     let listener = TcpListener::bind(address).expect("the address of the platform is free");
-    let entries: Vec<String> = listed
-        .iter()
-        .map(|one| {
-            format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-                 \"state\":\"ready\",\"cold_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
-                 \"adapters\":[]}}],\"id\":\"{}\"}}",
-                one.service, one.address, one.zone, one.slots, one.id
-            )
-        })
-        .collect();
-    let body = format!("{{\"instances\":[{}],\"next\":null}}", entries.join(","));
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let body = body.clone();
+            let list = list.clone();
             thread::spawn(move || {
                 let mut rest = Vec::new();
                 while let Ok(Some(head)) = http::read_head(&mut stream, std::mem::take(&mut rest)) {
                     rest = head.rest;
+                    let page = list.page();
                     let text = format!(
-                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-                        body.len()
+                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                        page.len()
                     );
-                    if stream.write_all(text.as_bytes()).is_err() {
+                    if stream
+                        .write_all(&[text.as_bytes(), &page].concat())
+                        .is_err()
+                    {
                         return;
                     }
                 }
@@ -324,28 +454,34 @@
 }
 
 /// Runs a server, and starts it again some seconds after each end.
-fn keep_server(one: Listed, behaviour: Behaviour, record: Record, is_ending: Arc<AtomicBool>) {
+fn keep_server(
+    one: Listed,
+    behaviour: Behaviour,
+    record: Record,
+    is_ending: Arc<AtomicBool>,
+    input: Input,
+) {
     let program = std::env::current_exe().expect("the path of this program");
     thread::spawn(move || {
         while !is_ending.load(Ordering::Relaxed) {
             let mut server = Command::new(&program)
-                .args(["server", &one.address.to_string(), &one.id, &behaviour.crashing])
-                .args([&behaviour.tokens_per_ms.to_string(), &behaviour.events.to_string()])
+                .args([
+                    "server",
+                    &one.address.to_string(),
+                    &one.id,
+                    &behaviour.crashing,
+                ])
+                .args([
+                    &behaviour.tokens_per_ms.to_string(),
+                    &behaviour.events.to_string(),
+                ])
                 .arg(behaviour.pause_ms.to_string())
                 .stdin(Stdio::piped())
                 .stdout(Stdio::piped())
                 .spawn()
                 .expect("a server starts");
-            let input: ChildStdin = server.stdin.take().expect("piped");
+            *input.lock().expect("not poisoned") = server.stdin.take();
             let output = server.stdout.take().expect("piped");
-            let ended = Arc::clone(&is_ending);
-            thread::spawn(move || {
-                while !ended.load(Ordering::Relaxed) {
-                    thread::sleep(Duration::from_millis(50));
-                }
-                // The server ends when its input is closed.
-                drop(input);
-            });
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 record.write(&format!("{line} server {}", one.id));
             }
@@ -361,7 +497,8 @@
 fn start(role: &str, at: usize, settings: &str, folder: &Path) -> Child {
     let path = folder.join(format!("{role}-{at}.yaml"));
     fs::write(&path, settings).expect("the settings can be written");
-    let log = File::create(folder.join(format!("{role}-{at}.log"))).expect("the log can be written");
+    let log =
+        File::create(folder.join(format!("{role}-{at}.log"))).expect("the log can be written");
     // The command of the deploy file, from the root of the repository.
     Command::new("target/release/primrose-platform")
         .args([role, "--placing", "deploy/placing.yaml"])
@@ -397,7 +534,10 @@
         (
             "front",
             "front",
-            format!("  front: \"{address}:{}\"\n  ready: \"{address}:{}\"\n", ports.front, ports.ready),
+            format!(
+                "  front: \"{address}:{}\"\n  ready: \"{address}:{}\"\n",
+                ports.front, ports.ready
+            ),
             "  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\n",
             "null".to_owned(),
         )
--- a/review/stand_ins_2/http.rs
+++ b/review/stand_ins_2/http.rs
@@ -15,7 +15,9 @@
     /// The value of a header, whose name is given in lower case.
     pub fn get(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(known, _)| known == name).map(|(_, value)| &**value)
+        headers
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| &**value)
     }
 }
 
@@ -32,7 +34,11 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.trim().to_ascii_lowercase(), value.trim().to_owned()))
                 .collect();
-            return Ok(Some(Head { start, headers, rest: bytes.split_off(end + 4) }));
+            return Ok(Some(Head {
+                start,
+                headers,
+                rest: bytes.split_off(end + 4),
+            }));
         }
         match stream.read(&mut buffer)? {
             0 => return Ok(None),
@@ -42,7 +48,11 @@
 }
 
 /// Reads a body of this length and returns what follows it.
-pub fn read_body(stream: &mut TcpStream, mut rest: Vec<u8>, length: usize) -> io::Result<(Vec<u8>, Vec<u8>)> {
+pub fn read_body(
+    stream: &mut TcpStream,
+    mut rest: Vec<u8>,
+    length: usize,
+) -> io::Result<(Vec<u8>, Vec<u8>)> {
     let mut buffer = [0; 16 << 10];
     while rest.len() < length {
         match stream.read(&mut buffer)? {
@@ -66,13 +76,16 @@
 /// Sends a request on a new connection and reads the whole answer. `None` if there is no whole head in time.
 pub fn exchange(address: SocketAddrV4, request: &[u8], limit: Duration) -> Option<Answer> {
     let end = Instant::now() + limit;
-    let mut stream = TcpStream::connect_timeout(&address.into(), limit.min(Duration::from_secs(1))).ok()?;
+    let mut stream =
+        TcpStream::connect_timeout(&address.into(), limit.min(Duration::from_secs(1))).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     stream.write_all(request).ok()?;
     let head = read_head(&mut stream, Vec::new()).ok()??;
     let status = head.start.split(' ').nth(1)?.parse().ok()?;
-    let length: Option<usize> = head.get("content-length").and_then(|value| value.parse().ok());
+    let length: Option<usize> = head
+        .get("content-length")
+        .and_then(|value| value.parse().ok());
     let mut body = head.rest.clone();
     let mut buffer = [0; 16 << 10];
     let is_whole = |body: &[u8]| match length {
@@ -89,5 +102,10 @@
             Ok(count) => body.extend_from_slice(&buffer[..count]),
         }
     }
-    Some(Answer { status, is_complete: is_whole(&body), body, head })
+    Some(Answer {
+        status,
+        is_complete: is_whole(&body),
+        body,
+        head,
+    })
 }
