review: after a restart nothing is served while the list has an entry that breaks off

Cause: entries are split by quotes and brackets, so the whole page is refused, and a restarted fleet has no earlier list. Change: the script of case 10 restarts all hosts with such an entry on the list.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/release/primrose-platform ] && [ -x target/review-2/stand-ins ] || exit 2
-exec target/review-2/stand-ins case list-with-a-broken-entry "$folder"
+exec target/review-2/stand-ins case restart-with-a-broken-entry "$folder"
--- a/review/stand_ins_2/cases.rs
+++ b/review/stand_ins_2/cases.rs
@@ -15,6 +15,7 @@
         "crashing-part-when-quiet" => crashing_part_when_quiet(&record, has_trouble),
         "crashing-part-of-long-prompts" => crashing_part_of_long_prompts(&record, has_trouble),
         "list-with-a-broken-entry" => list_with_a_broken_entry(&record, has_trouble),
+        "restart-with-a-broken-entry" => restart_with_a_broken_entry(&record, has_trouble),
         "sound-parts-refused" => sound_parts_refused(&record, has_trouble),
         _ => {
             eprintln!("unknown case {name}");
@@ -46,7 +47,7 @@
     for one in work {
         let _ = one.join();
     }
-    let Ok(mut fleet) = Arc::try_unwrap(fleet) else {
+    let Ok(fleet) = Arc::try_unwrap(fleet) else {
         return false;
     };
     fleet.all_run()
@@ -351,3 +352,63 @@
     }
     i32::from(late > 0)
 }
+
+/// RECOVER: of the requests sent later than `recovery_s` after the machines are back, less than a quarter is served.
+///
+/// The disruptions: the list contains an entry of another writer whose bytes break off, and all processes are killed.
+fn restart_with_a_broken_entry(record: &Record, has_trouble: bool) -> i32 {
+    const RECOVERY_MS: u64 = 12_000;
+    let behaviour = Behaviour {
+        crashing: "-".to_owned(),
+        tokens_per_ms: 93.0,
+        events: 5,
+        pause_ms: 40,
+    };
+    let fleet = Fleet::open(record.clone(), ENTRIES, &SERVERS, &behaviour, &config(7));
+    let fleet = Arc::new(fleet);
+    thread::sleep(Duration::from_millis(STABLE_WINDOW_MS + 1_000));
+    let start = Instant::now();
+    let mut work = Vec::new();
+    for number in 0..400_u64 {
+        let at = number as usize;
+        work.push(spawn(&fleet, move |fleet| {
+            sleep_until(start, number * 100);
+            let parts = format!(
+                "5a5a{:04x}:350,{:08x}:200",
+                number % 40,
+                0x6000_0000 + number
+            );
+            fleet.request("short", at, "/plan/b", &parts, "550,60");
+        }));
+    }
+    sleep_until(start, 5_000);
+    if has_trouble {
+        fleet.add_entry(b"{\"service\":\"llm\",\"address\":\"127.0.0.1:80\",\"zone\":\"gas");
+    }
+    sleep_until(start, 10_000);
+    let killed = record.now_ms();
+    fleet.kill_hosts();
+    thread::sleep(Duration::from_secs(1));
+    fleet.start_hosts(false);
+    let back = record.now_ms();
+    let all_run = close(fleet, work);
+    let (sent, answers) = (record.find("sent short-"), record.find("answer short-"));
+    let share = |from: u64, until: u64| {
+        let asked = sent.iter().filter(|(at, _)| (from..until).contains(at));
+        let asked: Vec<&str> = asked.map(|(_, line)| id_of(line)).collect();
+        let is_served = |id: &&&str| {
+            let mut answers = answers.iter();
+            answers.any(|(_, line)| id_of(line) == **id && line.ends_with("200 whole"))
+        };
+        (asked.iter().filter(is_served).count(), asked.len())
+    };
+    let (before, asked_before) = share(0, killed);
+    let (after, asked_after) = share(back + RECOVERY_MS, u64::MAX);
+    record.write(&format!(
+        "served {before} of {asked_before} before, {after} of {asked_after} from {RECOVERY_MS} ms after all were back on"
+    ));
+    if !all_run || before * 4 < asked_before || asked_after < 20 {
+        return 2;
+    }
+    i32::from(after * 4 < asked_after)
+}
--- a/review/stand_ins_2/fleet.rs
+++ b/review/stand_ins_2/fleet.rs
@@ -103,7 +103,9 @@
     pub fronts: Vec<SocketAddrV4>,
     readies: Vec<SocketAddrV4>,
     controls: Vec<SocketAddrV4>,
-    hosts: Vec<Child>,
+    hosts: Mutex<Vec<Child>>,
+    /// The role, the number and the settings of each host.
+    settings: Vec<(&'static str, usize, String)>,
     is_ending: Arc<AtomicBool>,
     folder: PathBuf,
     attempts: AtomicU64,
@@ -146,11 +148,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.is_ending.store(true, Ordering::Relaxed);
-        for host in &mut self.hosts {
-            // It may have ended already.
-            let _ = host.kill();
-            let _ = host.wait();
-        }
+        self.kill_hosts();
         for input in &self.inputs {
             *input.lock().expect("not poisoned") = None;
         }
@@ -249,14 +247,14 @@
         let seeds: Vec<SocketAddrV4> = (0..3)
             .map(|at| SocketAddrV4::new(core(at), ports.control))
             .collect();
-        let mut hosts = Vec::new();
+        let mut settings = Vec::new();
         for at in 0..3 {
-            let settings = settings("core", at, core(at), &ports, &seeds, cloud, &folder);
-            hosts.push(start("core", at, &settings, &folder));
+            let text = settings_text("core", at, core(at), &ports, &seeds, cloud, &folder);
+            settings.push(("core", at, text));
         }
         for at in 0..entries {
-            let settings = settings("entry", at, entry(at), &ports, &seeds, cloud, &folder);
-            hosts.push(start("entry", at, &settings, &folder));
+            let text = settings_text("entry", at, entry(at), &ports, &seeds, cloud, &folder);
+            settings.push(("entry", at, text));
         }
         let fleet = Fleet {
             record,
@@ -267,7 +265,8 @@
                 .map(|at| SocketAddrV4::new(entry(at), ports.ready))
                 .collect(),
             controls: seeds,
-            hosts,
+            hosts: Mutex::default(),
+            settings,
             is_ending,
             folder,
             attempts: AtomicU64::new(0),
@@ -275,6 +274,7 @@
             servers: listed,
             inputs,
         };
+        fleet.start_hosts(true);
         if !fleet.put(config) || !fleet.wait_until_ready() {
             eprintln!("the fleet does not start");
             drop(fleet);
@@ -283,6 +283,29 @@
         fleet
     }
 
+    /// Starts all hosts. `is_first` tells whether the whole system starts for the first time.
+    pub fn start_hosts(&self, is_first: bool) {
+        let mut hosts = self.hosts.lock().expect("not poisoned");
+        for (role, at, text) in &self.settings {
+            let text = text.replace("bootstrap: true", &format!("bootstrap: {is_first}"));
+            hosts.push(start(role, *at, &text, &self.folder));
+        }
+        self.record.write("all hosts are started");
+    }
+
+    /// Kills all hosts at the same moment.
+    pub fn kill_hosts(&self) {
+        let mut hosts = self.hosts.lock().expect("not poisoned");
+        for host in hosts.iter_mut() {
+            // It may have ended already.
+            let _ = host.kill();
+        }
+        for mut host in hosts.drain(..) {
+            let _ = host.wait();
+        }
+        self.record.write("all hosts are killed");
+    }
+
     fn wait_until_ready(&self) -> bool {
         let end = Instant::now() + Duration::from_secs(20);
         let question = b"GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n";
@@ -374,8 +397,9 @@
     }
 
     /// Whether all hosts still run.
-    pub fn all_run(&mut self) -> bool {
-        self.hosts
+    pub fn all_run(&self) -> bool {
+        let mut hosts = self.hosts.lock().expect("not poisoned");
+        hosts
             .iter_mut()
             .all(|host| host.try_wait().is_ok_and(|end| end.is_none()))
     }
@@ -510,7 +534,7 @@
         .expect("target/release/primrose-platform starts")
 }
 
-fn settings(
+fn settings_text(
     role: &str,
     at: usize,
     address: Ipv4Addr,
