place: Decide on crashes before the next placement, whenever it comes

Callers: in a quiet hour a prompt part that crashes servers was never found.

Cause: a placer looked for the part only if it had been asked for a server within the last second, which the request that crashed the server had not been after a prefill of 1.5 s. The evidence was recorded and not looked at again. Evidence: the entry hosts reported each crash; that the core hosts got the reports is now logged and counted (crash_reported).

Ruled out: missing suspects (assignments are kept until the deadline and 2 s more) and lost reports (each crash went to three core hosts).

Change: crashes are kept with their suspects until the register has looked for their cause. The leader looks at once, any other placer before it answers the next placement request, which is when it is in charge again. A further report of a known crash adds its suspects and is looked at too.

--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -356,6 +356,8 @@
         let key = demand.key;
         self.send(source, &Packet::Decision { key, decision });
         self.report_crossing();
+        let found = self.placer.take_quarantined();
+        self.report_quarantined(&found);
     }
 
     fn explain(&self, demand: &Demand) -> Option<Explanation> {
@@ -455,10 +457,22 @@
     }
 
     fn record_crash(&mut self, now: Time, server: &str) {
-        if let Some(notice) = self.placer.record_crash(now, server) {
+        // Entry hosts ask the leader first. In a quiet hour, no request shows it.
+        self.placer.set_first(self.state.borrow().is_leading);
+        self.inputs.meter.count("crash_reported");
+        let found = self.placer.record_crash(now, server);
+        info!(self.inputs.log, "a backend server is reported to have crashed"; "server" => server,
+            "suspected_parts" => self.placer.suspected_parts());
+        self.report_quarantined(found.as_slice());
+    }
+
+    fn report_quarantined(&mut self, found: &[Notice]) {
+        for notice in found {
             self.inputs.meter.count("part_quarantined");
             warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
-                "parts" => notice.parts(), "server" => server, "remaining_ms" => notice.remaining_ms);
+                "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
+        }
+        if !found.is_empty() {
             self.send_status_to_all();
         }
     }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -95,8 +95,8 @@
 /// next trough of the load comes too late.
 const MIN_TIMEOUT_OBJECTIVES: u64 = 5;
 
-/// A placer that was asked for a server within this time knows all requests, in ms. Another one may have missed
-/// reports, and does not decide which part has crashed a server.
+/// A placer that was asked for a server within this time knows all requests, in ms. Another one may have missed reports.
+/// It neither learns figures nor decides which part has crashed a server until it is asked.
 const IN_CHARGE_MS: u64 = 1_000;
 
 /// Why a request was refused.
@@ -318,6 +318,10 @@
     /// Empty unless the settings turn waiting on.
     queue: Queue,
     quarantine: quarantine::Register,
+    /// The parts that [`Placer::place`] has quarantined.
+    found: Vec<Notice>,
+    /// Whether entry hosts ask this placer first.
+    is_first: bool,
     warming: warmup::Register,
     /// In the order of their ends; at most [`MAX_BROKEN`].
     broken: Vec<Broken>,
@@ -423,6 +427,8 @@
             refusals: Refusals::default(),
             queue: Queue::default(),
             quarantine: quarantine::Register::default(),
+            found: Vec::new(),
+            is_first: false,
             warming: warmup::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
@@ -648,6 +654,10 @@
     /// Chooses a server and assigns the request to it, lets it wait, or refuses it.
     pub fn place(&mut self, now: Time, demand: &Demand) -> Decision {
         self.begin(now, demand);
+        // A crash may have been reported while this placer was not asked for servers, or before it was.
+        while let Some(notice) = self.quarantine.decide(now) {
+            self.found.push(notice);
+        }
         if let Some(refusal) = self.quarantined(now, demand) {
             self.queue.remove(demand.key);
             return refusal;
@@ -964,8 +974,23 @@
         self.quarantine.merge(now, notices)
     }
 
+    /// Number of prompt parts that may have crashed servers.
+    pub fn suspected_parts(&self) -> usize {
+        self.quarantine.suspected()
+    }
+
+    /// Returns the prompt parts that were quarantined by a call of [`Placer::place`] since the last call of this.
+    pub fn take_quarantined(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.found)
+    }
+
+    /// Sets whether this placer is the one that entry hosts ask first, even if no request comes.
+    pub fn set_first(&mut self, is_first: bool) {
+        self.is_first = is_first;
+    }
+
     /// Records that the server with the id `server` has ended without notice. Returns the notice of a prompt part that is
-    /// quarantined because of it.
+    /// quarantined because of it. Unless this placer is asked for servers, it decides when it is next.
     pub fn record_crash(&mut self, now: Time, server: &str) -> Option<Notice> {
         self.record_broken(now, server);
         let at = self.server_index(server).ok()?;
@@ -991,7 +1016,7 @@
             servers: self.servers.iter().filter(in_pool).count(),
             suspects: open.chain(broken).collect(),
         };
-        let is_in_charge = now.since(self.last_asked) < IN_CHARGE_MS;
+        let is_in_charge = self.is_first || now.since(self.last_asked) < IN_CHARGE_MS;
         self.quarantine.record_crash(now, &crash, is_in_charge)
     }
 
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -174,7 +174,7 @@
 }
 
 /// A request on a crashed server whose answer had at most just begun.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspect {
     /// The shared parts of its prompt, sorted.
     pub keys: Vec<Key>,
@@ -187,10 +187,12 @@
 struct Past {
     number: u64,
     at: Time,
-    server: Arc<str>,
-    pool: Arc<str>,
+    /// Without suspects once they are no longer needed.
+    crash: Crash,
     /// Whether a quarantined part was on the server.
     is_explained: bool,
+    /// Whether the register has looked for the part that caused it, with all suspects that are known.
+    is_decided: bool,
 }
 
 /// A part that was in crashes and has not been cleared.
@@ -325,53 +327,78 @@
         }
     }
 
-    /// Records a crash. Returns the notice of a part that is quarantined because of it. If this register has an incomplete
-    /// view of the requests, `decides` is false, and no part is.
+    /// Records a crash, or further suspects of one that is known. Returns the notice of a part that is quarantined because
+    /// of it. If this register may have an incomplete view of the requests, `decides` is false, and no part is until
+    /// [`Register::decide`] is called.
     pub fn record_crash(&mut self, now: Time, crash: &Crash, decides: bool) -> Option<Notice> {
         self.clear_begun(now);
         self.begun.retain(|begun| begun.server != crash.server);
         self.forget(now);
-        let is_known = self
-            .past
-            .iter()
-            .any(|past| past.server == crash.server && now.since(past.at) < SAME_CRASH_MS);
-        if is_known {
-            return None;
-        }
+        let known = self.past.iter().rposition(|past| {
+            past.crash.server == crash.server && now.since(past.at) < SAME_CRASH_MS
+        });
+        let known = match known {
+            Some(at) if self.past[at].is_explained => return None,
+            Some(at) => at,
+            None => {
+                self.crashes += 1;
+                self.past.push(Past {
+                    number: self.crashes,
+                    at: now,
+                    crash: Crash {
+                        suspects: Vec::new(),
+                        ..crash.clone()
+                    },
+                    is_explained: false,
+                    is_decided: false,
+                });
+                let excess = self.past.len().saturating_sub(MAX_PAST);
+                self.past.drain(..excess);
+                self.past.len() - 1
+            }
+        };
         let explanation = self.entries.iter_mut().find(|entry| {
             let mut suspects = crash.suspects.iter();
             suspects.any(|suspect| entry.matches(&suspect.keys))
         });
-        let is_explained = explanation.is_some();
-        let mut repeated = None;
-        if let Some(entry) = explanation
-            && !entry.is_active(now)
-        {
-            entry.until = now.plus_ms(QUARANTINE_MS);
-            repeated = Some(Notice {
-                keys: entry.keys.clone(),
-                remaining_ms: QUARANTINE_MS,
+        if let Some(entry) = explanation {
+            let repeated = (!entry.is_active(now)).then(|| {
+                entry.until = now.plus_ms(QUARANTINE_MS);
+                Notice {
+                    keys: entry.keys.clone(),
+                    remaining_ms: QUARANTINE_MS,
+                }
             });
-        }
-        self.crashes += 1;
-        self.past.push(Past {
-            number: self.crashes,
-            at: now,
-            server: Arc::clone(&crash.server),
-            pool: Arc::clone(&crash.pool),
-            is_explained,
-        });
-        let excess = self.past.len().saturating_sub(MAX_PAST);
-        self.past.drain(..excess);
-        if is_explained {
+            let number = self.past[known].number;
+            self.exonerate(&[number]);
             return repeated;
         }
-        self.suspect(now, crash);
-        if decides {
-            self.decide(now, crash)
-        } else {
-            None
+        let past = &mut self.past[known];
+        let is_new = |suspect: &&Suspect| !past.crash.suspects.contains(suspect);
+        let new: Vec<Suspect> = crash.suspects.iter().filter(is_new).cloned().collect();
+        if !new.is_empty() {
+            past.is_decided = false;
+            past.crash.suspects.extend_from_slice(&new);
+            let (number, at) = (past.number, past.at);
+            self.suspect(number, at, crash.address, &new);
         }
+        if decides { self.decide(now) } else { None }
+    }
+
+    /// Looks for the part that caused the crashes for which this was not done yet. The caller must have a complete view of
+    /// the requests. Returns the notice of a part that is quarantined; there may be more.
+    pub fn decide(&mut self, now: Time) -> Option<Notice> {
+        while let Some(past) = self.past.iter_mut().find(|past| !past.is_decided) {
+            past.is_decided = true;
+            if past.is_explained {
+                continue;
+            }
+            let crash = past.crash.clone();
+            if let Some(notice) = self.find_cause(now, &crash) {
+                return Some(notice);
+            }
+        }
+        None
     }
 
     /// Number of parts that are suspected.
@@ -379,14 +406,14 @@
         self.suspicions.len()
     }
 
-    /// Adds a hit to all parts that may have caused the crash that was recorded last.
-    fn suspect(&mut self, now: Time, crash: &Crash) {
-        for suspect in &crash.suspects {
+    /// Adds a hit to all parts that may have caused a crash.
+    fn suspect(&mut self, crash: u64, at: Time, address: SocketAddrV4, suspects: &[Suspect]) {
+        for suspect in suspects {
             for &key in &suspect.keys {
                 let hit = Hit {
-                    crash: self.crashes,
-                    at: now,
-                    address: crash.address,
+                    crash,
+                    at,
+                    address,
                     assigned: suspect.assigned,
                 };
                 match self.position(&key) {
@@ -397,12 +424,13 @@
                         };
                         self.suspicions.insert(at, suspicion);
                     }
-                    Ok(at) => match self.suspicions[at].hits.last_mut() {
-                        Some(last) if last.crash == hit.crash => {
-                            last.assigned = last.assigned.max(hit.assigned);
+                    Ok(at) => {
+                        let hits = &mut self.suspicions[at].hits;
+                        match hits.binary_search_by_key(&crash, |hit| hit.crash) {
+                            Ok(at) => hits[at].assigned = hits[at].assigned.max(hit.assigned),
+                            Err(at) => hits.insert(at, hit),
                         }
-                        _ => self.suspicions[at].hits.push(hit),
-                    },
+                    }
                 }
             }
         }
@@ -420,8 +448,8 @@
         }
     }
 
-    /// Quarantines the part, or the group of parts, that explains the most crashes, if the evidence is sufficient.
-    fn decide(&mut self, now: Time, crash: &Crash) -> Option<Notice> {
+    /// Quarantines the part, or the group of parts, that explains the most crashes of a pool, if the evidence is sufficient.
+    fn find_cause(&mut self, now: Time, crash: &Crash) -> Option<Notice> {
         let pool = FixedState::default().hash_one(&*crash.pool);
         let suspicions = self.suspicions.iter();
         let suspicions: Vec<&Suspicion> = suspicions
@@ -477,17 +505,19 @@
         let is_enough =
             count >= CRASHES && addresses.len() >= min_servers || count >= CRASHES_OF_ANY_SERVER;
         let first = hits.first().map_or(0, |hit| hit.crash);
-        let since = self
-            .past
-            .iter()
-            .filter(|past| past.pool == crash.pool && past.number >= first && !past.is_explained);
+        let since = self.past.iter().filter(|past| {
+            past.crash.pool == crash.pool && past.number >= first && !past.is_explained
+        });
         is_enough && since.count() <= hits.len() * MAX_CRASHES_PER_HIT
     }
 
     /// Removes crashes that a quarantined part explains from the suspicions against all parts.
     fn exonerate(&mut self, explained: &[u64]) {
         for past in &mut self.past {
-            past.is_explained |= explained.contains(&past.number);
+            if explained.contains(&past.number) {
+                past.is_explained = true;
+                past.crash.suspects = Vec::new();
+            }
         }
         self.suspicions.retain_mut(|suspicion| {
             suspicion.hits.retain(|hit| !explained.contains(&hit.crash));
@@ -549,6 +579,11 @@
     /// Forgets crashes and quarantines that ended long ago.
     fn forget(&mut self, now: Time) {
         self.past.retain(|past| now.since(past.at) < MEMORY_MS);
+        for past in &mut self.past {
+            if past.is_decided && now.since(past.at) >= SAME_CRASH_MS {
+                past.crash.suspects = Vec::new();
+            }
+        }
         let oldest = self.past.first().map_or(u64::MAX, |past| past.number);
         self.suspicions.retain_mut(|suspicion| {
             suspicion.hits.retain(|hit| hit.crash >= oldest);
--- a/crates/place/tests/quarantine.rs
+++ b/crates/place/tests/quarantine.rs
@@ -532,6 +532,93 @@
     }
 }
 
+/// Sends requests with the part 9 one by one to a placer that is not asked for any other one. Each ends its server after
+/// `prefill_ms`. Returns how many were sent until one was refused, at most 9.
+fn crash_in_quiet(placer: &mut Placer, prefill_ms: u64, shared: &[u64], is_reported: bool) -> u64 {
+    let mut now = Time::from_ms(10_000);
+    for number in 0..9 {
+        now = now.plus_ms(60_000);
+        let deadly = demand(number, shared);
+        let Decision::Place { server, .. } = placer.place(now, &deadly) else {
+            return number;
+        };
+        now = now.plus_ms(prefill_ms);
+        if is_reported {
+            placer.record_crash(now, &server.id);
+        }
+        placer.record_end(now, deadly.key, Outcome::Answered { failed: true });
+        if !is_reported {
+            placer.record_crash(now.plus_ms(400), &server.id);
+        }
+    }
+    9
+}
+
+// In a quiet hour no other request comes while a server reads a long prompt. The host that was asked for the request did
+// not decide what had crashed the server, and a crashing part was never found.
+#[test_case(1_500, true ; "crash reported first")]
+#[test_case(1_500, false ; "end reported first")]
+#[test_case(4_900, true ; "long prompt")]
+fn part_that_crashes_servers_in_a_quiet_hour_is_found(prefill_ms: u64, is_reported: bool) {
+    let sent = crash_in_quiet(&mut placer(), prefill_ms, &[9], is_reported);
+    assert_eq!(sent, 3);
+}
+
+// A host that takes the place of another one has the reports but was never asked. What it knows decides before it is asked
+// for the next request.
+#[test]
+fn successor_decides_on_reports_of_before() {
+    let (mut successor, mut now) = (placer(), Time::from_ms(10_000));
+    for number in 1..=3 {
+        now = now.plus_ms(5_000);
+        let deadly = demand(number, &[9]);
+        let server = format!("engine-0{number}");
+        successor.record_assignment(now, &deadly, &server);
+        now = now.plus_ms(1_500);
+        assert_eq!(successor.record_crash(now, &server), None);
+        successor.record_end(now, deadly.key, Outcome::Answered { failed: true });
+    }
+    let decision = successor.place(now.plus_ms(60_000), &demand(90, &[8, 9]));
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+    let found = successor.take_quarantined();
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].parts(), "9");
+    assert!(successor.take_quarantined().is_empty());
+}
+
+// The leader is the one that entry hosts ask first. It decides at once, so that the other hosts know the part if the leader
+// is lost before the next request.
+#[test]
+fn leader_decides_without_a_request() {
+    let (mut leader, mut now) = (placer(), Time::from_ms(10_000));
+    leader.set_first(true);
+    let mut found = None;
+    for number in 1..=3 {
+        now = now.plus_ms(5_000);
+        let server = format!("engine-0{number}");
+        leader.record_assignment(now, &demand(number, &[9]), &server);
+        now = now.plus_ms(1_500);
+        assert_eq!(found, None);
+        found = leader.record_crash(now, &server);
+    }
+    assert_eq!(found.expect("a part is found").parts(), "9");
+}
+
+// Another host may report a crash before the host that sent the crashing request does. Its requests are not known then.
+#[test]
+fn suspects_that_are_reported_later_count() {
+    let mut scene = Scene::new();
+    for server in 1..=3 {
+        scene.wait(1_100);
+        assert_eq!(scene.crash(server, &[&[u64::from(server)]]), None);
+        scene.wait(30);
+        let own = [u64::from(server)];
+        let notice = scene.crash(server, &[&own, &[9, 20 + u64::from(server)]]);
+        assert_eq!(notice.is_some(), server == 3);
+    }
+    assert!(scene.is_refused(&[9]) && !scene.is_refused(&[1, 2, 3]));
+}
+
 // The last part belongs to one request alone. One that is the last part of one prompt and a shared part of others must not
 // be refused there, since it is not what a server is ended by.
 #[test]
