place: End wrong quarantines by an answer, and try one request at a time

No caller has reported them.

- A crash with another cause, or one whose report lacked the crashing request, made a shared part explain more crashes than the crashing one, and it was refused alone.
Parts of the same request that one crash lacks now belong to the group.
- Nothing ended a wrong quarantine before its ten minutes.
Now an answer does to a request that was assigned after the first crash.
Hosts tell each other of it, so that none brings the quarantine back.
- After ten minutes all refused requests were sent at once, and each ended a server.
- A part of which one request comes in an hour was never found, since a crash was forgotten after ten minutes.

The users' rule has no end of the time for which few requests with such a part may reach servers.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -18,7 +18,7 @@
 use primrose_observe::Meter;
 use primrose_place::demand::{Demand, Key};
 use primrose_place::placer::Decision;
-use primrose_place::quarantine::list::Notice;
+use primrose_place::quarantine::list::Record;
 use primrose_place::{Placer, Settings, placer};
 use primrose_route::{Document, Table};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
@@ -214,6 +214,7 @@
     });
     // Nor can it learn figures: the requests of other hosts delay its own. It uses those of the statuses.
     placer.set_figures(&[]);
+    placer.set_without_trials();
     let link = Link {
         incarnation,
         schedule,
@@ -251,10 +252,10 @@
     Document(Option<Arc<Document>>),
     /// A directory, with the time when its list was read.
     Directory(Option<(Arc<Directory>, Time)>),
-    /// The prompt parts that a core host knows to be quarantined.
+    /// What a core host knows of quarantined prompt parts.
     Quarantine {
         host: Name,
-        notices: Option<Vec<Notice>>,
+        record: Option<Record>,
     },
 }
 
@@ -651,8 +652,8 @@
         self.exchange_quarantine(now, at, digest);
     }
 
-    fn merge_quarantine(&mut self, now: Time, notices: &[Notice]) {
-        for notice in self.placer.merge_quarantine(now, notices) {
+    fn merge_quarantine(&mut self, now: Time, record: &Record) {
+        for notice in self.placer.merge_quarantine(now, record) {
             warn!(self.inputs.log, "requests with these prompt parts crash servers and are refused";
                 "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
         }
@@ -666,13 +667,13 @@
             return;
         }
         self.inputs.meter.count("quarantine_exchanged");
-        let notices = self.placer.quarantine_notices(now);
+        let record = self.placer.quarantine_record(now);
         let (links, events) = (self.links.clone(), self.events.clone());
         let (host, address) = (core.host.clone(), core.address);
         tokio::spawn(async move {
-            let notices = peers::exchange_quarantine(&links, address, notices).await;
+            let record = peers::exchange_quarantine(&links, address, record).await;
             // The task ends only with the process.
-            let _ = events.send(Event::Quarantine { host, notices }).await;
+            let _ = events.send(Event::Quarantine { host, record }).await;
         });
     }
 
@@ -702,7 +703,11 @@
         let is_known = known.is_some_and(|status| status.quarantine.digest == summary.digest);
         let hello = Packet::Hello {
             stamp: Stamp::now(self.incarnation),
-            quarantine: if is_known { Vec::new() } else { summary.latest },
+            quarantine: if is_known {
+                Record::default()
+            } else {
+                summary.latest
+            },
             capacity: self.inputs.capacity,
         };
         self.send(core.address, &hello);
@@ -760,11 +765,11 @@
                         .send_replace(Some(Arc::new(Table::new(document))));
                 }
             }
-            Event::Quarantine { host, notices } => {
+            Event::Quarantine { host, record } => {
                 if let Ok(at) = self.find(&host) {
                     self.core_hosts[at].exchange.end();
                 }
-                self.merge_quarantine(Time::now(), &notices.unwrap_or_default());
+                self.merge_quarantine(Time::now(), &record.unwrap_or_default());
             }
             Event::Directory(None) => self.is_fetching_directory = false,
             Event::Directory(Some((directory, read))) => {
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -11,7 +11,7 @@
 use primrose_observe::Meter;
 use primrose_place::explain::Report;
 use primrose_place::placer::{Decision, Reason};
-use primrose_place::quarantine::list::Notice;
+use primrose_place::quarantine::list::{Notice, Record};
 use primrose_place::warmup::{self, Bound};
 use primrose_place::{Demand, Placer, Server, Settings, drained};
 use primrose_wire::datagram::{self, MAX_DATAGRAM_BYTES};
@@ -204,11 +204,8 @@
         server: Arc<str>,
         parts: Result<Vec<(u64, u32)>, ReadError>,
     },
-    /// Another core host has answered with the prompt parts that it knows to be quarantined, or did not answer.
-    Quarantine {
-        host: Name,
-        notices: Option<Vec<Notice>>,
-    },
+    /// Another core host has answered with what it knows of quarantined prompt parts, or did not answer.
+    Quarantine { host: Name, record: Option<Record> },
     /// Asks where a request would go.
     Explain {
         demand: Demand,
@@ -503,8 +500,8 @@
         }
     }
 
-    fn merge_quarantine(&mut self, notices: &[Notice]) {
-        for notice in self.placer.merge_quarantine(Time::now(), notices) {
+    fn merge_quarantine(&mut self, record: &Record) {
+        for notice in self.placer.merge_quarantine(Time::now(), record) {
             warn!(self.inputs.log, "another host refuses requests with these prompt parts";
                 "parts" => notice.parts(), "remaining_ms" => notice.remaining_ms);
         }
@@ -589,10 +586,10 @@
 
     fn answer(&mut self, question: Question) {
         match question {
-            Question::Quarantine { notices, reply } => {
-                self.merge_quarantine(&notices);
+            Question::Quarantine { record, reply } => {
+                self.merge_quarantine(&record);
                 // The caller may have given up.
-                let _ = reply.send(self.placer.quarantine_notices(Time::now()));
+                let _ = reply.send(self.placer.quarantine_record(Time::now()));
             }
         }
     }
@@ -609,13 +606,13 @@
             return;
         }
         self.inputs.meter.count("quarantine_exchanged");
-        let notices = self.placer.quarantine_notices(now);
+        let record = self.placer.quarantine_record(now);
         let (links, events) = (self.links.clone(), self.events.clone());
         let (host, address) = (host.clone(), peer.address);
         tokio::spawn(async move {
-            let notices = peers::exchange_quarantine(&links, address, notices).await;
+            let record = peers::exchange_quarantine(&links, address, record).await;
             // The receiving task ends only with the process.
-            let _ = events.send(Event::Quarantine { host, notices }).await;
+            let _ = events.send(Event::Quarantine { host, record }).await;
         });
     }
 
@@ -682,11 +679,11 @@
                 }
             }
             Event::Introduced => self.is_introducing = false,
-            Event::Quarantine { host, notices } => {
+            Event::Quarantine { host, record } => {
                 if let Ok(at) = self.find_core_host(&host) {
                     self.core_hosts[at].exchange.end();
                 }
-                self.merge_quarantine(&notices.unwrap_or_default());
+                self.merge_quarantine(&record.unwrap_or_default());
             }
             Event::Explain { demand, reply } => {
                 // The operator may have closed the connection meanwhile.
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -13,7 +13,7 @@
 use primrose_place::demand::{Demand, Key};
 use primrose_place::drained;
 use primrose_place::placer::{Decision, Outcome};
-use primrose_place::quarantine::list::{Notice, Summary};
+use primrose_place::quarantine::list::{Record, Summary};
 use primrose_place::speed::Figures;
 use primrose_route::Document;
 use serde::{Deserialize, Serialize};
@@ -27,9 +27,9 @@
     Hello {
         /// Marks this message.
         stamp: Stamp,
-        /// The prompt parts that the entry host knows to be quarantined, as many as fit; none if the latest status of the
-        /// core host showed that it knows the same ones.
-        quarantine: Vec<Notice>,
+        /// What the entry host knows of quarantined prompt parts, as much as fits; nothing if the latest status of the core
+        /// host showed that it knows the same.
+        quarantine: Record,
         /// Capacity of the entry host, in the unit of its fleet; at least 1.
         capacity: u32,
     },
@@ -208,6 +208,6 @@
     async fn document(version: u64) -> Option<Arc<Document>>;
     /// Returns the directory and its age, or `None` before the first one.
     async fn directory() -> Option<(Arc<Directory>, Freshness)>;
-    /// Tells of all prompt parts that the caller knows to be quarantined. Returns those that the callee knows then.
-    async fn exchange_quarantine(notices: Vec<Notice>) -> Vec<Notice>;
+    /// Tells all that the caller knows of quarantined prompt parts. Returns what the callee knows then.
+    async fn exchange_quarantine(record: Record) -> Record;
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -10,7 +10,7 @@
 use primrose_base::name::Name;
 use primrose_consensus::message::Message;
 use primrose_observe::Meter;
-use primrose_place::quarantine::list::Notice;
+use primrose_place::quarantine::list::Record;
 use primrose_route::Document;
 use primrose_wire::frame::Traffic;
 use primrose_wire::key::Key;
@@ -81,17 +81,15 @@
     Some((directory, freshness.read(asked)))
 }
 
-/// Tells the core host at `address` of all prompt parts that this host knows to be quarantined. Returns those that the
-/// core host knows then, or `None` if it cannot be reached or does not answer in time.
+/// Tells the core host at `address` all that this host knows of quarantined prompt parts. Returns what the core host knows
+/// then, or `None` if it cannot be reached or does not answer in time.
 pub async fn exchange_quarantine(
     links: &Links,
     address: SocketAddrV4,
-    notices: Vec<Notice>,
-) -> Option<Vec<Notice>> {
+    record: Record,
+) -> Option<Record> {
     call(links, address, |client| async move {
-        client
-            .exchange_quarantine(context::current(), notices)
-            .await
+        client.exchange_quarantine(context::current(), record).await
     })
     .await
 }
@@ -104,10 +102,10 @@
 pub enum Question {
     /// [`Core::exchange_quarantine`].
     Quarantine {
-        /// The prompt parts that the caller knows to be quarantined.
-        notices: Vec<Notice>,
-        /// Gets those that the task knows then.
-        reply: oneshot::Sender<Vec<Notice>>,
+        /// What the caller knows of quarantined prompt parts.
+        record: Record,
+        /// Gets what the task knows then.
+        reply: oneshot::Sender<Record>,
     },
 }
 
@@ -196,10 +194,10 @@
         Some((Arc::clone(directory), freshness))
     }
 
-    async fn exchange_quarantine(self, _: Context, notices: Vec<Notice>) -> Vec<Notice> {
+    async fn exchange_quarantine(self, _: Context, record: Record) -> Record {
         let (reply, answer) = oneshot::channel();
         // The task ends only with the process.
-        let question = Question::Quarantine { notices, reply };
+        let question = Question::Quarantine { record, reply };
         let _ = self.0.questions.send(question).await;
         answer.await.unwrap_or_default()
     }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -18,7 +18,7 @@
 use crate::explain::{Exclusion, Rule};
 use crate::health::Health;
 use crate::memory::{Held, Need};
-use crate::quarantine::list::{Notice, Summary};
+use crate::quarantine::list::{Notice, Record, Summary};
 use crate::quarantine::{self, BEGINNING_MS, Crash, Suspect};
 use crate::refusals::Refusals;
 use crate::server::Server;
@@ -323,6 +323,8 @@
     found: Vec<Notice>,
     /// Whether entry hosts ask this placer first.
     is_first: bool,
+    /// Whether requests are sent on trial whose parts were quarantined.
+    has_trials: bool,
     warming: warmup::Register,
     /// In the order of their ends; at most [`MAX_BROKEN`].
     broken: Vec<Broken>,
@@ -430,6 +432,7 @@
             quarantine: quarantine::Register::default(),
             found: Vec::new(),
             is_first: false,
+            has_trials: true,
             warming: warmup::Register::default(),
             broken: Vec::new(),
             last_asked: Time::ZERO,
@@ -659,7 +662,8 @@
         while let Some(notice) = self.quarantine.decide(now) {
             self.found.push(notice);
         }
-        if let Some(refusal) = self.quarantined(now, demand) {
+        let refusal = self.quarantined(now, demand);
+        if let Some(refusal) = refusal.or_else(|| self.no_trial(demand)) {
             self.queue.remove(demand.key);
             return refusal;
         }
@@ -955,14 +959,26 @@
 
     /// The refusal of a request with a part that crashes servers, or `None` if it has no such part.
     pub fn quarantined(&self, now: Time, demand: &Demand) -> Option<Decision> {
-        let remaining_ms = self
-            .quarantine
-            .remaining_ms(now, &quarantine::Key::of(demand))?;
-        Some(Decision::Refuse {
-            reason: Reason::Quarantined,
-            retry_after_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
-            wait_ms: 0,
-        })
+        if self.quarantine.is_empty() {
+            return None;
+        }
+        let keys = quarantine::Key::of(demand);
+        let refusal_ms = self.quarantine.refusal_ms(now, &keys, demand.key);
+        refusal_ms.map(refuse_quarantined)
+    }
+
+    /// The refusal of a request that may crash its server, if this placer does not decide about that.
+    fn no_trial(&self, demand: &Demand) -> Option<Decision> {
+        if self.has_trials || self.quarantine.is_empty() {
+            return None;
+        }
+        let keys = quarantine::Key::of(demand);
+        self.quarantine.no_trial_ms(&keys).map(refuse_quarantined)
+    }
+
+    /// Sets that this placer knows only a part of the requests. It then sends none on trial whose parts were quarantined.
+    pub fn set_without_trials(&mut self) {
+        self.has_trials = false;
     }
 
     /// The prompt parts that are quarantined, to be told to other hosts.
@@ -985,9 +1001,14 @@
         self.quarantine.take_dropped()
     }
 
-    /// Takes over which prompt parts another host has quarantined. Returns the notices that were not known.
-    pub fn merge_quarantine(&mut self, now: Time, notices: &[Notice]) -> Vec<Notice> {
-        self.quarantine.merge(now, notices)
+    /// All that other hosts can be told of quarantined prompt parts.
+    pub fn quarantine_record(&self, now: Time) -> Record {
+        self.quarantine.record(now)
+    }
+
+    /// Takes over what another host knows of quarantined prompt parts. Returns the notices that were not known.
+    pub fn merge_quarantine(&mut self, now: Time, record: &Record) -> Vec<Notice> {
+        self.quarantine.merge(now, record)
     }
 
     /// Number of prompt parts that may have crashed servers.
@@ -1067,8 +1088,12 @@
         let capacity = self.cache_tokens(&self.servers[server].server.pool);
         let assignment = &mut self.assignments[at];
         assignment.first_event = Some(now);
-        self.quarantine
-            .record_begun(now, &assignment.server, &assignment.shared);
+        self.quarantine.record_begun(
+            now,
+            &assignment.server,
+            assignment.assigned,
+            &assignment.shared,
+        );
         let state = &mut self.servers[server];
         self.warming
             .record_answer(now, &assignment.server, assignment.assigned);
@@ -1208,10 +1233,12 @@
 
     /// Records what the end of a request says about the parts of its prompt.
     fn record_end_in_quarantine(&mut self, now: Time, assignment: &Assignment, outcome: Outcome) {
+        self.quarantine.record_end(now, assignment.key);
         match outcome {
             // A server may refuse a request without beginning to write its answer.
             Outcome::Answered { failed: false } if assignment.first_event.is_some() => {
-                self.quarantine.record_served(now, &assignment.shared);
+                self.quarantine
+                    .record_served(now, assignment.assigned, &assignment.shared);
             }
             Outcome::Answered { failed: true } => {
                 let Some(suspect) = assignment.suspect(now) else {
@@ -1282,6 +1309,8 @@
             assigned: now,
             expires: now.plus_ms(u64::from(demand.remaining_ms) + EXPIRY_MS),
         };
+        let (keys, until) = (&assignment.shared, assignment.expires);
+        self.quarantine.record_sent(now, keys, demand.key, until);
         match self.assignment_index(demand.key) {
             Ok(at) => self.assignments[at] = assignment,
             Err(at) => self.assignments.insert(at, assignment),
@@ -1849,6 +1878,14 @@
 
 /// Returns a refusal that tells the caller to retry `delay_ms` after the start of
 /// [`RETRY_AFTER_MS`], but within that range.
+fn refuse_quarantined(remaining_ms: u64) -> Decision {
+    Decision::Refuse {
+        reason: Reason::Quarantined,
+        retry_after_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
+        wait_ms: 0,
+    }
+}
+
 fn refuse(reason: Reason, wait_ms: f64, delay_ms: f64) -> Decision {
     let retry_after_ms =
         (delay_ms + RETRY_AFTER_MS.start()).clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end());
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -14,7 +14,8 @@
 //! - A part is not quarantined while another one would explain the same crashes and more. Once a part is quarantined, the
 //!   crashes that it explains no longer count against other parts.
 //! - Parts that were in exactly the same crashes cannot be told apart. Then only requests that have all of them are
-//!   refused, and one with some of them decides.
+//!   refused, and one with some of them decides. A part that one of the crashes lacks counts as well: that crash may have had
+//!   another cause, or a report may have been lost.
 //!
 //! The register is a state machine without input or output. Hosts tell each other of quarantined parts ([`list`]), so that
 //! these outlive the host that found them.
@@ -29,14 +30,15 @@
 use primrose_base::clock::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::demand::Demand;
-use list::{List, Notice, Summary, is_subset};
+use crate::demand::{self, Demand};
+use list::{List, Notice, Record, Summary, is_subset};
 
-/// How long a part is quarantined, in ms. After that, one more crash quarantines it again at once.
+/// How long a part is quarantined for the first time, in ms. After that, requests with it are sent one at a time, and one
+/// more crash quarantines it again at once.
 pub const QUARANTINE_MS: u64 = 10 * 60 * 1_000;
 
-/// How long a crash is remembered that no quarantined part explains, in ms.
-const MEMORY_MS: u64 = 10 * 60 * 1_000;
+/// How long a crash is remembered that no quarantined part explains, in ms. Few requests may come in an hour.
+pub const MEMORY_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// How long after its first event an answer counts as just begun, in ms. If its server is still up then, the request has
 /// not crashed it.
@@ -186,6 +188,8 @@
 struct Begun {
     at: Time,
     server: Arc<str>,
+    /// When the request was assigned.
+    assigned: Time,
     keys: Vec<Key>,
 }
 
@@ -224,9 +228,40 @@
         self.list.summary(now)
     }
 
-    /// Takes over what another host has found. Returns the notices that were not known.
-    pub fn merge(&mut self, now: Time, notices: &[Notice]) -> Vec<Notice> {
-        self.list.merge(now, notices)
+    /// All that other hosts can be told of the quarantined parts.
+    pub fn record(&self, now: Time) -> Record {
+        self.list.record(now)
+    }
+
+    /// Takes over what another host knows. Returns the notices that were not known.
+    pub fn merge(&mut self, now: Time, record: &Record) -> Vec<Notice> {
+        self.list.merge(now, record)
+    }
+
+    /// Time until this request, which has these parts, may be sent, in ms, or `None` if it may be sent now.
+    pub fn refusal_ms(&self, now: Time, keys: &[Key], request: demand::Key) -> Option<u64> {
+        self.list.refusal_ms(now, keys, request)
+    }
+
+    /// The time after which a request is to come back that would be sent on trial, in ms, if this host sends none.
+    pub fn no_trial_ms(&self, keys: &[Key]) -> Option<u64> {
+        self.list.no_trial_ms(keys)
+    }
+
+    /// Records that a request was sent, which ends by `until`. If a quarantine of its parts has ended, others wait for its
+    /// outcome.
+    pub fn record_sent(&mut self, now: Time, keys: &[Key], request: demand::Key, until: Time) {
+        self.list.begin_trial(now, keys, request, until);
+    }
+
+    /// Records that a request has ended.
+    pub fn record_end(&mut self, now: Time, request: demand::Key) {
+        self.list.end_trial(now, request);
+    }
+
+    /// Whether no part is or was quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.list.entries().is_empty()
     }
 
     /// Number of parts and groups of parts that are no longer quarantined, since others took their place, since the last
@@ -235,22 +270,24 @@
         self.list.take_dropped()
     }
 
-    /// Records that the answer to a request with these parts has begun on a server. They are cleared if it goes on.
-    pub fn record_begun(&mut self, now: Time, server: &Arc<str>, keys: &[Key]) {
+    /// Records that the answer to a request with these parts, assigned at `assigned`, has begun on a server. They are cleared
+    /// if it goes on.
+    pub fn record_begun(&mut self, now: Time, server: &Arc<str>, assigned: Time, keys: &[Key]) {
         self.clear_begun(now);
         if self.begun.len() < MAX_BEGUN && keys.iter().any(|key| self.is_suspected(key)) {
             self.begun.push(Begun {
                 at: now,
                 server: Arc::clone(server),
+                assigned,
                 keys: keys.to_vec(),
             });
         }
     }
 
-    /// Records that a request with these parts was answered, and clears them.
-    pub fn record_served(&mut self, now: Time, keys: &[Key]) {
+    /// Records that a request with these parts, assigned at `assigned`, was answered, and clears them.
+    pub fn record_served(&mut self, now: Time, assigned: Time, keys: &[Key]) {
         for key in keys {
-            self.clear(now, key);
+            self.clear(now, assigned, key);
         }
     }
 
@@ -286,13 +323,7 @@
         };
         let suspects = crash.suspects.iter().map(|suspect| &suspect.keys[..]);
         if let Some(entry) = self.list.explanation(suspects) {
-            let repeated = (!entry.is_active(now)).then(|| {
-                entry.until = now.plus_ms(QUARANTINE_MS);
-                Notice {
-                    keys: entry.keys.clone(),
-                    remaining_ms: QUARANTINE_MS,
-                }
-            });
+            let repeated = (!entry.is_active(now)).then(|| entry.repeat(now));
             let number = self.past[known].number;
             self.exonerate(&[number]);
             return repeated;
@@ -392,22 +423,28 @@
             crashes.eq(explained.iter().copied())
         });
         let equal: Vec<Key> = equal.map(|other| other.key).collect();
+        let close = suspicions.iter().filter(|other| {
+            let is_explained = |hit: &Hit| explained.contains(&hit.crash);
+            other.hits.len() + 1 >= explained.len() && other.hits.iter().all(is_explained)
+        });
+        let close: Vec<Key> = close.map(|other| other.key).collect();
         // Parts of different requests cannot be refused together. One more crash tells them apart.
-        let mut suspects = crash.suspects.iter();
-        suspects.find(|suspect| is_subset(&equal, &suspect.keys))?;
+        let suspects = crash.suspects.iter();
+        let suspects = suspects.filter(|suspect| is_subset(&equal, &suspect.keys));
+        let groups = suspects.map(|suspect| {
+            let keys = close.iter().copied();
+            keys.filter(|key| suspect.keys.binary_search(key).is_ok())
+        });
+        let keys: Vec<Key> = groups.map(Iterator::collect).max_by_key(Vec::len)?;
         let mut known = self.list.entries().iter();
-        if known.any(|entry| entry.keys == equal && entry.is_active(now)) {
+        if known.any(|entry| entry.keys == keys && entry.is_active(now)) {
             return None;
         }
-        if equal.len() == 1 {
+        let since = best.hits[0].at;
+        if keys.len() == 1 {
             self.exonerate(&explained);
         }
-        let until = now.plus_ms(QUARANTINE_MS);
-        self.list.insert(now, equal.clone(), until);
-        Some(Notice {
-            keys: equal,
-            remaining_ms: QUARANTINE_MS,
-        })
+        Some(self.list.quarantine(now, keys, since))
     }
 
     fn is_convincing(&self, hits: &[Hit], crash: &Crash) -> bool {
@@ -447,11 +484,26 @@
     }
 
     /// Clears a part, since an answer to a request with it did not crash its server.
-    fn clear(&mut self, now: Time, key: &Key) {
+    fn clear(&mut self, now: Time, assigned: Time, key: &Key) {
         if let Ok(at) = self.position(key) {
             self.suspicions.remove(at);
         }
-        self.list.clear(now, key);
+        if !self.list.clear(now, assigned, key) {
+            return;
+        }
+        // A crash that only one part is left to explain counts against no other one.
+        let entries = self.list.entries().iter();
+        let alone: Vec<Key> = entries
+            .filter(|entry| entry.keys.len() == 1)
+            .map(|entry| entry.keys[0])
+            .collect();
+        for key in alone {
+            if let Ok(at) = self.position(&key) {
+                let hits = self.suspicions[at].hits.iter();
+                let explained: Vec<u64> = hits.map(|hit| hit.crash).collect();
+                self.exonerate(&explained);
+            }
+        }
     }
 
     fn is_suspected(&self, key: &Key) -> bool {
@@ -465,7 +517,7 @@
         let count = self.begun.iter().take_while(is_over).count();
         let over: Vec<Begun> = self.begun.drain(..count).collect();
         for begun in over {
-            self.record_served(now, &begun.keys);
+            self.record_served(now, begun.assigned, &begun.keys);
         }
     }
 
