fleet: Place and report requests over TCP that fit into no datagram

Callers: a crashing part of a prompt of 300 parts was never found.

Cause: placement requests and reports carry all parts of a prompt in a datagram of 1,400 bytes. A longer one was not sent, so that the entry host placed the request alone and no core host knew what the crashed server had.

Change: such a request is asked for and reported over TCP, its reports in order, and what cannot be delivered is counted. 16,384 parts are suspected at a time instead of 1,024, since a full server may have 48 such requests; what is dropped beyond that is counted and logged.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -1,12 +1,13 @@
 //! Names of the counters and histograms of an entry host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of an entry host.
-pub const ALL: [&str; 95] = [
+pub const ALL: [&str; 97] = [
     "accept_failed",
     "answer_broken",
     "answer_endless",
     "answer_foreign",
     "ask_local",
+    "ask_long",
     "ask_repeated",
     "body_too_large",
     "body_unreadable",
@@ -95,6 +96,7 @@
     "unknown_key",
     "unknown_route",
     "unreachable",
+    "update_lost",
     "wait_ended",
     "warming",
 ];
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod buffer;
 pub mod closing;
 pub mod counter;
+mod courier;
 mod crash;
 pub mod deadline;
 mod direct;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -12,7 +12,7 @@
 use primrose_base::name::Name;
 use primrose_fleet::directory::{self, Action, Directory};
 use primrose_fleet::exchange::Schedule;
-use primrose_fleet::message::{Packet, Stamp, Status, Update};
+use primrose_fleet::message::{Packet, Stamp, Status, Update, fits_into_datagram};
 use primrose_fleet::peers::{self, Links};
 use primrose_fleet::replica::address_of;
 use primrose_observe::Meter;
@@ -29,6 +29,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
+use crate::courier::Courier;
 use crate::crash;
 use crate::hello;
 use crate::notice::Register;
@@ -230,6 +231,7 @@
         active: Vec::new(),
         updates: Vec::new(),
         flush_at: None,
+        couriers: Vec::new(),
         directory: None,
         is_fetching_document: false,
         is_fetching_directory: false,
@@ -252,6 +254,11 @@
     Document(Option<Arc<Document>>),
     /// A directory, with the time when its list was read.
     Directory(Option<(Arc<Directory>, Time)>),
+    /// The answer to a placement request that did not fit into a datagram.
+    Decision {
+        key: Key,
+        decision: Option<Decision>,
+    },
     /// What a core host knows of quarantined prompt parts.
     Quarantine {
         host: Name,
@@ -289,6 +296,8 @@
     demand: Demand,
     server: Arc<str>,
     has_first_event: bool,
+    /// Whether its updates are delivered over TCP.
+    is_long: bool,
 }
 
 struct Link {
@@ -309,6 +318,8 @@
     active: Vec<Active>,
     updates: Vec<Update>,
     flush_at: Option<Instant>,
+    /// Deliver the updates that do not fit into a datagram. Sorted by address.
+    couriers: Vec<Courier>,
     /// Fingerprint of the directory, and when the list of servers was read.
     directory: Option<(u64, Time)>,
     is_fetching_document: bool,
@@ -388,7 +399,11 @@
             return;
         };
         let core = &self.core_hosts[at];
-        self.send(core.address, &Packet::Place((*demand).clone()));
+        if fits_into_datagram(&demand) {
+            self.send(core.address, &Packet::Place((*demand).clone()));
+        } else {
+            self.call_place(core.address, &demand);
+        }
         self.pending.push(Pending {
             demand,
             core: core.host.clone(),
@@ -398,6 +413,22 @@
         });
     }
 
+    /// Requests a placement that does not fit into a datagram. A call that fails counts as unanswered.
+    fn call_place(&self, address: SocketAddrV4, demand: &Arc<Demand>) {
+        self.inputs.meter.count("ask_long");
+        let (links, events) = (self.links.clone(), self.events.clone());
+        let demand = Arc::clone(demand);
+        tokio::spawn(async move {
+            let key = demand.key;
+            let decision = peers::call(&links, address, |client| async move {
+                client.place(context::current(), (*demand).clone()).await
+            });
+            let decision = decision.await.flatten();
+            // The task ends only with the process.
+            let _ = events.send(Event::Decision { key, decision }).await;
+        });
+    }
+
     /// Sends timed-out placement requests again.
     fn retry_pending(&mut self) {
         let now = Time::now();
@@ -472,6 +503,7 @@
                     demand: demand.clone(),
                     server: Arc::clone(server),
                     has_first_event: false,
+                    is_long: !fits_into_datagram(demand),
                 };
                 if let Err(at) = self.find_active(demand.key) {
                     self.active.insert(at, active);
@@ -485,9 +517,6 @@
             }
             Update::End { key, outcome } => {
                 self.placer.record_end(now, *key, *outcome);
-                if let Ok(at) = self.find_active(*key) {
-                    self.active.remove(at);
-                }
             }
             Update::Broken(server) => {
                 if !self.placer.has_warmup(server) {
@@ -501,6 +530,18 @@
                 info!(self.inputs.log, "backend server has crashed"; "server" => &**server);
             }
         }
+        let is_long = self.is_long(&update);
+        if let Update::End { key, .. } = &update
+            && let Ok(at) = self.find_active(*key)
+        {
+            self.active.remove(at);
+        }
+        if is_long {
+            for address in self.recipients() {
+                self.courier(address).send(update.clone());
+            }
+            return;
+        }
         let is_urgent = matches!(update, Update::Crashed(_) | Update::Broken(_));
         self.updates.push(update);
         if is_urgent || self.updates.len() >= MAX_UPDATES {
@@ -513,15 +554,40 @@
     fn flush_updates(&mut self) {
         self.flush_at = None;
         let updates = std::mem::take(&mut self.updates);
-        let recipients: Vec<SocketAddrV4> = self
-            .candidates(Time::now())
-            .into_iter()
-            .take(RECIPIENTS)
-            .map(|at| self.core_hosts[at].address)
-            .collect();
+        let recipients = self.recipients();
         self.send_updates(&recipients, updates);
     }
 
+    /// The core hosts that get updates.
+    fn recipients(&self) -> Vec<SocketAddrV4> {
+        let candidates = self.candidates(Time::now()).into_iter().take(RECIPIENTS);
+        candidates.map(|at| self.core_hosts[at].address).collect()
+    }
+
+    /// Whether an update is on a request that does not fit into a datagram.
+    fn is_long(&self, update: &Update) -> bool {
+        let key = match update {
+            Update::Assigned { demand, .. } => demand.key,
+            Update::FirstEvent(key) | Update::End { key, .. } => *key,
+            Update::Crashed(_) | Update::Broken(_) => return false,
+        };
+        self.find_active(key)
+            .is_ok_and(|at| self.active[at].is_long)
+    }
+
+    fn courier(&mut self, address: SocketAddrV4) -> &Courier {
+        let known = self
+            .couriers
+            .binary_search_by_key(&address, |courier| courier.address);
+        let at = known.unwrap_or_else(|at| {
+            let meter = Arc::clone(&self.inputs.meter);
+            let courier = Courier::spawn(self.links.clone(), address, meter);
+            self.couriers.insert(at, courier);
+            at
+        });
+        &self.couriers[at]
+    }
+
     fn send_updates(&self, to: &[SocketAddrV4], updates: Vec<Update>) {
         if updates.is_empty() || to.is_empty() {
             return;
@@ -543,6 +609,7 @@
                     self.send_updates(to, updates);
                     self.send_updates(to, rest);
                 } else {
+                    self.inputs.meter.count("update_lost");
                     warn!(
                         self.inputs.log,
                         "a request update does not fit into a datagram"
@@ -560,24 +627,26 @@
         };
         match packet {
             Packet::Status(status) => self.handle_status(status),
-            Packet::Decision { key, decision } => {
-                let position = self
-                    .pending
-                    .iter()
-                    .position(|pending| pending.demand.key == key);
-                if let Some(at) = position {
-                    let pending = self.pending.swap_remove(at);
-                    if let Ok(at) = self.find(&pending.core) {
-                        self.core_hosts[at].unanswered = 0;
-                    }
-                    // The request may have ended in the meantime.
-                    let _ = pending.reply.send(decision);
-                }
-            }
+            Packet::Decision { key, decision } => self.handle_decision(key, decision),
             _ => {}
         }
     }
 
+    fn handle_decision(&mut self, key: Key, decision: Decision) {
+        let position = self
+            .pending
+            .iter()
+            .position(|pending| pending.demand.key == key);
+        if let Some(at) = position {
+            let pending = self.pending.swap_remove(at);
+            if let Ok(at) = self.find(&pending.core) {
+                self.core_hosts[at].unanswered = 0;
+            }
+            // The request may have ended in the meantime.
+            let _ = pending.reply.send(decision);
+        }
+    }
+
     fn handle_status(&mut self, status: Status) {
         let now = Time::now();
         let host = status.host.clone();
@@ -679,9 +748,14 @@
 
     /// Reports all requests that have not ended to a core host that does not know them: it has just been found or has
     /// restarted.
-    fn resend_assignments(&self, address: SocketAddrV4) {
-        let mut updates = Vec::new();
+    fn resend_assignments(&mut self, address: SocketAddrV4) {
+        let (mut updates, mut long) = (Vec::new(), Vec::new());
         for active in &self.active {
+            let updates = if active.is_long {
+                &mut long
+            } else {
+                &mut updates
+            };
             updates.push(Update::Assigned {
                 demand: active.demand.clone(),
                 server: Arc::clone(&active.server),
@@ -690,6 +764,9 @@
                 updates.push(Update::FirstEvent(active.key));
             }
         }
+        for update in long {
+            self.courier(address).send(update);
+        }
         for group in updates.chunks(MAX_UPDATES) {
             self.send_updates(&[address], group.to_vec());
         }
@@ -765,6 +842,11 @@
                         .send_replace(Some(Arc::new(Table::new(document))));
                 }
             }
+            Event::Decision { key, decision } => {
+                if let Some(decision) = decision {
+                    self.handle_decision(key, decision);
+                }
+            }
             Event::Quarantine { host, record } => {
                 if let Ok(at) = self.find(&host) {
                     self.core_hosts[at].exchange.end();
@@ -796,6 +878,11 @@
         }
         self.core_hosts
             .retain(|core| now.since(core.last_heard.max(core.last_named)) < CORE_HOST_EXPIRY_MS);
+        let core_hosts = &self.core_hosts;
+        self.couriers.retain(|courier| {
+            let mut core_hosts = core_hosts.iter();
+            core_hosts.any(|core| core.address == courier.address)
+        });
         // The receiver of a reply is dropped when the request ends.
         self.pending.retain(|pending| !pending.reply.is_closed());
         for at in 0..self.core_hosts.len() {
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -306,7 +306,11 @@
                 self.merge_quarantine(&quarantine);
                 self.handle_hello(source, stamp, capacity);
             }
-            Packet::Place(demand) => self.place(source, &demand),
+            Packet::Place(demand) => {
+                let (key, decision) = (demand.key, self.place(&demand));
+                self.send(source, &Packet::Decision { key, decision });
+                self.report_placement();
+            }
             Packet::Updates(updates) => self.record_updates(updates),
             Packet::Heartbeat(heartbeat) => self.handle_heartbeat(&heartbeat),
             Packet::Log { sender, messages } => {
@@ -345,7 +349,7 @@
         self.send(source, &Packet::Status(self.status(stamp)));
     }
 
-    fn place(&mut self, source: SocketAddr, demand: &Demand) {
+    fn place(&mut self, demand: &Demand) -> Decision {
         let now = Time::now();
         self.update_warmup_bound(now);
         let (waited, before) = (self.placer.is_waiting(demand.key), self.placer.waiting());
@@ -365,8 +369,11 @@
                 Reason::Memory => "ask_refused_engine_memory",
             },
         });
-        let key = demand.key;
-        self.send(source, &Packet::Decision { key, decision });
+        decision
+    }
+
+    /// Reports what has changed with a placement.
+    fn report_placement(&mut self) {
         self.report_crossing();
         let found = self.placer.take_quarantined();
         self.report_quarantined(&found);
@@ -475,6 +482,11 @@
         let found = self.placer.record_crash(now, server);
         info!(self.inputs.log, "a backend server is reported to have crashed"; "server" => server,
             "suspected_parts" => self.placer.suspected_parts());
+        let lost = self.placer.take_lost_suspicions();
+        if lost > 0 {
+            self.inputs.meter.count("suspicion_dropped");
+            warn!(self.inputs.log, "too many prompt parts may have crashed servers"; "dropped" => lost);
+        }
         self.report_quarantined(found.as_slice());
     }
 
@@ -586,6 +598,12 @@
 
     fn answer(&mut self, question: Question) {
         match question {
+            Question::Place { demand, reply } => {
+                // The caller may have given up.
+                let _ = reply.send(self.place(&demand));
+                self.report_placement();
+            }
+            Question::Update(updates) => self.record_updates(updates),
             Question::Quarantine { record, reply } => {
                 self.merge_quarantine(&record);
                 // The caller may have given up.
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 57] = [
+pub const ALL: [&str; 58] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -55,6 +55,7 @@
     "server_cold",
     "server_unconfirmed",
     "server_warm",
+    "suspicion_dropped",
     "wait_begun",
     "wait_expired",
     "wait_placed",
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,6 +16,7 @@
 use primrose_place::quarantine::list::{Record, Summary};
 use primrose_place::speed::Figures;
 use primrose_route::Document;
+use primrose_wire::datagram::MAX_DATAGRAM_BYTES;
 use serde::{Deserialize, Serialize};
 
 use crate::directory::{Directory, Freshness};
@@ -147,6 +148,32 @@
     Broken(Arc<str>),
 }
 
+/// Whether a datagram has room for [`Packet::Place`] with this demand, and for [`Update::Assigned`] with it and a server of
+/// any id.
+pub fn fits_into_datagram(demand: &Demand) -> bool {
+    /// All fields of a fixed length, the tag, and the longest id of a server.
+    const OTHER_BYTES: usize = 450;
+    let text = |text: &str| text.len() + 2;
+    let names = [
+        Some(&demand.pool),
+        demand.account.as_ref(),
+        Some(&demand.domain),
+    ];
+    let names: usize = names.iter().flatten().map(|name| text(name)).sum();
+    let tried: usize = demand.tried.iter().map(|server| text(server)).sum();
+    let parts = demand.prompt.iter().flat_map(|prompt| &prompt.parts);
+    let parts: usize = parts
+        .map(|part| number_bytes(part.id) + number_bytes(part.tokens.into()))
+        .sum();
+    OTHER_BYTES + names + tried + parts <= MAX_DATAGRAM_BYTES
+}
+
+/// Encoded length of a number in bytes: 7 bits in each.
+fn number_bytes(number: u64) -> usize {
+    let bits = u64::BITS - number.leading_zeros();
+    bits.div_ceil(7).max(1) as usize
+}
+
 /// The state of a core host as sent to the other core hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -208,6 +235,10 @@
     async fn document(version: u64) -> Option<Arc<Document>>;
     /// Returns the directory and its age, or `None` before the first one.
     async fn directory() -> Option<(Arc<Directory>, Freshness)>;
+    /// [`Packet::Place`] for a demand that does not fit into a datagram.
+    async fn place(demand: Demand) -> Option<Decision>;
+    /// [`Packet::Updates`] for updates that do not fit into a datagram.
+    async fn update(updates: Vec<Update>);
     /// Tells all that the caller knows of quarantined prompt parts. Returns what the callee knows then.
     async fn exchange_quarantine(record: Record) -> Record;
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -10,6 +10,8 @@
 use primrose_base::name::Name;
 use primrose_consensus::message::Message;
 use primrose_observe::Meter;
+use primrose_place::demand::Demand;
+use primrose_place::placer::Decision;
 use primrose_place::quarantine::list::Record;
 use primrose_route::Document;
 use primrose_wire::frame::Traffic;
@@ -22,7 +24,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::directory::{Directory, Freshness};
-use crate::message::{Acknowledgement, Core, CoreClient, Introduction};
+use crate::message::{Acknowledgement, Core, CoreClient, Introduction, Update};
 use crate::replica::{self, Input};
 
 /// Timeout of a call. Calls are answered from memory, so a later answer means that the host or the connection is
@@ -100,6 +102,15 @@
 /// A call that the task of a core host answers.
 #[derive(Debug)]
 pub enum Question {
+    /// [`Core::place`].
+    Place {
+        /// The request to be placed.
+        demand: Demand,
+        /// Gets the decision.
+        reply: oneshot::Sender<Decision>,
+    },
+    /// [`Core::update`].
+    Update(Vec<Update>),
     /// [`Core::exchange_quarantine`].
     Quarantine {
         /// What the caller knows of quarantined prompt parts.
@@ -194,6 +205,19 @@
         Some((Arc::clone(directory), freshness))
     }
 
+    async fn place(self, _: Context, demand: Demand) -> Option<Decision> {
+        let (reply, decision) = oneshot::channel();
+        // The task ends only with the process.
+        let question = Question::Place { demand, reply };
+        let _ = self.0.questions.send(question).await;
+        decision.await.ok()
+    }
+
+    async fn update(self, _: Context, updates: Vec<Update>) {
+        // The task ends only with the process.
+        let _ = self.0.questions.send(Question::Update(updates)).await;
+    }
+
     async fn exchange_quarantine(self, _: Context, record: Record) -> Record {
         let (reply, answer) = oneshot::channel();
         // The task ends only with the process.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1011,6 +1011,11 @@
         self.quarantine.merge(now, record)
     }
 
+    /// Number of suspicions against prompt parts that were dropped, since there were too many, since the last call.
+    pub fn take_lost_suspicions(&mut self) -> u64 {
+        self.quarantine.take_lost()
+    }
+
     /// Number of prompt parts that may have crashed servers.
     pub fn suspected_parts(&self) -> usize {
         self.quarantine.suspected()
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -63,8 +63,8 @@
 /// The most crashes that are remembered.
 const MAX_PAST: usize = 64;
 
-/// The most suspected parts that are remembered.
-const MAX_SUSPICIONS: usize = 1_024;
+/// The most suspected parts that are remembered: those of a full server with prompts of 300 parts.
+pub const MAX_SUSPICIONS: usize = 1 << 14;
 
 /// The most answers that have just begun and are watched.
 const MAX_BEGUN: usize = 4_096;
@@ -205,6 +205,8 @@
     /// In the order of their times; at most [`MAX_BEGUN`].
     begun: Vec<Begun>,
     list: List,
+    /// Number of suspicions that were dropped because there were too many.
+    lost: u64,
 }
 
 impl Register {
@@ -356,6 +358,11 @@
         None
     }
 
+    /// Number of suspicions that were dropped, since there were too many, since the last call.
+    pub fn take_lost(&mut self) -> u64 {
+        std::mem::take(&mut self.lost)
+    }
+
     /// Number of parts that are suspected.
     pub fn suspected(&self) -> usize {
         self.suspicions.len()
@@ -363,43 +370,49 @@
 
     /// Adds a hit to all parts that may have caused a crash.
     fn suspect(&mut self, crash: u64, at: Time, address: SocketAddrV4, suspects: &[Suspect]) {
-        for suspect in suspects {
-            for &key in &suspect.keys {
-                let hit = Hit {
-                    crash,
-                    at,
-                    address,
-                    assigned: suspect.assigned,
-                };
-                match self.position(&key) {
-                    Err(at) => {
-                        let suspicion = Suspicion {
-                            key,
-                            hits: vec![hit],
-                        };
-                        self.suspicions.insert(at, suspicion);
-                    }
-                    Ok(at) => {
-                        let hits = &mut self.suspicions[at].hits;
-                        match hits.binary_search_by_key(&crash, |hit| hit.crash) {
-                            Ok(at) => hits[at].assigned = hits[at].assigned.max(hit.assigned),
-                            Err(at) => hits.insert(at, hit),
-                        }
-                    }
-                }
+        let parts = suspects.iter().flat_map(|suspect| {
+            let keys = suspect.keys.iter();
+            keys.map(|key| (*key, suspect.assigned))
+        });
+        let mut parts: Vec<(Key, Time)> = parts.collect();
+        // The latest assignment of each part comes first.
+        parts.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
+        parts.dedup_by_key(|part| part.0);
+        let mut new = Vec::new();
+        for (key, assigned) in parts {
+            let hit = Hit {
+                crash,
+                at,
+                address,
+                assigned,
+            };
+            let Ok(at) = self.position(&key) else {
+                let hits = vec![hit];
+                new.push(Suspicion { key, hits });
+                continue;
+            };
+            let hits = &mut self.suspicions[at].hits;
+            match hits.binary_search_by_key(&crash, |hit| hit.crash) {
+                Ok(at) => hits[at].assigned = hits[at].assigned.max(hit.assigned),
+                Err(at) => hits.insert(at, hit),
             }
         }
-        while self.suspicions.len() > MAX_SUSPICIONS {
-            let weakest = self
-                .suspicions
-                .iter()
-                .enumerate()
-                .min_by_key(|(_, suspicion)| {
-                    let last = suspicion.hits.last().map(|hit| hit.at);
-                    (suspicion.hits.len(), last)
-                });
-            let Some((at, _)) = weakest else { return };
-            self.suspicions.remove(at);
+        self.suspicions.append(&mut new);
+        self.drop_weakest();
+        self.suspicions.sort_by_key(|suspicion| suspicion.key);
+    }
+
+    /// Drops the suspicions with the fewest hits, the oldest first, if there are too many.
+    fn drop_weakest(&mut self) {
+        let excess = self.suspicions.len().saturating_sub(MAX_SUSPICIONS);
+        if excess > 0 {
+            let strength = |suspicion: &Suspicion| {
+                let last = suspicion.hits.last().map(|hit| hit.at);
+                (suspicion.hits.len(), last)
+            };
+            self.suspicions.select_nth_unstable_by_key(excess, strength);
+            self.suspicions.drain(..excess);
+            self.lost += excess as u64;
         }
     }
 
@@ -410,11 +423,15 @@
         let suspicions: Vec<&Suspicion> = suspicions
             .filter(|suspicion| suspicion.key.pool == pool)
             .collect();
-        let convincing = suspicions.iter().filter(|suspicion| {
+        // Only these can be convincing, or explain more than one that is.
+        let strong = suspicions.iter().copied();
+        let strong: Vec<&Suspicion> = strong
+            .filter(|suspicion| suspicion.hits.len() >= CRASHES)
+            .collect();
+        let convincing = strong.iter().filter(|suspicion| {
+            let mut others = strong.iter();
             self.is_convincing(&suspicion.hits, crash)
-                && !suspicions
-                    .iter()
-                    .any(|other| explains_more(other, suspicion))
+                && !others.any(|other| explains_more(other, suspicion))
         });
         let best = convincing.max_by_key(|suspicion| suspicion.hits.len())?;
         let explained: Vec<u64> = best.hits.iter().map(|hit| hit.crash).collect();
