--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 58] = [
+pub const ALL: [&str; 59] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -36,6 +36,7 @@
     "explain_not_leader",
     "explain_unavailable",
     "figures_learnt",
+    "kept_part_skipped",
     "kept_read",
     "kept_read_failed",
     "leader_changed",
