place: Clear a quarantined part only by a complete answer

Found by reading. From a group, the crashing part could be taken and a sound one left.

An answer to a request with all parts of a quarantine now ends it only if it is complete; one to a request with some of them still takes these off the group once it goes on.

Measured: answer_that_has_only_begun_ends_no_quarantine, 3 cases.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1093,12 +1093,8 @@
         let capacity = self.cache_tokens(&self.servers[server].server.pool);
         let assignment = &mut self.assignments[at];
         assignment.first_event = Some(now);
-        self.quarantine.record_begun(
-            now,
-            &assignment.server,
-            assignment.assigned,
-            &assignment.shared,
-        );
+        self.quarantine
+            .record_begun(now, &assignment.server, &assignment.shared);
         let state = &mut self.servers[server];
         self.warming
             .record_answer(now, &assignment.server, assignment.assigned);
--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -188,8 +188,6 @@
 struct Begun {
     at: Time,
     server: Arc<str>,
-    /// When the request was assigned.
-    assigned: Time,
     keys: Vec<Key>,
 }
 
@@ -272,25 +270,21 @@
         self.list.take_dropped()
     }
 
-    /// Records that the answer to a request with these parts, assigned at `assigned`, has begun on a server. They are cleared
-    /// if it goes on.
-    pub fn record_begun(&mut self, now: Time, server: &Arc<str>, assigned: Time, keys: &[Key]) {
+    /// Records that the answer to a request with these parts has begun on a server. They are cleared if it goes on.
+    pub fn record_begun(&mut self, now: Time, server: &Arc<str>, keys: &[Key]) {
         self.clear_begun(now);
         if self.begun.len() < MAX_BEGUN && keys.iter().any(|key| self.is_suspected(key)) {
             self.begun.push(Begun {
                 at: now,
                 server: Arc::clone(server),
-                assigned,
                 keys: keys.to_vec(),
             });
         }
     }
 
-    /// Records that a request with these parts, assigned at `assigned`, was answered, and clears them.
+    /// Records that a request with these parts, assigned at `assigned`, got a complete answer, and clears them.
     pub fn record_served(&mut self, now: Time, assigned: Time, keys: &[Key]) {
-        for key in keys {
-            self.clear(now, assigned, key);
-        }
+        self.clear(now, keys, Some(assigned));
     }
 
     /// Records a crash, or further suspects of one that is known. Returns the notice of a part that is quarantined because
@@ -500,12 +494,12 @@
         });
     }
 
-    /// Clears a part, since an answer to a request with it did not crash its server.
-    fn clear(&mut self, now: Time, assigned: Time, key: &Key) {
-        if let Ok(at) = self.position(key) {
-            self.suspicions.remove(at);
-        }
-        if !self.list.clear(now, assigned, key) {
+    /// Clears the parts of a request whose answer did not crash its server. `complete` is the time when the request was
+    /// assigned, if its answer is complete.
+    fn clear(&mut self, now: Time, keys: &[Key], complete: Option<Time>) {
+        self.suspicions
+            .retain(|suspicion| keys.binary_search(&suspicion.key).is_err());
+        if !self.list.clear(now, keys, complete) {
             return;
         }
         // A crash that only one part is left to explain counts against no other one.
@@ -534,7 +528,7 @@
         let count = self.begun.iter().take_while(is_over).count();
         let over: Vec<Begun> = self.begun.drain(..count).collect();
         for begun in over {
-            self.record_served(now, begun.assigned, &begun.keys);
+            self.clear(now, &begun.keys, None);
         }
     }
 
--- a/crates/place/src/quarantine/list.rs
+++ b/crates/place/src/quarantine/list.rs
@@ -476,14 +476,25 @@
             .find(|entry| suspects.clone().any(|keys| entry.matches(keys)))
     }
 
-    /// Records that a request with a part, assigned at this time, was answered. Returns whether that clears the part.
-    pub(super) fn clear(&mut self, now: Time, assigned: Time, key: &Key) -> bool {
-        // A request that was assigned before the first crash may have had another version of the part.
-        let is_cleared = self.remove(key, |entry| entry.keys.len() > 1 || assigned >= entry.since);
-        if is_cleared {
+    /// Records that a request with these parts was answered. Returns whether that clears one of them.
+    ///
+    /// A request that has all parts of an entry clears it only if its answer is complete, which a server that crashes never
+    /// sends: of one that has only begun, the crash may not be known yet. `complete` is then the time when the request was
+    /// assigned. If that is before the first crash, the parts may have changed.
+    pub(super) fn clear(&mut self, now: Time, keys: &[Key], complete: Option<Time>) -> bool {
+        let clears = |entry: &Entry| {
+            let is_proof = complete.is_some_and(|assigned| assigned >= entry.since);
+            is_proof || !entry.matches(keys)
+        };
+        let clearing = self.entries.iter().filter(|entry| clears(entry));
+        let known = clearing.flat_map(|entry| &entry.keys);
+        let known = known.filter(|key| keys.binary_search(key).is_ok());
+        let cleared: Vec<Key> = known.copied().collect();
+        for key in &cleared {
+            self.remove(key, clears);
             self.add_clearance(*key, now.into());
         }
-        is_cleared
+        !cleared.is_empty()
     }
 
     /// Removes a part from the entries for which `applies` holds. Returns whether there are any.
--- a/crates/place/tests/quarantine.rs
+++ b/crates/place/tests/quarantine.rs
@@ -128,7 +128,7 @@
             let begun = scene.now;
             scene
                 .register
-                .record_begun(begun, &"i-99".into(), begun, &keys(&[1]));
+                .record_begun(begun, &"i-99".into(), &keys(&[1]));
             scene.wait(BEGINNING_MS);
         }
     }
@@ -143,10 +143,7 @@
     for server in 1..=3 {
         scene.wait(1_100);
         let id = format!("i-{server}").into();
-        let assigned = Time::from_ms(scene.now.as_ms() - 100);
-        scene
-            .register
-            .record_begun(scene.now, &id, assigned, &keys(&[9]));
+        scene.register.record_begun(scene.now, &id, &keys(&[9]));
         scene.wait(BEGINNING_MS - 100);
         notice = scene.crash(server, &[&[9]]);
     }
@@ -430,6 +427,28 @@
     }
 }
 
+// A host that froze after the first event of an answer reports the crash of its server late. That answer must not end the
+// quarantine of the part, nor take the crashing part off a group.
+#[test_case(&[9], 1 ; "one part")]
+#[test_case(&[1, 2, 9], 3 ; "a group")]
+#[test_case(&[9, 10, 11], 3 ; "a group with the crashing part first")]
+fn answer_that_has_only_begun_ends_no_quarantine(parts: &[u64], count: usize) {
+    let mut scene = Scene::new();
+    let deadly: &[&[u64]] = &[parts];
+    scene.crashes(&[deadly; 3]);
+    scene
+        .register
+        .record_begun(scene.now, &"i-99".into(), &keys(parts));
+    scene.wait(BEGINNING_MS);
+    // Other answers go on, too.
+    scene
+        .register
+        .record_begun(scene.now, &"i-98".into(), &keys(parts));
+    assert!(scene.is_refused(parts));
+    let notices = scene.register.notices(scene.now);
+    assert_eq!(notices[0].keys.len(), count);
+}
+
 // A host that has just started states ages that are longer than its process has run. They must not seem shorter to others.
 #[test]
 fn started_host_passes_on_old_decisions() {
