--- a/crates/place/src/quarantine.rs
+++ b/crates/place/src/quarantine.rs
@@ -497,8 +497,11 @@
     /// Clears the parts of a request whose answer did not crash its server. `complete` is the time when the request was
     /// assigned, if its answer is complete.
     fn clear(&mut self, now: Time, keys: &[Key], complete: Option<Time>) {
-        self.suspicions
-            .retain(|suspicion| keys.binary_search(&suspicion.key).is_err());
+        for key in keys {
+            if let Ok(at) = self.position(key) {
+                self.suspicions.remove(at);
+            }
+        }
         if !self.list.clear(now, keys, complete) {
             return;
         }
