--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -981,11 +981,6 @@
         self.has_trials = false;
     }
 
-    /// The prompt parts that are quarantined, to be told to other hosts.
-    pub fn quarantine_notices(&self, now: Time) -> Vec<Notice> {
-        self.quarantine.notices(now)
-    }
-
     /// Hash of the prompt parts that are quarantined.
     pub fn quarantine_digest(&self, now: Time) -> u64 {
         self.quarantine.digest(now)
--- a/crates/place/src/quarantine/list.rs
+++ b/crates/place/src/quarantine/list.rs
@@ -73,16 +73,6 @@
 }
 
 impl Notice {
-    /// A quarantine that begins now.
-    pub(super) fn new(keys: Vec<Key>, repeats: u32) -> Notice {
-        Notice {
-            keys,
-            remaining_ms: period_ms(repeats),
-            repeats,
-            age_ms: 0,
-        }
-    }
-
     /// Whether a register can have stated the notice. One without keys would refuse all requests.
     fn is_valid(&self) -> bool {
         let is_sorted = self.keys.is_sorted_by(|a, b| a < b);
@@ -430,18 +420,17 @@
 
     /// Quarantines parts. `since` is the first crash that speaks against them.
     pub(super) fn quarantine(&mut self, now: Time, keys: Vec<Key>, since: Time) -> Notice {
-        let notice = Notice::new(keys.clone(), 0);
-        self.insert(
-            now,
-            Entry {
-                keys,
-                began: now.into(),
-                since,
-                until: Moment::from(now).plus_ms(notice.remaining_ms),
-                repeats: 0,
-                trial: None,
-            },
-        );
+        let began = Moment::from(now);
+        let entry = Entry {
+            keys,
+            began,
+            since,
+            until: began.plus_ms(QUARANTINE_MS),
+            repeats: 0,
+            trial: None,
+        };
+        let notice = entry.notice(now);
+        self.insert(now, entry);
         notice
     }
 
