review: Bound the runs of the third review and keep TROUBLE=0 the same

No script ended by itself after a fixed time, or told a run in which the disruption had not come from one that held. The scripts now end after 105 s and exit with 2 in these cases.

--- a/review/stand_ins_3/bursts.rs
+++ b/review/stand_ins_3/bursts.rs
@@ -85,5 +85,6 @@
     });
     let names = fleet.names();
     fleet.kill(&names);
-    std::process::exit(i32::from(broken));
+    let can_judge = can_judge(&platform.seen, tally, 5);
+    std::process::exit(if can_judge { i32::from(broken) } else { 2 });
 }
--- a/review/stand_ins_3/cold.rs
+++ b/review/stand_ins_3/cold.rs
@@ -50,16 +50,19 @@
         .collect();
     if has_trouble() {
         fleet.kill(&others);
-        record.say(&format!(
-            "{others:?} are killed; a change is sent to core-{leader}, which leads"
-        ));
-        let second = with_warmup(&config(2, "drafting-bench", &services, false));
-        let address = fleet.controls[leader];
-        thread::spawn(move || put_once(address, &second));
-        sleep_ms(200);
-        let name = format!("core-{leader}");
+        record.say(&format!("{others:?} are killed"));
+    }
+    record.say(&format!("a change is sent to core-{leader}, which leads"));
+    let second = with_warmup(&config(2, "drafting-bench", &services, false));
+    let address = fleet.controls[leader];
+    thread::spawn(move || put_once(address, &second));
+    sleep_ms(200);
+    let name = format!("core-{leader}");
+    if has_trouble() {
         fleet.kill(&[name.clone()]);
-        sleep_ms(100);
+    }
+    sleep_ms(100);
+    if has_trouble() {
         fleet.launch(&name);
         record.say(&format!("{name} is killed and started again"));
     }
@@ -101,5 +104,6 @@
     });
     let names = fleet.names();
     fleet.kill(&names);
-    std::process::exit(i32::from(broken));
+    let can_judge = can_judge(&platform.seen, &tally, 4);
+    std::process::exit(if can_judge { i32::from(broken) } else { 2 });
 }
--- a/review/stand_ins_3/cut.rs
+++ b/review/stand_ins_3/cut.rs
@@ -77,5 +77,6 @@
     });
     let names = fleet.names();
     fleet.kill(&names);
-    std::process::exit(i32::from(broken));
+    let can_judge = can_judge(&platform.seen, &tally, REQUESTS as usize);
+    std::process::exit(if can_judge { i32::from(broken) } else { 2 });
 }
--- a/review/stand_ins_3/moved.rs
+++ b/review/stand_ins_3/moved.rs
@@ -95,6 +95,6 @@
     });
     let names = fleet.names();
     fleet.kill(&names);
-    let can_judge = is_moved && (!has_trouble() || crashes.len() >= 5);
+    let can_judge = is_moved && can_judge(&platform.seen, &tally, 5);
     std::process::exit(if can_judge { i32::from(broken) } else { 2 });
 }
--- a/review/stand_ins_3/world.rs
+++ b/review/stand_ins_3/world.rs
@@ -19,6 +19,9 @@
 pub const STABLE_WINDOW_MS: u64 = 3_000;
 const LIST_LAG_MS: u64 = 800;
 
+/// A run ends after this time whatever happens. `run.sh` then ends the processes that are left.
+const MAX_RUN: Duration = Duration::from_secs(105);
+
 pub fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -57,10 +60,17 @@
     pub fn open() -> Record {
         let path = std::env::var("RECORD").expect("RECORD names the file of the record");
         let file = File::create(path).expect("the record is created");
-        Record {
+        let record = Record {
             start: Instant::now(),
             file: Arc::new(Mutex::new(file)),
-        }
+        };
+        let limited = record.clone();
+        thread::spawn(move || {
+            thread::sleep(MAX_RUN);
+            limited.say("the run has taken too long");
+            std::process::exit(2);
+        });
+        record
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -937,6 +947,12 @@
     [127, 100 + (id / 250 % 100) as u8, (id % 250) as u8 + 1]
 }
 
+/// Whether the run shows anything: requests were served, and servers crashed this often if the disruption is on.
+pub fn can_judge(seen: &Seen, tally: &Tally, crashes: usize) -> bool {
+    let has_crashed = seen.crashes.lock().unwrap().len() >= crashes;
+    tally.complete.load(Ordering::Relaxed) >= 100 && (!has_trouble() || has_crashed)
+}
+
 /// Whether the run includes the disruption.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
