entry: Judge the end of each part of a stream by its own events

A stream that may be resumed was broken off within an event.

Cause: an end that proves nothing was read as a whole answer. An answer that announces no end counted as whole if nothing of an event was buffered and anything had been passed on to the caller before, whichever server had sent it, a comment included. So each later part was whole without an event of its own, and so was a first one with a comment.

Ruled out: the framing towards the caller, since a part that is reset breaks the answer off there as well.

Each part is now judged by itself. Without an announced end it is whole only after a whole event of its own and not within an event or a line; comments and empty lines after that event no longer break it. With an announced end it is whole unless the server before had begun an event that it leaves out. Otherwise the next server is asked as after any broken connection. A server that was asked beside a silent one and sends no byte before such an end no longer takes the place of the silent one.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,6 +1,7 @@
 //! Finds the boundaries of events in a stream of server-sent events.
 
 use bytes::{Bytes, BytesMut};
+use primrose_wire::event::{Line, Tracker};
 
 /// The largest event that is buffered until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -17,16 +18,20 @@
     position: Position,
     /// Whether the events come from another server than the first ones.
     is_resumed: bool,
-    /// Whether the next event is the first one after the stream was resumed.
-    is_at_joint: bool,
+    /// Whether the server has sent an event.
+    has_event: bool,
     /// Why the events do not continue those before. Invariant: no event is returned once it is set, until the stream
     /// is resumed.
     fault: Option<&'static str>,
 }
 
-/// The events that were returned.
+/// The events that were returned, and what is known of the next one.
 #[derive(Clone, Debug, Default)]
 struct Position {
+    /// Whether an earlier server broke off in the event that follows, so that the stream does not end before it.
+    has_begun: bool,
+    /// The id of that event, if it had arrived.
+    begun_id: Option<String>,
     last_id: Option<String>,
     /// Whether an event without an id that can be sent has followed the one with `last_id`. The caller's position is then
     /// unknown.
@@ -68,15 +73,15 @@
         let mut has_event = false;
         // The last event need not end with an empty line.
         for line in events.split(|&byte| byte == b'\n').chain([&b""[..]]) {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if let Some(value) = line.strip_prefix(b"id:") {
-                id = readable_id(value);
-                has_event = true;
-            }
-            has_event |= line.starts_with(b"data");
-            if line.is_empty() && has_event {
-                self.record(id.take())?;
-                has_event = false;
+            match Line::of(line) {
+                Line::Content => {
+                    has_event = true;
+                    if let Some(value) = line.strip_prefix(b"id:") {
+                        id = readable_id(value);
+                    }
+                }
+                Line::Empty if std::mem::take(&mut has_event) => self.record(id.take())?,
+                _ => {}
             }
         }
         Ok(())
@@ -84,8 +89,11 @@
 
     /// Records an event. The error is the reason why it does not continue those before.
     fn record(&mut self, id: Option<&str>) -> Result<(), &'static str> {
-        let is_at_joint = std::mem::replace(&mut self.is_at_joint, false);
+        let is_at_joint = self.is_resumed && !self.has_event;
+        self.has_event = true;
         let position = &mut self.position;
+        position.has_begun = false;
+        let begun_id = position.begun_id.take();
         let last = position.last_id.as_deref();
         let Some(id) = id else {
             if is_at_joint && last.is_some() {
@@ -94,14 +102,18 @@
             position.has_unnamed = true;
             return Ok(());
         };
-        let numbers = last.and_then(|last| Some((last.parse::<u64>().ok()?, id.parse().ok()?)));
-        let is_next = numbers.is_some_and(|(last, id)| last.checked_add(1) == Some(id));
+        let last_number = last.and_then(number);
+        let next_number = last_number.and_then(|last| last.checked_add(1));
+        let is_next = next_number.is_some() && number(id) == next_number;
         if self.is_resumed {
+            let numbers = last_number.zip(number(id));
             if numbers.map_or(last == Some(id), |(last, id)| id <= last) {
                 return Err("the next server repeats events");
             }
             // Ids may rise in larger steps, so a gap shows only if they have not done so before.
-            if is_at_joint && position.named > 1 && position.is_consecutive && !is_next {
+            let has_begun_next = begun_id.is_some_and(|id| number(&id) == next_number);
+            let is_consecutive = position.is_consecutive && (position.named > 1 || has_begun_next);
+            if is_at_joint && is_consecutive && !is_next {
                 return Err("the next server leaves out events");
             }
         }
@@ -142,19 +154,57 @@
 
     /// The splitter for the rest of an interrupted stream, which another server sends from the last complete event on.
     pub fn resumed(&self) -> Splitter {
-        Splitter {
+        let mut resumed = Splitter {
             partial: BytesMut::new(),
             position: self.position.clone(),
             is_resumed: true,
-            is_at_joint: true,
+            has_event: false,
             fault: None,
+        };
+        resumed.record_begun(self);
+        resumed
+    }
+
+    /// Records the event that the server before, which `before` follows, has begun since [`Splitter::resumed`].
+    pub fn record_begun(&mut self, before: &Splitter) {
+        if self.has_event || !before.tail().has_begun() {
+            return;
         }
+        self.position.has_begun = true;
+        // The last line has not ended.
+        let mut lines: Vec<&[u8]> = before.partial[..].split(|&byte| byte == b'\n').collect();
+        lines.pop();
+        let mut ids = lines.iter().filter_map(|line| line.strip_prefix(b"id:"));
+        let id = ids.next_back().and_then(readable_id);
+        self.position.begun_id = id.map(str::to_owned);
     }
 
-    /// Takes the partial event, at the end of a stream that does not end with an empty line.
-    pub fn take_partial(&mut self) -> Bytes {
+    /// Ends the part of the stream that the server has sent. Returns what has arrived after the last empty line, which an
+    /// announced end makes a complete event.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the stream does not end there. Another server may go on with it.
+    pub fn end(&mut self, has_announced_end: bool) -> Result<Bytes, &'static str> {
+        if !has_announced_end {
+            self.tail().check_end()?;
+        }
         let rest = self.partial.split().freeze();
-        self.check(rest)
+        let rest = self.check(rest);
+        if let Some(fault) = self.fault() {
+            return Err(fault);
+        }
+        if self.position.has_begun {
+            return Err("the server left out an event that the one before had begun");
+        }
+        Ok(rest)
+    }
+
+    /// What has arrived after the last event.
+    fn tail(&self) -> Tracker {
+        let mut tail = Tracker::between_events(self.has_event);
+        tail.push(&self.partial);
+        tail
     }
 }
 
@@ -173,6 +223,10 @@
     None
 }
 
+fn number(id: &str) -> Option<u64> {
+    id.parse().ok()
+}
+
 /// The id in the rest of an `id:` line, or `None` if it cannot be sent in a header.
 fn readable_id(rest: &[u8]) -> Option<&str> {
     let id = rest.trim_ascii();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1048,11 +1048,6 @@
         ids.join(",")
     }
 
-    /// Whether a part of the body of the answer was forwarded.
-    pub(crate) const fn has_forwarded(&self) -> bool {
-        self.forwarded > 0
-    }
-
     /// Time since the last chunk was forwarded, in ms; `None` before the first one.
     pub(crate) fn silent_ms(&self) -> Option<u64> {
         self.last_forwarded
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -122,6 +122,22 @@
     splitter: Splitter,
     /// The events that have arrived already, if any is complete.
     events: Bytes,
+    /// Whether the part has ended without a byte.
+    is_empty: bool,
+}
+
+impl Resumed {
+    /// Goes on with the stream of the silent server that `silent` follows. `None` if the part has ended before the
+    /// stream.
+    fn go_on(mut self, silent: &Splitter) -> Option<Resumed> {
+        // The silent server may have begun an event since the other one was asked.
+        self.splitter.record_begun(silent);
+        if self.is_empty && self.splitter.end(self.part.has_announced_end).is_err() {
+            self.part.end_broken();
+            return None;
+        }
+        Some(self)
+    }
 }
 
 /// What follows after another server was asked to resume a stream whose server is silent.
@@ -236,10 +252,10 @@
     /// for the request any longer. `None` if no server resumes it.
     async fn resume_with_bytes(&mut self, mut splitter: Splitter, form: &Form) -> Option<Resumed> {
         let mut part = self.resume(&splitter, form).await.ok()?;
-        let events = match part.next_bytes(&mut splitter).await {
-            Ok(events) => events,
-            // Nothing was left to send. The end of the part is read again with the rest.
-            Err(End::Complete) => Bytes::new(),
+        let (events, is_empty) = match part.next_bytes(&mut splitter).await {
+            Ok(events) => (events, false),
+            // The end of the part is read again with the rest.
+            Err(End::Complete) => (Bytes::new(), true),
             Err(End::Broken(_)) => {
                 part.end_broken();
                 return None;
@@ -253,6 +269,7 @@
             part,
             splitter,
             events,
+            is_empty,
         })
     }
 
@@ -325,7 +342,12 @@
             };
             let sent = match events {
                 Ok(events) => self.send(events).await,
-                Err(End::Complete) => return Some(self.finish(part.has_announced_end).await),
+                Err(End::Complete) => {
+                    return Some(match self.splitter.end(part.has_announced_end) {
+                        Ok(rest) => self.send_rest(rest).await,
+                        Err(reason) => End::Broken(reason.to_owned()),
+                    });
+                }
                 Err(end) => return Some(end),
             };
             if let Err(end) = sent {
@@ -371,7 +393,6 @@
         } = self;
         let limit = job.limit.clone();
         let mut passed = pin!(limit.passed());
-        let has_events = job.has_forwarded();
         let mut resume = pin!(job.resume_with_bytes(splitter.resumed(), form));
         // Why the silent server's part has ended. The other server may still resume it.
         let mut broken = None;
@@ -381,13 +402,13 @@
                 events = part.next_events(splitter), if broken.is_none() => match events {
                     Ok(events) => break Next::Same(events),
                     Err(End::Broken(reason)) => broken = Some(reason),
-                    Err(End::Complete) => match rest(splitter, part.has_announced_end, has_events) {
+                    Err(End::Complete) => match splitter.end(part.has_announced_end) {
                         Ok(rest) => break Next::Last(rest),
-                        Err(reason) => broken = Some(reason),
+                        Err(reason) => broken = Some(reason.to_owned()),
                     },
                     Err(end) => break Next::Ended(end),
                 },
-                resumed = &mut resume => break match (resumed, broken) {
+                resumed = &mut resume => break match (resumed.and_then(|resumed| resumed.go_on(splitter)), broken) {
                     (Some(resumed), _) => Next::Other(Box::new(resumed)),
                     (None, Some(reason)) => Next::Ended(End::Broken(reason)),
                     (None, None) => Next::Waiting,
@@ -437,18 +458,6 @@
         Ok(memory::hold(bytes, permit))
     }
 
-    /// Handles the end of the server's answer.
-    async fn finish(&mut self, has_announced_end: bool) -> End {
-        match rest(
-            &mut self.splitter,
-            has_announced_end,
-            self.job.has_forwarded(),
-        ) {
-            Ok(rest) => self.send_rest(rest).await,
-            Err(reason) => End::Broken(reason),
-        }
-    }
-
     /// Sends what was left at the end of a complete answer, which may be nothing.
     async fn send_rest(&mut self, rest: Bytes) -> End {
         if rest.is_empty() {
@@ -460,27 +469,3 @@
         }
     }
 }
-
-/// The last event of an answer that has ended, or nothing. If the answer announced its end, that event need not end with
-/// an empty line; otherwise the connection may have closed in the middle of it, or before the first event, without which
-/// no stream is whole: `has_events` tells whether an event was passed on. The error says why the answer is not complete.
-fn rest(
-    splitter: &mut Splitter,
-    has_announced_end: bool,
-    has_events: bool,
-) -> Result<Bytes, String> {
-    if !splitter.has_partial_event() {
-        if !has_announced_end && !has_events {
-            return Err("the connection closed before the first event".to_owned());
-        }
-        return Ok(Bytes::new());
-    }
-    if !has_announced_end {
-        return Err("the connection closed in the middle of an event".to_owned());
-    }
-    let rest = splitter.take_partial();
-    match splitter.fault() {
-        Some(fault) => Err(fault.to_owned()),
-        None => Ok(rest),
-    }
-}
--- a/crates/entry/tests/event.rs
+++ b/crates/entry/tests/event.rs
@@ -67,7 +67,7 @@
         let mut whole = Splitter::default();
         whole.push(&stream);
         prop_assert_eq!(whole.last_id(), splitter.last_id());
-        events.extend_from_slice(&splitter.take_partial());
+        events.extend_from_slice(&splitter.end(true).expect("the announced end is the end"));
         prop_assert_eq!(events, stream);
     }
 }
@@ -120,3 +120,30 @@
     splitter.push(format!("id: {}\n\n", "7".repeat(100_000)).as_bytes());
     assert!(!splitter.is_resumable());
 }
+
+// The next server's part of a stream must not end before the event that the server before has begun, or leave it out.
+#[test_case("id: 1\ndata: x\n\n", "", true; "between two events")]
+#[test_case("id: 1\ndata: x\n\n: y", "", true; "in a comment")]
+#[test_case("id: 1\ndata: x\n\nid: 2\nda", "", false; "in an event")]
+#[test_case("id: 1\ndata: x\n\nid: 2\nda", ": y\n\n", false; "in an event before a comment")]
+#[test_case("id: 1\ndata: x\n\nid: 2\nda", "id: 2\ndata: x\n\n", true; "in an event that comes")]
+#[test_case("id: 1\ndata: x\n\nid: 2\nda", "id: 2\ndata: x", true; "in an event that comes without an empty line")]
+#[test_case("id: 1\ndata: x\n\nid: 2\nda", "id: 3\ndata: x\n\n", false; "in an event that is left out")]
+#[test_case("id: 1\ndata: x\n\nid: 4\nda", "id: 5\ndata: x\n\n", true; "in an event of a stream with gaps")]
+#[test_case("id: 1\ndata: x\n\nid: 2", "id: 3\ndata: x\n\n", true; "in an id")]
+#[test_case("da", "", false; "in the first event")]
+fn next_part_does_not_end_before_an_event_that_has_begun(first: &str, next: &str, is_whole: bool) {
+    let mut splitter = Splitter::default();
+    splitter.push(first.as_bytes());
+    // A server in between that sends no event changes nothing.
+    let mut between = splitter.resumed();
+    between.push(b": z\n\n");
+    for mut resumed in [splitter.resumed(), between.resumed()] {
+        resumed.push(next.as_bytes());
+        let end = match resumed.fault() {
+            Some(fault) => Err(fault),
+            None => resumed.end(true).map(|_| ()),
+        };
+        assert_eq!(end.is_ok(), is_whole, "{end:?}");
+    }
+}
