entry: Judge streams by their events on all other paths

A stream that may not be resumed was cut within an event.

`direct` looked at the last three bytes, which a comment may end as well as an event, and only if the head named the media type, although an answer without one counts as a stream on a route with streams. `buffer` looked at nothing: a close was an end.

Ruled out: the HTTP library, which reports a reset and a missing last chunk on each of these paths.

A broken answer in the buffer is asked for at another server if the request may be repeated, and is otherwise refused as one that may have run.

--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::body::Interrupted;
+use crate::ending::Ending;
 use crate::memory::Reservation;
 use crate::request::{Answered, Job};
 use crate::stop;
@@ -38,13 +39,14 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the connection to the server.
+/// Returns the error of the connection to the server, or the reason why the answer is not whole.
 pub(crate) async fn read(
     body: &mut Incoming,
+    ending: &mut Ending,
     mut reservation: Reservation,
-) -> Result<Buffered, hyper::Error> {
+) -> Result<Buffered, String> {
     let mut bytes = BytesMut::new();
-    while let Some(data) = next_chunk(body).await? {
+    while let Some(data) = next_chunk(body, ending).await? {
         bytes.put(data);
         if !reservation.resize(bytes.len()) || bytes.len() > MAX_BYTES {
             return Ok(Buffered::Start(reservation.hold(bytes.freeze())));
@@ -53,10 +55,11 @@
     Ok(Buffered::Whole(reservation.hold(bytes.freeze())))
 }
 
-/// Forwards `start` and the rest of an answer that outgrew the buffer. Holds one chunk at a time.
+/// Forwards `start`, which `ending` has followed, and the rest of an answer that outgrew the buffer. Holds one chunk at a time.
 pub(crate) async fn forward(
     mut job: Job,
     answered: Answered,
+    mut ending: Ending,
     start: Bytes,
     sender: mpsc::Sender<Result<Bytes, Interrupted>>,
 ) {
@@ -88,7 +91,7 @@
         }
         let next = tokio::select! {
             biased;
-            next = next_chunk(&mut body) => Some(next),
+            next = next_chunk(&mut body, &mut ending) => Some(next),
             () = &mut passed => None,
         };
         chunk = match next {
@@ -100,7 +103,7 @@
                 return;
             }
             Some(Err(error)) => {
-                job.log_interruption(&error.to_string(), false);
+                job.log_interruption(&error, false);
                 drop(connection);
                 assignment.end_broken();
                 job.interrupt(&sender, "answer_broken").await;
@@ -115,8 +118,19 @@
     job.interrupt(&sender, code).await;
 }
 
-/// The next data of a body, or `None` at its end. Trailers are not forwarded.
-pub(crate) async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+/// The next data of a body, or `None` at its end. The error is that of the connection, or the reason why the body is not
+/// whole. Trailers are not forwarded.
+async fn next_chunk(body: &mut Incoming, ending: &mut Ending) -> Result<Option<Bytes>, String> {
+    let next = next_data(body).await.map_err(|error| error.to_string())?;
+    match &next {
+        Some(data) => ending.push(data),
+        None => ending.check()?,
+    }
+    Ok(next)
+}
+
+/// The next data of a body, or `None` at its end.
+pub(crate) async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             return Ok(Some(data));
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -18,7 +18,7 @@
 
 use crate::assignment::Assignment;
 use crate::body::Interrupted;
-use crate::form::{Form, Tail};
+use crate::ending::Ending;
 use crate::request::{Answered, Job};
 use crate::stop;
 use crate::upstream::Connection;
@@ -31,8 +31,7 @@
     open: Arc<Mutex<Option<Open>>>,
     /// Whether the answer ended with its last byte.
     is_complete: bool,
-    /// `Some` if the answer is a stream of events that ends with its connection.
-    tail: Option<Tail>,
+    ending: Ending,
     /// Ends the answer at the limit of the request. It is a task, because a caller that stops
     /// reading also stops the polling of this body, and the server must not work for it any longer.
     timer: AbortHandle,
@@ -63,8 +62,7 @@
 impl Answer {
     pub(crate) fn new(job: Job, answered: Answered) -> Answer {
         let limit = job.limit.clone();
-        let form = Form::of(&answered.head);
-        let has_tail = form.is_event_stream() && !form.has_announced_end;
+        let ending = Ending::new(&answered.head, &answered.body, job.route.kind.is_stream());
         let open = Arc::new(Mutex::new(Some(Open {
             job,
             connection: answered.connection,
@@ -82,7 +80,7 @@
             body: answered.body,
             open,
             is_complete: false,
-            tail: has_tail.then(Tail::default),
+            ending,
             timer: timer.abort_handle(),
         };
         answer.complete_if_read();
@@ -144,9 +142,7 @@
                 Some(Ok(frame)) => {
                     // Trailers are not forwarded.
                     if let Ok(data) = frame.into_data() {
-                        if let Some(tail) = &mut answer.tail {
-                            tail.push(&data);
-                        }
+                        answer.ending.push(&data);
                         open.assignment.record_first_event();
                         open.job.record_forwarded();
                         drop(guard);
@@ -158,12 +154,11 @@
                     open.job.log_interruption(&error.to_string(), false);
                     return Poll::Ready(Some(Err(interrupt_broken(guard))));
                 }
-                None if answer.tail.as_ref().is_some_and(|tail| !tail.ends_event()) => {
-                    let reason = "the connection closed before the end of an event";
-                    open.job.log_interruption(reason, false);
-                    return Poll::Ready(Some(Err(interrupt_broken(guard))));
-                }
                 None => {
+                    if let Err(reason) = answer.ending.check() {
+                        open.job.log_interruption(reason, false);
+                        return Poll::Ready(Some(Err(interrupt_broken(guard))));
+                    }
                     drop(guard);
                     answer.complete();
                     return Poll::Ready(None);
--- /dev/null
+++ b/crates/entry/src/ending.rs
@@ -0,0 +1,72 @@
+//! Whether an answer is whole where it ends.
+//!
+//! The HTTP library reports an answer that ends before its announced end. Without an announced end, an answer ends with
+//! its connection, which a server that crashes closes as well. It is whole only if its bytes show it.
+
+use http_body::Body;
+use hyper::StatusCode;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response;
+use primrose_wire::coding;
+use primrose_wire::event::Tracker;
+
+use crate::form::Form;
+
+/// Follows the bytes of an answer and judges its end.
+pub(crate) enum Ending {
+    /// The HTTP library judges the end.
+    Announced,
+    /// A stream of events.
+    Events(Tracker),
+    /// Other bytes, which do not show their end.
+    Document,
+}
+
+impl Ending {
+    /// Begins before the first byte of the body. `is_stream` tells whether the route is one with streams.
+    pub(crate) fn new(head: &response::Parts, body: &impl Body, is_stream: bool) -> Ending {
+        // The status alone is the answer of a server that has failed.
+        if is_announced(head, body) || head.status.is_server_error() {
+            return Ending::Announced;
+        }
+        let form = Form::of(head);
+        let may_have_events = is_stream && head.status.is_success() && form.has_events();
+        if form.is_event_stream() || may_have_events {
+            Ending::Events(Tracker::default())
+        } else {
+            Ending::Document
+        }
+    }
+
+    /// Follows the next bytes of the body.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        match self {
+            Ending::Announced | Ending::Document => {}
+            Ending::Events(tracker) => tracker.push(bytes),
+        }
+    }
+
+    /// Checks a body that ends here.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the answer is not whole.
+    pub(crate) fn check(&self) -> Result<(), &'static str> {
+        match self {
+            Ending::Events(tracker) => tracker.check_end(),
+            Ending::Announced | Ending::Document => Ok(()),
+        }
+    }
+}
+
+/// Whether the head announces where the body ends: with a length, with a last chunk, or because such an answer has no body.
+/// Otherwise it ends with its connection.
+pub(crate) fn is_announced(head: &response::Parts, body: &impl Body) -> bool {
+    let codings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let has_framing = codings.map_or_else(
+        || head.headers.contains_key(CONTENT_LENGTH),
+        |codings| coding::is_chunked(codings.as_bytes()),
+    );
+    // The HTTP library knows which answers have no body, except those to a request to reset the caller's view.
+    has_framing || body.is_end_stream() || head.status == StatusCode::RESET_CONTENT
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,8 +5,8 @@
 //! `attempt` sends a request to as many servers as needed, and [`silence`] decides when a silent one is not waited for
 //! alone.
 //! `buffer` holds short answers until they are complete, `stream` forwards the answers that another server can resume,
-//! `direct` forwards all others, `form` tells whether one answer can continue another, and `upstream` holds the
-//! connections to backend servers. `crash` finds out whether a server has ended when a connection breaks. [`notice`]
+//! `direct` forwards all others, `form` tells whether one answer can continue another, `ending` whether an answer is
+//! whole, and `upstream` holds the connections to backend servers. `crash` finds out whether a server has ended when a connection breaks. [`notice`]
 //! keeps requests away from servers that leave, pause or are drained. [`overload`] detects that the host is overloaded,
 //! [`pressure`] decides what it refuses then, and [`slow`] bounds what waits for slow readers. [`idle`] ends connections of
 //! callers, [`framing`] tells whether a further request has arrived, and `stop` is the planned stop of the host. The
@@ -23,6 +23,7 @@
 mod crash;
 pub mod deadline;
 mod direct;
+mod ending;
 pub mod event;
 mod failure;
 mod form;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -38,6 +38,7 @@
 use crate::crash;
 use crate::deadline;
 use crate::direct;
+use crate::ending::Ending;
 use crate::failure::{FULL_RETRY_AFTER_MS, Failure};
 use crate::form::Form;
 use crate::hop;
@@ -465,7 +466,7 @@
     }
     let mut first = Bytes::new();
     let mut bytes = BytesMut::new();
-    while let Some(data) = buffer::next_chunk(body).await.map_err(Unread::Broken)? {
+    while let Some(data) = buffer::next_data(body).await.map_err(Unread::Broken)? {
         let length = first.len() + bytes.len() + data.len();
         if length > max_bytes {
             return Err(Unread::TooLarge);
@@ -569,7 +570,7 @@
     /// The caller gets this answer.
     Complete(Response<Body>),
     /// The answer is larger than the buffer, which holds its start.
-    Outgrown(Box<Answered>, Bytes),
+    Outgrown(Box<Answered>, Ending, Bytes),
     /// The request is sent to another server.
     SendAgain,
 }
@@ -589,8 +590,8 @@
             }
             match self.buffer(answered).await {
                 Ok(Next::Complete(response)) => return response,
-                Ok(Next::Outgrown(answered, start)) => {
-                    return self.forward_outgrown(*answered, start);
+                Ok(Next::Outgrown(answered, ending, start)) => {
+                    return self.forward_outgrown(*answered, ending, start);
                 }
                 Ok(Next::SendAgain) => {}
                 Err(refusal) => return self.refuse(&refusal),
@@ -921,9 +922,12 @@
     /// Buffers an answer until it is complete, so that the request can be sent again if the connection breaks.
     async fn buffer(&mut self, mut answered: Answered) -> Result<Next, Refusal> {
         let failed = answered.failed;
+        let is_stream = self.route.kind.is_stream();
+        let mut ending = Ending::new(&answered.head, &answered.body, is_stream);
+        let reservation = self.shared.answer_memory.reservation();
         let read = tokio::select! {
             biased;
-            read = buffer::read(&mut answered.body, self.shared.answer_memory.reservation()) => Some(read),
+            read = buffer::read(&mut answered.body, &mut ending, reservation) => Some(read),
             () = self.limit.passed() => None,
         };
         let failure = match read {
@@ -939,12 +943,11 @@
                 return Ok(Next::Complete(response));
             }
             Some(Ok(Buffered::Start(start))) => {
-                return Ok(Next::Outgrown(Box::new(answered), start));
+                return Ok(Next::Outgrown(Box::new(answered), ending, start));
             }
             Some(Err(error)) => {
                 answered.assignment.end_broken();
-                let message =
-                    format!("the connection to the server broke during the answer: {error}");
+                let message = format!("the server broke off the answer: {error}");
                 Failure::may_have_run("retry_answer_broken", "answer_broken", &message)
             }
             None => {
@@ -974,11 +977,16 @@
     }
 
     /// Forwards an answer that has outgrown the buffer, from its buffered start on.
-    fn forward_outgrown(mut self, answered: Answered, start: Bytes) -> Response<Body> {
+    fn forward_outgrown(
+        mut self,
+        answered: Answered,
+        ending: Ending,
+        start: Bytes,
+    ) -> Response<Body> {
         self.limit.begin();
         let mut response = forwarded_head(&answered.head);
         let (sender, chunks) = mpsc::channel(1);
-        let task = tokio::spawn(buffer::forward(self, answered, start, sender));
+        let task = tokio::spawn(buffer::forward(self, answered, ending, start, sender));
         *response.body_mut() = Body::Channel { chunks, task };
         response
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use primrose_base::clock::Time;
@@ -21,6 +20,7 @@
 
 use crate::assignment::Assignment;
 use crate::body::Interrupted;
+use crate::ending;
 use crate::event::Splitter;
 use crate::failure::Failure;
 use crate::form::Form;
@@ -58,9 +58,7 @@
     fn new(answered: Answered, memory: &Memory) -> Part {
         Part {
             reservation: memory.reservation(),
-            // An answer to HEAD has no body, whatever its head says.
-            has_announced_end: Form::of(&answered.head).has_announced_end
-                || answered.body.is_end_stream(),
+            has_announced_end: ending::is_announced(&answered.head, &answered.body),
             body: answered.body,
             connection: answered.connection,
             assignment: answered.assignment,
