entry: Take an empty answer without an announced end for a broken one

A server that crashed after the head of an answer without a length or chunks made its caller take the answer for an empty one, on all routes without streams and for documents on routes with streams.

A close is the end of such an answer, and a document does not show its end, but one without a byte shows nothing at all.

Such an answer with a success status is now a broken one: another server is asked if the request may be repeated, and the caller is told that the request may have run otherwise. A document with a byte still ends with its connection, as the protocol allows. The status of an error is the answer, so an empty 404 is passed on as before.

--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -18,8 +18,8 @@
     Announced,
     /// A stream of events.
     Events(Tracker),
-    /// Other bytes, which do not show their end.
-    Document,
+    /// Other bytes, which show only that the server has begun to send them.
+    Document { is_empty: bool },
 }
 
 impl Ending {
@@ -30,19 +30,22 @@
             return Ending::Announced;
         }
         let form = Form::of(head);
-        let may_have_events = is_stream && head.status.is_success() && form.has_events();
-        if form.is_event_stream() || may_have_events {
+        let is_success = head.status.is_success();
+        if form.is_event_stream() || is_stream && is_success && form.has_events() {
             Ending::Events(Tracker::default())
         } else {
-            Ending::Document
+            Ending::Document {
+                is_empty: is_success,
+            }
         }
     }
 
     /// Follows the next bytes of the body.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
         match self {
-            Ending::Announced | Ending::Document => {}
+            Ending::Announced => {}
             Ending::Events(tracker) => tracker.push(bytes),
+            Ending::Document { is_empty } => *is_empty &= bytes.is_empty(),
         }
     }
 
@@ -54,7 +57,10 @@
     pub(crate) fn check(&self) -> Result<(), &'static str> {
         match self {
             Ending::Events(tracker) => tracker.check_end(),
-            Ending::Announced | Ending::Document => Ok(()),
+            Ending::Document { is_empty: true } => {
+                Err("the connection closed before the first byte")
+            }
+            Ending::Announced | Ending::Document { is_empty: false } => Ok(()),
         }
     }
 }
