proxy: Take a stream that consists of comments only for a broken one

A stream of a plain service that announces no end and closed after a comment, before its first event, was passed on as a complete answer by `primrosed`.

The meter looked for an empty line at the end, and a comment may end with one.

The meter uses the tracker of the entry hosts, so both routers judge a stream by the same rules, and the second scanner is gone. Streams of model engines end with their last event and were not affected.

--- a/crates/daemon/tests/fleet/heads.rs
+++ b/crates/daemon/tests/fleet/heads.rs
@@ -231,7 +231,7 @@
     }
 }
 
-const EVENTS: &str = "id: 1\r\ndata: x\r\n\r\n\ndata: y\ndata: z\n\nid: 3\ndata:\n\n";
+const EVENTS: &str = ": a\n\nid: 1\r\ndata: x\r\n\r\n\ndata: y\ndata: z\n\nid: 3\ndata:\n\n: b\n";
 
 /// Sends as many bytes of [`EVENTS`] without a length as the request says, and closes the connection.
 fn cut_events(receipt: &Receipt) -> Vec<Step> {
@@ -244,7 +244,8 @@
     vec![Step::Send(head + &EVENTS[..end]), Step::Close]
 }
 
-// A stream of a plain service that ends with its connection inside an event was broken off, and must not look whole.
+// A stream of a plain service that ends with its connection inside an event, or before the first one, was broken off, and
+// must not look whole.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_of_a_plain_service_ends_with_an_event_or_breaks_off() {
     let fleet = Fleet::start(&VOTERS[..1]).await;
@@ -253,7 +254,7 @@
         .change("set-up", set_up(0, false, &opened.addresses))
         .await;
     fleet.wait_version(version).await;
-    let ends = ["x\r\n\r\n", "x\r\n\r\n\n", "z\n\n", "data:\n\n"];
+    let ends = ["x\r\n\r\n", "x\r\n\r\n\n", "z\n\n", "data:\n\n", ": b\n"];
     for end in 1..=EVENTS.len() {
         let request = Request::post("/plain/plain-0/pay")
             .header("authorization", format!("Bearer {}", key(0)))
--- a/crates/proxy/src/meter.rs
+++ b/crates/proxy/src/meter.rs
@@ -2,6 +2,7 @@
 
 use primrose_base::clock::Time;
 use primrose_schedule::limit::SLOW_GAP_MS;
+use primrose_wire::event::Tracker;
 use serde::Deserialize;
 
 use crate::dispatch::Usage;
@@ -44,30 +45,7 @@
     /// Whether the empty line after `data: [DONE]`, which ends the event, has been received.
     done_ended: bool,
     nesting: Nesting,
-    tail: Tail,
-}
-
-/// Tells whether the bytes of an event stream end with a whole event.
-#[derive(Debug, Default)]
-struct Tail {
-    /// Whether the last line has no bytes yet. The first one does not count: an empty line there ends no event.
-    is_line_empty: bool,
-    is_at_event_end: bool,
-}
-
-impl Tail {
-    fn feed(&mut self, bytes: &[u8]) {
-        for &byte in bytes {
-            match byte {
-                b'\r' => {}
-                b'\n' => {
-                    self.is_at_event_end |= self.is_line_empty;
-                    self.is_line_empty = true;
-                }
-                _ => *self = Tail::default(),
-            }
-        }
-    }
+    events: Tracker,
 }
 
 /// Finds the end of a JSON document without reading its values.
@@ -134,7 +112,7 @@
             done: false,
             done_ended: false,
             nesting: Nesting::default(),
-            tail: Tail::default(),
+            events: Tracker::default(),
         }
     }
 
@@ -149,7 +127,7 @@
             Format::Events if self.has_announced_end => self.done,
             Format::Events => self.done_ended,
             Format::Json => self.has_announced_end || self.nesting.has_ended,
-            Format::OpaqueEvents => self.has_announced_end || self.tail.is_at_event_end,
+            Format::OpaqueEvents => self.has_announced_end || self.events.check_end().is_ok(),
             Format::Opaque => true,
         }
     }
@@ -162,7 +140,7 @@
             Format::Opaque => self.usage.output_tokens = 1,
             Format::OpaqueEvents => {
                 self.usage.output_tokens = 1;
-                self.tail.feed(bytes);
+                self.events.push(bytes);
             }
         }
     }
