entry: Leave a silent server only for one that sends the first byte

A request that may run twice was asked for at a second server, since the first one sent no head. The second one sent the head of an answer and crashed; the attempts were used up and the caller got a broken answer, although the first server had the request and answered it in time.

Cause: a head was read as the beginning of an answer. The server that had been silent was given up at once, as if the other one could no longer fail.

While other servers have the request, the first bytes of a successful answer are now waited for, as when a stream is resumed. A head that says that no body follows is an answer as before. `upstream::Body` returns the bytes that were read to find this out.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,7 +1,8 @@
 //! Sends a request to backend servers until one of them answers.
 //!
 //! While a server is silent ([`silence`](crate::silence)), a request that may run twice is also sent to another server.
-//! The silent one keeps the request until the other has answered, so that asking never costs the caller the answer.
+//! The silent one keeps the request until the other has sent the first bytes of an answer, so that asking never costs the
+//! caller the answer.
 
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -9,8 +10,8 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use http_body::Body as _;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use primrose_base::clock::Time;
 use primrose_base::verdict::Verdict;
@@ -20,13 +21,14 @@
 use tokio::time::Instant;
 
 use crate::assignment::Assignment;
+use crate::ending;
 use crate::failure::Failure;
 use crate::notice::Block;
 use crate::protocol::Classification;
 use crate::refusal::Refusal;
 use crate::request::{Answered, Job, Shared};
 use crate::silence::Watch;
-use crate::upstream::{self, Connection};
+use crate::upstream::{self, Body, Connection};
 
 /// Why a server that was assigned a request did not begin an answer.
 enum Unanswered {
@@ -40,7 +42,7 @@
     Broken(String),
 }
 
-type Exchange = Result<(Response<Incoming>, Connection), Unanswered>;
+type Exchange = Result<(Response<Body>, Connection), Unanswered>;
 
 /// A request that a server has and has not answered. Dropping it closes the connection, which cancels the request.
 struct Attempt {
@@ -103,7 +105,17 @@
                     continue;
                 }
                 Step::Ended(at, exchange) => {
-                    let attempt = open.remove(at);
+                    let mut attempt = open.remove(at);
+                    let exchange = match exchange {
+                        Ok((response, connection))
+                            if !open.is_empty() && is_only_head(&response) =>
+                        {
+                            attempt.exchange = Box::pin(begin(response, connection));
+                            open.insert(at, attempt);
+                            continue;
+                        }
+                        exchange => exchange,
+                    };
                     match self.receive(attempt, exchange).await {
                         // Another server may still serve the request.
                         Ok(answered) if answered.failed && !open.is_empty() => {
@@ -373,6 +385,25 @@
     }
 }
 
+/// Whether the head says that a body follows, of which nothing has been read. A server that crashes may have sent such a
+/// head, so it is no reason to give up the other servers that have the request.
+fn is_only_head(response: &Response<Body>) -> bool {
+    let body = response.body();
+    response.status().is_success() && !body.has_begun && !body.is_end_stream()
+}
+
+/// Waits for the first bytes of an answer, or for its end if it is empty.
+async fn begin(response: Response<Body>, connection: Connection) -> Exchange {
+    let (head, mut body) = response.into_parts();
+    let begun = body.begin().await;
+    let has_bytes = begun.map_err(|error| Unanswered::Broken(error.to_string()))?;
+    if !has_bytes && !ending::is_announced(&head, &body) {
+        let reason = "the connection closed before the first byte";
+        return Err(Unanswered::Broken(reason.to_owned()));
+    }
+    Ok((Response::from_parts(head, body), connection))
+}
+
 /// Waits until `due`, or for ever if it is `None`.
 async fn sleep_until_some(due: Option<Instant>) {
     match due {
--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use primrose_place::placer::Outcome;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -19,6 +19,7 @@
 use crate::memory::Reservation;
 use crate::request::{Answered, Job};
 use crate::stop;
+use crate::upstream::Body;
 
 /// The most bytes of an answer that are buffered. A longer answer is forwarded as it arrives.
 pub(crate) const MAX_BYTES: usize = 512 << 10;
@@ -41,7 +42,7 @@
 ///
 /// Returns the error of the connection to the server, or the reason why the answer is not whole.
 pub(crate) async fn read(
-    body: &mut Incoming,
+    body: &mut Body,
     ending: &mut Ending,
     mut reservation: Reservation,
 ) -> Result<Buffered, String> {
@@ -120,7 +121,7 @@
 
 /// The next data of a body, or `None` at its end. The error is that of the connection, or the reason why the body is not
 /// whole. Trailers are not forwarded.
-async fn next_chunk(body: &mut Incoming, ending: &mut Ending) -> Result<Option<Bytes>, String> {
+async fn next_chunk(body: &mut Body, ending: &mut Ending) -> Result<Option<Bytes>, String> {
     let next = next_data(body).await.map_err(|error| error.to_string())?;
     match &next {
         Some(data) => ending.push(data),
@@ -130,7 +131,10 @@
 }
 
 /// The next data of a body, or `None` at its end.
-pub(crate) async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+pub(crate) async fn next_data<B>(body: &mut B) -> Result<Option<Bytes>, hyper::Error>
+where
+    B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             return Ok(Some(data));
--- a/crates/entry/src/direct.rs
+++ b/crates/entry/src/direct.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame};
-use hyper::body::Incoming;
 use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use tokio::task::AbortHandle;
@@ -21,12 +20,12 @@
 use crate::ending::Ending;
 use crate::request::{Answered, Job};
 use crate::stop;
-use crate::upstream::Connection;
+use crate::upstream::{self, Connection};
 
 /// An answer that is being forwarded. Invariant: its end is counted and logged exactly once, even if the caller
 /// disconnects and the answer is dropped.
 pub(crate) struct Answer {
-    body: Incoming,
+    body: upstream::Body,
     /// `None` after the end of the answer.
     open: Arc<Mutex<Option<Open>>>,
     /// Whether the answer ended with its last byte.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -51,7 +51,7 @@
 use crate::refusal::Refusal;
 use crate::stop::{self, Limit, Plan};
 use crate::stream;
-use crate::upstream::{Connection, Pool};
+use crate::upstream::{self, Connection, Pool};
 use crate::waiting;
 
 /// Failed connections after which a request is refused: each of them may take the whole connection timeout.
@@ -550,7 +550,7 @@
 /// An answer whose head has arrived from a backend server.
 pub(crate) struct Answered {
     pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: upstream::Body,
     pub(crate) connection: Connection,
     pub(crate) assignment: Assignment,
     /// Whether the server reports a failure.
@@ -911,7 +911,7 @@
     }
 
     /// Reads the rest of a short answer, so that its connection can be reused.
-    pub(crate) async fn drain_short_answer(&self, body: Incoming, connection: Connection) {
+    pub(crate) async fn drain_short_answer(&self, body: upstream::Body, connection: Connection) {
         let read = Limited::new(body, buffer::MAX_BYTES).collect();
         let limit = Duration::from_millis(100);
         if let Ok(Ok(_)) = tokio::time::timeout(limit, read).await {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use primrose_base::clock::Time;
 use primrose_place::placer::Outcome;
 use slog::info;
@@ -27,7 +26,7 @@
 use crate::memory::{self, Memory, Reservation};
 use crate::request::{Answered, Job};
 use crate::silence::Watch;
-use crate::upstream::Connection;
+use crate::upstream::{self, Connection};
 
 /// The most chunks that wait for a slow caller; reading from the server then pauses.
 pub(crate) const MAX_WAITING_CHUNKS: usize = 16;
@@ -45,7 +44,7 @@
 
 /// The part of a stream that one server sends.
 struct Part {
-    body: Incoming,
+    body: upstream::Body,
     connection: Connection,
     assignment: Assignment,
     /// Whether the answer announces its end. Otherwise its connection may close in the middle of an event.
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -5,10 +5,13 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::buffer;
 use crate::slow;
 
 /// Timeout for opening a connection: failure domains are a few ms apart, and a server that is starting accepts
@@ -74,11 +78,52 @@
     Broken(String),
 }
 
+/// The body of an answer. Its first bytes may have been read to find out that the server sends any.
+pub(crate) struct Body {
+    /// Whether the first bytes, or the end of an empty body, have been read.
+    pub(crate) has_begun: bool,
+    /// `Some` if these bytes have been read and not been returned.
+    first: Option<Bytes>,
+    rest: Incoming,
+}
+
+impl Body {
+    /// Waits for the first bytes or the end of the body. Returns whether there are any.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection to the server.
+    pub(crate) async fn begin(&mut self) -> Result<bool, hyper::Error> {
+        self.first = buffer::next_data(&mut self.rest).await?;
+        self.has_begun = true;
+        Ok(self.first.is_some())
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Pin::new(&mut self.rest).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+}
+
 impl Connection {
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<Body>, Error> {
         let result = self.sender.try_send_request(request).await;
         let response = result.map_err(|mut error| match error.take_message() {
             Some(request) => Error::NotSent(Box::new(request)),
@@ -87,7 +132,11 @@
         if let Some(seconds) = keep_alive_seconds(response.headers()) {
             self.idle_timeout_ms = seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS);
         }
-        Ok(response)
+        Ok(response.map(|rest| Body {
+            has_begun: false,
+            first: None,
+            rest,
+        }))
     }
 }
 
