--- a/crates/entry/src/buffer.rs
+++ b/crates/entry/src/buffer.rs
@@ -56,7 +56,8 @@
     Ok(Buffered::Whole(reservation.hold(bytes.freeze())))
 }
 
-/// Forwards `start`, which `ending` has followed, and the rest of an answer that outgrew the buffer. Holds one chunk at a time.
+/// Forwards `start`, which `ending` has followed, and the rest of an answer that outgrew the buffer. Holds one chunk at a
+/// time.
 pub(crate) async fn forward(
     mut job: Job,
     answered: Answered,
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -65,14 +65,14 @@
     }
 }
 
-/// Whether the head announces where the body ends: with a length, with a last chunk, or because such an answer has no body.
-/// Otherwise it ends with its connection.
+/// Whether the head announces where the body ends: with a length or a last chunk, or because such an answer has no body.
+/// Otherwise the body ends with its connection.
 pub(crate) fn is_announced(head: &response::Parts, body: &impl Body) -> bool {
     let codings = head.headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let has_framing = codings.map_or_else(
         || head.headers.contains_key(CONTENT_LENGTH),
         |codings| coding::is_chunked(codings.as_bytes()),
     );
-    // The HTTP library knows which answers have no body, except those to a request to reset the caller's view.
+    // The HTTP library knows which other answers have no body (RFC 9110, section 15.3.6).
     has_framing || body.is_end_stream() || head.status == StatusCode::RESET_CONTENT
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -405,10 +405,13 @@
                     },
                     Err(end) => break Next::Ended(end),
                 },
-                resumed = &mut resume => break match (resumed.and_then(|resumed| resumed.go_on(splitter)), broken) {
-                    (Some(resumed), _) => Next::Other(Box::new(resumed)),
-                    (None, Some(reason)) => Next::Ended(End::Broken(reason)),
-                    (None, None) => Next::Waiting,
+                resumed = &mut resume => {
+                    let resumed = resumed.and_then(|resumed| resumed.go_on(splitter));
+                    break match (resumed, broken) {
+                        (Some(resumed), _) => Next::Other(Box::new(resumed)),
+                        (None, Some(reason)) => Next::Ended(End::Broken(reason)),
+                        (None, None) => Next::Waiting,
+                    };
                 },
                 () = sender.closed() => break Next::Ended(End::CallerGone),
                 () = &mut passed => break Next::Ended(End::TimedOut),
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -1,7 +1,10 @@
 //! Follows the lines of a stream of server-sent events, to tell whether it may end where it does.
 
+/// A stream may begin with this mark, which does not belong to its first line.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// The number of bytes of a line that are kept: enough to recognise the names of all fields.
-const START_BYTES: usize = 6;
+const START_BYTES: usize = BYTE_ORDER_MARK.len() + b"retry:".len();
 
 /// What a line of a stream means for the event that it is in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +22,7 @@
 impl Line {
     /// Reads a line without its line feed, or as much of it as the name of its field needs.
     pub fn of(line: &[u8]) -> Line {
+        let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if line.is_empty() {
             return Line::Empty;
--- a/crates/wire/tests/event.rs
+++ b/crates/wire/tests/event.rs
@@ -15,6 +15,8 @@
 #[test_case("data\r\n\r\n", None; "event without a value")]
 #[test_case("id: 7\n\n", None; "id")]
 #[test_case("data: x\n\n\n\r\n: y\nretry: 7\n", None; "lines of no event after an event")]
+#[test_case("\u{feff}data: x\n\n", None; "event after a byte order mark")]
+#[test_case("\u{feff}: x\n\n", Some("before the first event"); "comment after a byte order mark")]
 #[test_case("version: 2\ndata: x\n\n", None; "event that begins with another field")]
 #[test_case("data: x\n", Some("middle of an event"); "no empty line")]
 #[test_case("data: x\n\r", Some("middle of an event"); "half of an empty line")]
