fleet, entry: Place no request without a document

Cause: such a host has a list of servers soon, and its document only once it knows that the last entry on its disk is committed. The limits of pools are in the document, so it took each pool for one without a warm-up. Entry hosts asked it, whatever its status said.

Evidence: `host_without_a_document_places_no_request` fails without the check in `core_host`: a request is placed on the only server of the list. Ruled out: entry hosts that decide alone, which hold back with their own document.

A core host without a document now decides nothing, and entry hosts ask only core hosts whose status states a document. They ask another one or decide themselves. Updates still go to all of them, since a host is told of the running requests only when it is found.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -463,6 +463,17 @@
     /// because it then knows all assignments: the leader comes first. If the leader cannot be reached, all hosts of a
     /// failure domain choose the same core host of their domain.
     fn candidates(&self, now: Time) -> Vec<usize> {
+        let mut candidates = self.usable(now);
+        // One that has just restarted may have a list and no document, and does not know the limits of pools.
+        candidates.retain(|&at| {
+            let status = self.core_hosts[at].status.as_ref();
+            status.is_some_and(|status| status.version > 0)
+        });
+        candidates
+    }
+
+    /// Indices of the core hosts that answer and have a list of servers, in the order of [`Link::candidates`].
+    fn usable(&self, now: Time) -> Vec<usize> {
         let newest = self
             .core_hosts
             .iter()
@@ -470,7 +481,7 @@
             .filter_map(|core| core.status.as_ref())
             .max_by_key(|status| status.term);
         let leader = newest.and_then(|status| status.leader.clone());
-        let mut candidates: Vec<usize> = (0..self.core_hosts.len())
+        let mut usable: Vec<usize> = (0..self.core_hosts.len())
             .filter(|&at| {
                 let core = &self.core_hosts[at];
                 now.since(core.last_heard) < SILENT_MS
@@ -481,7 +492,7 @@
                         .is_some_and(|status| status.directory.is_some())
             })
             .collect();
-        candidates.sort_by_key(|&at| {
+        usable.sort_by_key(|&at| {
             let core = &self.core_hosts[at];
             let is_leader = leader.as_ref() == Some(&core.host);
             let is_near = core
@@ -490,7 +501,7 @@
                 .is_some_and(|status| status.domain == self.inputs.domain);
             (!is_leader, !is_near, at)
         });
-        candidates
+        usable
     }
 
     fn record_update(&mut self, update: Update) {
@@ -560,8 +571,9 @@
 
     /// The core hosts that get updates.
     fn recipients(&self) -> Vec<SocketAddrV4> {
-        let candidates = self.candidates(Time::now()).into_iter().take(RECIPIENTS);
-        candidates.map(|at| self.core_hosts[at].address).collect()
+        // One without a document gets updates too: it will place requests without being told of all assignments again.
+        let usable = self.usable(Time::now()).into_iter().take(RECIPIENTS);
+        usable.map(|at| self.core_hosts[at].address).collect()
     }
 
     /// Whether an update is on a request that does not fit into a datagram.
--- a/crates/fleet/src/core_host.rs
+++ b/crates/fleet/src/core_host.rs
@@ -307,9 +307,11 @@
                 self.handle_hello(source, stamp, capacity);
             }
             Packet::Place(demand) => {
-                let (key, decision) = (demand.key, self.place(&demand));
-                self.send(source, &Packet::Decision { key, decision });
-                self.report_placement();
+                let key = demand.key;
+                if let Some(decision) = self.place(&demand) {
+                    self.send(source, &Packet::Decision { key, decision });
+                    self.report_placement();
+                }
             }
             Packet::Updates(updates) => self.record_updates(updates),
             Packet::Heartbeat(heartbeat) => self.handle_heartbeat(&heartbeat),
@@ -349,7 +351,13 @@
         self.send(source, &Packet::Status(self.status(stamp)));
     }
 
-    fn place(&mut self, demand: &Demand) -> Decision {
+    /// Decides on a request. Without a document, which has the limits of pools, there is no decision: the entry host then
+    /// asks another core host, or decides with the document that it has.
+    fn place(&mut self, demand: &Demand) -> Option<Decision> {
+        if self.version.is_none() {
+            self.inputs.meter.count("ask_without_document");
+            return None;
+        }
         let now = Time::now();
         self.update_warmup_bound(now);
         let (waited, before) = (self.placer.is_waiting(demand.key), self.placer.waiting());
@@ -369,7 +377,7 @@
                 Reason::Memory => "ask_refused_engine_memory",
             },
         });
-        decision
+        Some(decision)
     }
 
     /// Reports what has changed with a placement.
@@ -599,9 +607,11 @@
     fn answer(&mut self, question: Question) {
         match question {
             Question::Place { demand, reply } => {
-                // The caller may have given up.
-                let _ = reply.send(self.place(&demand));
-                self.report_placement();
+                if let Some(decision) = self.place(&demand) {
+                    // The caller may have given up.
+                    let _ = reply.send(decision);
+                    self.report_placement();
+                }
             }
             Question::Update(updates) => self.record_updates(updates),
             Question::Quarantine { record, reply } => {
--- a/crates/fleet/src/counter.rs
+++ b/crates/fleet/src/counter.rs
@@ -1,7 +1,7 @@
 //! Names of the counters of a core host; `docs/platform-counters.md` lists them.
 
 /// The names of all counters of a core host.
-pub const ALL: [&str; 59] = [
+pub const ALL: [&str; 60] = [
     "ask_placed",
     "ask_refused_drained",
     "ask_refused_engine_memory",
@@ -12,6 +12,7 @@
     "ask_refused_quarantined",
     "ask_refused_warming",
     "ask_waiting",
+    "ask_without_document",
     "crash_reported",
     "crossing_closed",
     "crossing_opened",
--- a/crates/fleet/tests/stale_list.rs
+++ b/crates/fleet/tests/stale_list.rs
@@ -1,4 +1,4 @@
-//! Two core hosts that read the list of servers, in one process on loopback addresses.
+//! Core hosts that read the list of servers, in one process on loopback addresses.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
@@ -9,12 +9,17 @@
 use primrose_base::name::Name;
 use primrose_fleet::core_host::{self, ReadServers};
 use primrose_fleet::peers::{self, Links};
-use primrose_fleet::replica::{self, Input};
+use primrose_fleet::replica::{self, Input, Outcome};
+use primrose_fleet::store::Stored;
 use primrose_observe::Meter;
+use primrose_place::demand::{Demand, Key as DemandKey};
+use primrose_place::placer::Decision;
 use primrose_place::warmup::Bound;
 use primrose_place::{Server, Settings};
+use primrose_route::Document;
 use primrose_wire::key::Key;
 use slog::{Discard, Logger, o};
+use tarpc::context;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
@@ -140,3 +145,57 @@
     assert!(has_shown, "no host has read the newer list");
     assert_eq!(shows_draining(&links, host(0)).await, Some(true));
 }
+
+/// Asks the host at this address for a server. `None` if it decides nothing.
+async fn place(links: &Links, host: Ipv4Addr, sequence: u64) -> Option<Decision> {
+    let demand = Demand {
+        key: DemandKey { entry: 1, sequence },
+        pool: "desk".into(),
+        account: None,
+        domain: "north".into(),
+        prompt: None,
+        objective_ms: 1_000,
+        waited_ms: 0,
+        remaining_ms: 5_000,
+        returning: false,
+        tried: Vec::new(),
+    };
+    let call = peers::call(links, SocketAddrV4::new(host, PORT), |client| async move {
+        client.place(context::current(), demand).await
+    });
+    call.await.expect("the host can be reached")
+}
+
+// A core host that was started again while there is no leader has a list of servers and no document. It once placed
+// requests without the limits of their pools, and servers that warm up got several times as many as they may.
+#[tokio::test]
+async fn host_without_a_document_places_no_request() {
+    let [low, high] = (std::process::id() as u16).to_le_bytes();
+    let host = Ipv4Addr::new(127, 84, low, (high & 0x3f) * 4);
+    let folder = tempfile::tempdir().expect("a folder can be created");
+    let read: ReadServers = Arc::new(|| Box::pin(async { Ok(servers(false)) }));
+    let replica = bind(host, host, folder.path(), read).await;
+    let links = peers::links(key());
+    while shows_draining(&links, host).await.is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(place(&links, host, 1).await, None);
+    replica.send(Input::Form(vec![replica.state().introduction]));
+    let document = Stored {
+        document: Arc::new(Document {
+            version: 1,
+            ..Document::default()
+        }),
+        source: b"1"[..].into(),
+    };
+    let start = Instant::now();
+    while !matches!(replica.put(document.clone()).await, Outcome::Applied(_)) {
+        assert!(start.elapsed() < HELD_BACK, "the document is not stored");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let start = Instant::now();
+    while place(&links, host, 2).await.is_none() {
+        assert!(start.elapsed() < HELD_BACK, "no request is placed");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
