entry: Test that a core host without a document is not asked

The core host of `a_request_that_waits_is_decided_after_the_loss_of_the_core_host` stated no document and placed requests, which no core host does since, so the test waited for ever; the run of the whole script found it. It states a document now and checks the same.

The four tests of the file pass.

--- a/crates/entry/tests/waiting.rs
+++ b/crates/entry/tests/waiting.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 fn demand() -> Arc<Demand> {
     Arc::new(Demand {
@@ -80,12 +81,16 @@
     assert_eq!(placed.asks, 1);
 }
 
+/// The number of entry hosts in the status of a core host.
+const ENTRY_HOSTS: u32 = 3;
+
 fn fleet_key() -> FleetKey {
     FleetKey::new(&[7; 32]).expect("the key is valid")
 }
 
-/// Plays a core host that answers hellos, and as many placement requests as given, with a wait. Then it is lost.
-async fn play_core_host(socket: UdpSocket, waits: usize) {
+/// Plays a core host whose status states this version of the document. It answers hellos, and as many placement requests
+/// as given, with a wait. Then it is lost.
+async fn play_core_host(socket: UdpSocket, version: u64, waits: usize) {
     let mut buffer = [0; 2_048];
     let mut answered = 0;
     while answered < waits {
@@ -98,13 +103,13 @@
                 core_hosts: Vec::new(),
                 leader: None,
                 term: 1,
-                version: 0,
+                version,
                 directory: Some(Freshness {
                     fingerprint: 1,
                     age_ms: 0,
                 }),
                 answers: stamp,
-                entry_hosts: 1,
+                entry_hosts: ENTRY_HOSTS,
                 smallest_capacity: 0,
                 largest_capacity: 0,
                 quarantine: Summary::default(),
@@ -127,14 +132,19 @@
     }
 }
 
-// A wait is an answer: a core host that lets requests wait must not be suspected to be down. If it is lost while a request
-// waits, the entry host must still decide, and alone it must not let the request wait again.
-#[tokio::test]
-async fn a_request_that_waits_is_decided_after_the_loss_of_the_core_host() {
+/// An entry host and its core host, which lets four requests wait.
+struct Hosts {
+    core: JoinHandle<()>,
+    link: link::Handle,
+    meter: Arc<Meter>,
+    _seeds: watch::Sender<Vec<Name>>,
+}
+
+async fn open(version: u64) -> Hosts {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let core_port = socket.local_addr().expect("an address").port();
-    let core = tokio::spawn(play_core_host(socket, 4));
-    let (_seeds, seeds) = watch::channel(vec![Name::new("127.0.0.1").expect("a name")]);
+    let core = tokio::spawn(play_core_host(socket, version, 4));
+    let (sender, seeds) = watch::channel(vec![Name::new("127.0.0.1").expect("a name")]);
     let meter = Arc::new(Meter::new(&counter::ALL, &counter::LATENCIES));
     let settings = primrose_place::Settings {
         waiting: true,
@@ -151,7 +161,21 @@
         meter: Arc::clone(&meter),
         log: Logger::root(slog::Discard, slog::o!()),
     });
-    let link = link.await.expect("the address can be bound");
+    Hosts {
+        core,
+        link: link.await.expect("the address can be bound"),
+        meter,
+        _seeds: sender,
+    }
+}
+
+// A wait is an answer: a core host that lets requests wait must not be suspected to be down. If it is lost while a request
+// waits, the entry host must still decide, and alone it must not let the request wait again.
+#[tokio::test]
+async fn a_request_that_waits_is_decided_after_the_loss_of_the_core_host() {
+    let Hosts {
+        core, link, meter, ..
+    } = &mut open(1).await;
     // Before the first status, the host decides alone.
     while link.place(&demand()).await != (Decision::Wait { again_ms: 50 }) {
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -179,3 +203,23 @@
     assert_eq!(placed.asks, 4);
     assert_eq!(meter.value("ask_local"), alone + 1);
 }
+
+// A core host without a document does not know the limits of pools, so an entry host must decide alone. Servers that warm
+// up once got several times as many requests as they may.
+#[tokio::test]
+async fn a_core_host_without_a_document_is_not_asked() {
+    let Hosts {
+        core, link, meter, ..
+    } = &open(0).await;
+    while link.state().entry_hosts != ENTRY_HOSTS {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for _ in 0..10 {
+        let decision = link.place(&demand()).await;
+        assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(meter.value("ask_local"), 10);
+    assert_eq!(meter.value("ask_repeated"), 0);
+    assert!(!core.is_finished());
+}
