entry: Compare the id of an event that has begun only if it is a number

A stream with one event whose id is no number, broken off within the next one, was broken off for its caller although the next server went on with that event: two ids that are no numbers counted as the same number.

The new case of `next_part_does_not_end_before_an_event_that_has_begun` failed before; the 24 tests of the file and the 19 of `parts` pass.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -111,7 +111,8 @@
                 return Err("the next server repeats events");
             }
             // Ids may rise in larger steps, so a gap shows only if they have not done so before.
-            let has_begun_next = begun_id.is_some_and(|id| number(&id) == next_number);
+            let begun_number = begun_id.as_deref().and_then(number);
+            let has_begun_next = begun_number.is_some() && begun_number == next_number;
             let is_consecutive = position.is_consecutive && (position.named > 1 || has_begun_next);
             if is_at_joint && is_consecutive && !is_next {
                 return Err("the next server leaves out events");
--- a/crates/entry/tests/event.rs
+++ b/crates/entry/tests/event.rs
@@ -130,6 +130,7 @@
 #[test_case("id: 1\ndata: x\n\nid: 2\nda", "id: 2\ndata: x", true; "in an event that comes without an empty line")]
 #[test_case("id: 1\ndata: x\n\nid: 2\nda", "id: 3\ndata: x\n\n", false; "in an event that is left out")]
 #[test_case("id: 1\ndata: x\n\nid: 4\nda", "id: 5\ndata: x\n\n", true; "in an event of a stream with gaps")]
+#[test_case("id: a\ndata: x\n\nid: b\nda", "id: b\ndata: x\n\n", true; "in an event whose id is no number")]
 #[test_case("id: 1\ndata: x\n\nid: 2", "id: 3\ndata: x\n\n", true; "in an id")]
 #[test_case("da", "", false; "in the first event")]
 fn next_part_does_not_end_before_an_event_that_has_begun(first: &str, next: &str, is_whole: bool) {
