entry: Judge an empty answer beside a silent server by `Ending`

`attempt::begin` repeated the check of an answer without a byte that `Ending` has, with its text. It asks `Ending` now. The id of an event that has begun is searched from the end, without a list of all lines, and a comment names the status that it is about.

What is passed on stays as it was; in the reason of a failed attempt, an empty answer of the type of events closes "before the first event" now.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::assignment::Assignment;
-use crate::ending;
+use crate::ending::Ending;
 use crate::failure::Failure;
 use crate::notice::Block;
 use crate::protocol::Classification;
@@ -397,9 +397,9 @@
     let (head, mut body) = response.into_parts();
     let begun = body.begin().await;
     let has_bytes = begun.map_err(|error| Unanswered::Broken(error.to_string()))?;
-    if !has_bytes && !ending::is_announced(&head, &body) {
-        let reason = "the connection closed before the first byte";
-        return Err(Unanswered::Broken(reason.to_owned()));
+    if !has_bytes {
+        let end = Ending::new(&head, &body, false).check();
+        end.map_err(|reason| Unanswered::Broken(reason.to_owned()))?;
     }
     Ok((Response::from_parts(head, body), connection))
 }
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -73,6 +73,6 @@
         || head.headers.contains_key(CONTENT_LENGTH),
         |codings| coding::is_chunked(codings.as_bytes()),
     );
-    // The HTTP library knows which other answers have no body (RFC 9110, section 15.3.6).
+    // The HTTP library knows which answers have no body, except one with the status 205 (RFC 9110, section 15.3.6).
     has_framing || body.is_end_stream() || head.status == StatusCode::RESET_CONTENT
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -173,11 +173,9 @@
         }
         self.position.has_begun = true;
         // The last line has not ended.
-        let mut lines: Vec<&[u8]> = before.partial[..].split(|&byte| byte == b'\n').collect();
-        lines.pop();
-        let mut ids = lines.iter().filter_map(|line| line.strip_prefix(b"id:"));
-        let id = ids.next_back().and_then(readable_id);
-        self.position.begun_id = id.map(str::to_owned);
+        let mut lines = before.partial.rsplit(|&byte| byte == b'\n').skip(1);
+        let id = lines.find_map(|line| line.strip_prefix(b"id:"));
+        self.position.begun_id = id.and_then(readable_id).map(str::to_owned);
     }
 
     /// Ends the part of the stream that the server has sent. Returns what has arrived after the last empty line, which an
